--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, each printing JSON lines."""
--- /dev/null
+++ b/pimentowalk/wire/__init__.py
@@ -0,0 +1,5 @@
+"""Frames between the processes of the system.
+
+Public parts: `messages` (one attrs class for each frame body), `codec`
+(attrs to capnp and back) and `connection` (peer connections and servers).
+"""
--- /dev/null
+++ b/pimentowalk/wire/connection.py
@@ -0,0 +1,305 @@
+"""Peer connections: framed streams with calls, and a server for them."""
+
+import asyncio
+import contextlib
+import itertools
+import logging
+
+from pimentowalk.core import errors
+from pimentowalk.core import logs
+from pimentowalk.core import timers
+from pimentowalk.wire import codec
+from pimentowalk.wire import messages
+
+LOG = logging.getLogger(__name__)
+
+HELLO_TIMEOUT_S = 5.0
+DIAL_TIMEOUT_S = 2.0
+# Beyond this much unsent data a sender waits, so that a slow peer cannot
+# make this process hold an unbounded amount of memory.
+WRITE_BUFFER_BYTES = 1 << 20
+
+
+async def ignore_frame(connection, envelope):
+    """Refuse any frame; the default handler."""
+    raise errors.FrameError(
+        f'unexpected {envelope.body.FRAME_NAME}',
+        step='receive',
+        peer=connection.peer,
+    )
+
+
+class PeerConnection:
+    """A connection to one peer, after both sides sent `Hello`.
+
+    `on_frame(connection, envelope)` handles the frames that answer no call,
+    in order. `on_close(connection)` runs once, after the last frame.
+    `version` returns the configuration version that frames carry.
+    """
+
+    def __init__(self, reader, writer, hello, *, version=lambda: 0):
+        self._reader = reader
+        self._writer = writer
+        self._own_hello = hello
+        self._version = version
+        self._calls = {}
+        self._call_ids = itertools.count(1)
+        self._closed = asyncio.Event()
+        self.hello = None
+        self.on_frame = ignore_frame
+        self.on_close = None
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        writer.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        host, port = writer.get_extra_info('peername')[:2]
+        self.address = f'{host}:{port}'
+
+    @property
+    def peer(self):
+        """Return the node id of the peer, or its address before `Hello`."""
+        return self.hello.node_id if self.hello else self.address
+
+    @property
+    def closed(self):
+        """Return whether the connection has ended."""
+        return self._closed.is_set()
+
+    async def wait_closed(self):
+        """Wait until the connection has ended."""
+        await self._closed.wait()
+
+    async def handshake(self):
+        """Exchange `Hello`; raise FrameError or PeerLost."""
+        self.post(self._own_hello)
+        try:
+            async with asyncio.timeout(HELLO_TIMEOUT_S):
+                envelope = await self._read()
+        except TimeoutError:
+            self.close()
+            raise errors.PeerLost(
+                'no hello', step='handshake', peer=self.address
+            ) from None
+        if not isinstance(envelope.body, messages.Hello):
+            self.close()
+            raise errors.FrameError(
+                'the first frame is not a hello',
+                step='handshake',
+                peer=self.address,
+            )
+        self.hello = envelope.body
+
+    def post(self, body, *, call_id=0):
+        """Queue a frame without waiting; drop it if closed."""
+        if self.closed or self._writer.is_closing():
+            return
+        frame = codec.encode(
+            body, config_version=self._version(), call_id=call_id
+        )
+        self.sent_bytes += len(frame)
+        self._writer.write(frame)
+
+    async def send(self, body, *, call_id=0):
+        """Send a frame; raise PeerLost if the connection has ended."""
+        if self.closed or self._writer.is_closing():
+            raise errors.PeerLost(
+                'the connection ended', step='send', peer=self.peer
+            )
+        self.post(body, call_id=call_id)
+        try:
+            await self._writer.drain()
+        except ConnectionError:
+            raise errors.PeerLost(
+                'the connection ended', step='send', peer=self.peer
+            ) from None
+
+    async def call(self, body, timeout_s):
+        """Send a frame and return the body of its answer.
+
+        Raises PeerLost, TimeoutError, or PimentowalkError with the code
+        of a `Failure` that the peer answered.
+        """
+        call_id = next(self._call_ids) * 2
+        future = asyncio.get_running_loop().create_future()
+        self._calls[call_id] = future
+        try:
+            await self.send(body, call_id=call_id)
+            async with asyncio.timeout(timeout_s):
+                answer = await future
+        finally:
+            self._calls.pop(call_id, None)
+        if isinstance(answer, messages.Failure):
+            raise failure_error(answer, self.peer)
+        return answer
+
+    async def reply(self, envelope, body):
+        """Answer a call."""
+        await self.send(body, call_id=envelope.call_id | 1)
+
+    async def run(self):
+        """Handle frames until the connection ends; never raise."""
+        try:
+            while True:
+                envelope = await self._read()
+                if envelope.call_id & 1:
+                    self._finish_call(envelope)
+                else:
+                    await self._handle(envelope)
+        except errors.PeerLost:
+            pass
+        except errors.FrameError as error:
+            LOG.warning(
+                'closing the connection: %s',
+                error,
+                extra=logs.fields(step=error.step, peer=self.peer),
+            )
+            self.post(failure(error))
+        finally:
+            self._end()
+
+    async def _handle(self, envelope):
+        try:
+            await self.on_frame(self, envelope)
+        except errors.FrameError:
+            raise
+        except errors.PeerLost:
+            raise
+        except errors.PimentowalkError as error:
+            if not envelope.call_id:
+                LOG.warning('%s', error, extra=logs.fields(peer=self.peer))
+                return
+            await self.reply(envelope, failure(error))
+        except Exception as error:
+            LOG.exception(
+                'frame handler failed', extra=logs.fields(peer=self.peer)
+            )
+            if envelope.call_id:
+                await self.reply(
+                    envelope, messages.Failure('internal', repr(error))
+                )
+
+    def _finish_call(self, envelope):
+        future = self._calls.get(envelope.call_id & ~1)
+        if future is not None and not future.done():
+            future.set_result(envelope.body)
+
+    async def _read(self):
+        try:
+            header = await self._reader.readexactly(codec.HEADER.size)
+            length = codec.body_length(header, self.address)
+            payload = await self._reader.readexactly(length)
+        except (asyncio.IncompleteReadError, ConnectionError, OSError):
+            raise errors.PeerLost(
+                'the connection ended', step='receive', peer=self.peer
+            ) from None
+        self.received_bytes += len(header) + length
+        return codec.decode(payload, self.address)
+
+    def close(self):
+        """End the connection after what was queued has been sent."""
+        self._writer.close()
+
+    def abort(self):
+        """End the connection at once and drop what was queued."""
+        self._writer.transport.abort()
+
+    def _end(self):
+        if self.closed:
+            return
+        self._closed.set()
+        self._writer.close()
+        for future in self._calls.values():
+            if not future.done():
+                future.set_exception(
+                    errors.PeerLost(
+                        'the connection ended', step='call', peer=self.peer
+                    )
+                )
+        if self.on_close is not None:
+            self.on_close(self)
+
+
+def failure(error):
+    """Return the frame body that carries an error."""
+    return messages.Failure(error.code, error.message, error.step, error.peer)
+
+
+def failure_error(body, peer):
+    """Return the error that a `Failure` carries."""
+    code = body.code if body.code in errors.CODES else 'internal'
+    return errors.PimentowalkError(
+        body.text, code=code, step=body.step, peer=body.peer or peer
+    )
+
+
+async def dial(host, port, hello, *, version=lambda: 0):
+    """Connect to a peer and return the connection; raise PeerLost.
+
+    The caller sets `on_frame` and starts `run` as a task.
+    """
+    try:
+        async with asyncio.timeout(DIAL_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(host, port)
+    except (OSError, TimeoutError) as error:
+        raise errors.PeerLost(
+            f'cannot connect: {error or "timeout"}',
+            step='dial',
+            peer=f'{host}:{port}',
+        ) from None
+    connection = PeerConnection(reader, writer, hello, version=version)
+    try:
+        await connection.handshake()
+    except errors.PimentowalkError:
+        connection.abort()
+        raise
+    return connection
+
+
+class PeerServer:
+    """Accept peer connections, one task each.
+
+    `accept(connection)` sets `on_frame` and `on_close` of a connection
+    after its handshake.
+    """
+
+    def __init__(self, host, port, hello, accept, *, version=lambda: 0):
+        self.host = host
+        self.port = port
+        self._hello = hello
+        self._accept = accept
+        self._version = version
+        self._server = None
+        self._tasks = set()
+
+    async def start(self):
+        """Listen; with port 0 the system chooses one, see `port`."""
+        self._server = await asyncio.start_server(
+            self._serve, self.host, self.port, backlog=1024
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader, writer):
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        try:
+            connection = PeerConnection(
+                reader, writer, self._hello, version=self._version
+            )
+            with contextlib.suppress(errors.PimentowalkError):
+                await connection.handshake()
+                self._accept(connection)
+                await connection.run()
+        except asyncio.CancelledError:
+            pass
+        finally:
+            writer.close()
+            self._tasks.discard(task)
+
+    async def stop_accepting(self):
+        """Close the listening socket; connections stay."""
+        if self._server is not None:
+            self._server.close()
+
+    async def stop(self):
+        """Close the listening socket and all connections."""
+        await self.stop_accepting()
+        await timers.cancel_all(list(self._tasks))
--- /dev/null
+++ b/pimentowalk/wire/tests/test_wire.py
@@ -0,0 +1,145 @@
+"""Guard the frame format and the connections."""
+
+import asyncio
+import pathlib
+
+import attrs
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from pimentowalk.core import errors
+from pimentowalk.wire import codec
+from pimentowalk.wire import connection
+from pimentowalk.wire import messages
+from pimentowalk.wire import schema
+
+HELLO = messages.Hello('node-a', 'entry', 1, 'zone-1')
+ALL_BODIES = [cls for _, cls in messages.FRAMES.entries()]
+bodies = strategies.sampled_from(ALL_BODIES).flatmap(strategies.from_type)
+strategies.register_type_strategy(
+    int, strategies.integers(min_value=0, max_value=2**64 - 1)
+)
+strategies.register_type_strategy(float, strategies.floats(allow_nan=False))
+strategies.register_type_strategy(
+    str,
+    strategies.text(
+        strategies.characters(exclude_categories=['Cs'], min_codepoint=1)
+    ),
+)
+
+
+def test_committed_schema_matches_the_classes():
+    """A changed class with an old schema would misread frames."""
+    path = pathlib.Path(schema.__file__).with_name('frames.capnp')
+    assert path.read_text() == schema.render()
+
+
+@hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+@hypothesis.given(bodies)
+def test_every_body_survives_the_round_trip(body):
+    """A field lost in the codec would corrupt a request silently."""
+    frame = codec.encode(body, config_version=7, call_id=4)
+    envelope = codec.decode(frame[codec.HEADER.size :])
+    assert envelope == codec.Envelope(body, 7, 4)
+
+
+@hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+@hypothesis.given(strategies.binary(max_size=200))
+def test_arbitrary_bytes_give_a_coded_error_or_a_frame(payload):
+    """A malformed frame must not raise anything but FrameError."""
+    try:
+        envelope = codec.decode(payload)
+    except errors.FrameError:
+        return
+    assert attrs.has(type(envelope.body))
+
+
+def test_header_of_a_newer_format_is_refused():
+    """A newer format must not be read as the present one."""
+    header = codec.HEADER.pack(codec.MAGIC, codec.FORMAT_VERSION + 1, 8)
+    with pytest.raises(errors.FrameError, match='format version'):
+        codec.body_length(header)
+
+
+def test_oversized_frame_is_refused_on_both_sides():
+    """A frame without a bound could exhaust the memory."""
+    big = messages.Failure('internal', 'x' * codec.MAX_FRAME_BYTES)
+    with pytest.raises(errors.FrameError):
+        codec.encode(big)
+    header = codec.HEADER.pack(
+        codec.MAGIC, codec.FORMAT_VERSION, codec.MAX_FRAME_BYTES + 1
+    )
+    with pytest.raises(errors.FrameError):
+        codec.body_length(header)
+
+
+class Echo:
+    """A server that answers calls and counts closed connections."""
+
+    def __init__(self):
+        self.closed = []
+        self.server = connection.PeerServer(
+            '127.0.0.1', 0, messages.Hello('server', 'agent', 2), self.accept
+        )
+
+    def accept(self, peer):
+        peer.on_frame = self.on_frame
+        peer.on_close = lambda ended: self.closed.append(ended.peer)
+
+    async def on_frame(self, peer, envelope):
+        if isinstance(envelope.body, messages.Watch):
+            raise errors.NotRun('refused', step='watch')
+        if isinstance(envelope.body, messages.TimeoutNow):
+            raise errors.FrameError('unexpected', step='receive')
+        await peer.reply(envelope, envelope.body)
+
+
+@pytest.fixture
+async def echo():
+    service = Echo()
+    await service.server.start()
+    yield service
+    await service.server.stop()
+
+
+async def dial_echo(echo):
+    peer = await connection.dial('127.0.0.1', echo.server.port, HELLO)
+    return peer, asyncio.ensure_future(peer.run())
+
+
+async def test_call_gets_its_own_answer_or_coded_error(echo):
+    """Answers must not be mixed up between concurrent calls."""
+    peer, task = await dial_echo(echo)
+    pulls = [messages.ConfigurationPull(n) for n in range(20)]
+    answers = await asyncio.gather(*(peer.call(p, 5) for p in pulls))
+    assert answers == pulls
+    with pytest.raises(errors.PimentowalkError) as caught:
+        await peer.call(messages.Watch([], 1), 5)
+    assert (caught.value.code, caught.value.step) == ('not_run', 'watch')
+    peer.close()
+    await task
+
+
+async def test_bad_frame_closes_only_its_connection(echo):
+    """One faulty peer must not disturb the others."""
+    bad, bad_task = await dial_echo(echo)
+    good, good_task = await dial_echo(echo)
+    with pytest.raises(errors.PimentowalkError):
+        await bad.call(messages.TimeoutNow(1), 5)
+    await bad_task
+    assert bad.closed
+    assert await good.call(messages.Empty(), 5) == messages.Empty()
+    good.close()
+    await good_task
+
+
+async def test_garbage_instead_of_hello_is_dropped(echo):
+    """A client that speaks another protocol must be disconnected."""
+    reader, writer = await asyncio.open_connection(
+        '127.0.0.1', echo.server.port
+    )
+    writer.write(b'GET / HTTP/1.1\r\n\r\n')
+    received = await reader.read()
+    assert codec.MAGIC in received
+    writer.close()
--- /dev/null
+++ b/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Small specifications and the exhaustive checker that explores them."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools: stand-ins, the demo launcher, a TCP relay."""
