Answer completions and service calls through agents

Cause: callers had no way into the system; the agent and control need an entry that speaks the messages of the design page.

--- /dev/null
+++ b/pimentowalk/entry/__main__.py
@@ -0,0 +1,5 @@
+"""Run an entry: `python -m pimentowalk.entry SETTINGS`."""
+
+from pimentowalk.entry import daemon
+
+daemon.main()
