--- a/pimentowalk/entry/claims.py
+++ b/pimentowalk/entry/claims.py
@@ -152,9 +152,7 @@
             claim.request_id, claim.attempt, server.incarnation
         )
         try:
-            link = await self._pool.link(server.host, server.port)
-            if link.peer.peer != server.server_id:
-                return ''
+            link = await self._pool.link_to(server)
             status = await link.peer.call(query, QUERY_TIMEOUT_S)
         except (errors.PimentowalkError, TimeoutError):
             return ''
--- a/pimentowalk/entry/pool.py
+++ b/pimentowalk/entry/pool.py
@@ -119,7 +119,7 @@
         self._sweep = self.timers.every(IDLE_S / 4, self.close_idle)
 
     async def link(self, host, port):
-        """Return the connection to an agent; raise PeerLost."""
+        """Return the connection to an address; raise PeerLost."""
         key = (host, port)
         link = self._links.get(key)
         if link is not None and not link.closed:
@@ -132,6 +132,23 @@
         # A caller that leaves must not cancel the dial of the others.
         return await asyncio.shield(dial)
 
+    async def link_to(self, server):
+        """Return the connection to this life of a server's agent.
+
+        Raises PeerLost. A restarted agent has forgotten which attempts were
+        fenced, so nothing is sent to it on behalf of its earlier life.
+        """
+        link = await self.link(server.host, server.port)
+        hello = link.peer.hello
+        found = (hello.node_id, hello.incarnation)
+        if found != (server.server_id, server.incarnation):
+            raise errors.PeerLost(
+                f'{found[0]} answers with another incarnation',
+                step='dial',
+                peer=server.server_id,
+            )
+        return link
+
     async def _dial(self, key):
         peer = await connection.dial(*key, self._hello, version=self._version)
         link = AgentLink(peer, self)
--- a/pimentowalk/entry/tests/harness.py
+++ b/pimentowalk/entry/tests/harness.py
@@ -1,7 +1,9 @@
 """An entry on loopback with fake agents and a fake session."""
 
+import asyncio
 import contextlib
 import hashlib
+import itertools
 import json
 import random
 import types
@@ -166,3 +168,21 @@
         yield harness
     finally:
         await harness.stop()
+
+
+async def advance_until(timers, event, step_s=0.25):
+    """Move manual time until an event is set.
+
+    Time stands still afterwards, so what follows cannot time out.
+    """
+    while not event.is_set():
+        await timers.advance(step_s)
+        await asyncio.sleep(0.001)
+
+
+async def until(condition):
+    """Wait until a condition holds."""
+    for _ in itertools.count():
+        if condition():
+            return
+        await asyncio.sleep(0.001)
--- a/pimentowalk/entry/tests/test_front.py
+++ b/pimentowalk/entry/tests/test_front.py
@@ -1,5 +1,6 @@
 """Guard the HTTP front against the fake agent."""
 
+from pimentowalk.core import timers as core_timers
 from pimentowalk.entry.tests import fake_agent
 from pimentowalk.entry.tests import harness
 
@@ -76,3 +77,173 @@
         assert headers['x-request-id'] == request_id
         assert not {'authorization', 'te', 'host'} & set(headers)
         assert not agent.calls[0].non_idempotent
+
+
+BAD_BODIES = [
+    {'prompt': 'Hi'},
+    {'model': 'm1'},
+    {'model': 'm1', 'prompt': ['Hi']},
+    {'model': 'm1', 'prompt': 'Hi', 'max_tokens': 0},
+    {'model': 'm1', 'prompt': 'Hi', 'max_tokens': True},
+    {'model': 'm1', 'prompt': 'Hi', 'max_tokens': 10**9},
+    {'model': 'm1', 'prompt': 'Hi', 'seed': -1},
+    {'model': 'm1', 'prompt': 'Hi', 'temperature': 'warm'},
+    {'model': 'm1', 'prompt': '\ud800'},
+    ['Hi'],
+]
+
+
+async def test_malformed_requests_are_refused_with_a_code():
+    """A malformed request must not reach an agent or fail as internal."""
+    async with harness.running() as entry:
+        agent = await entry.agent('a')
+        entry.show()
+        for content in BAD_BODIES:
+            async with entry.client.post(
+                '/v1/completions', json=content, headers=harness.AUTH
+            ) as response:
+                error = (await response.json())['error']
+                assert (response.status, error['code']) == (
+                    400,
+                    'bad_request',
+                ), content
+                assert error['not_run'] is True
+        assert agent.opened == []
+
+
+async def test_unknown_models_adapters_and_deadlines_are_refused():
+    """A wrong name must be told, not answered by another model."""
+    async with harness.running() as entry:
+        await entry.agent('a')
+        entry.show()
+        for model in ('m2', 'm1:rude', ''):
+            status, _ = await entry.complete(model=model)
+            assert status == (404 if model else 400)
+        headers = {**harness.AUTH, 'X-Deadline-Ms': 'soon'}
+        status, body = await entry.complete(headers=headers)
+        assert (status, body['error']['step']) == (400, 'deadline')
+
+
+async def test_body_above_the_limit_is_refused():
+    """A body that fits into no frame must be refused at the door."""
+    async with harness.running() as entry:
+        await entry.agent('s', kind='plain')
+        entry.show()
+        status, _, body = await entry.book(b'x' * (600 * 1024))
+        assert status == 413
+        assert harness.error_of(body)['code'] == 'too_large'
+
+
+async def test_wrong_key_is_refused_and_no_key_is_logged(caplog):
+    """A key in a log could be used by whoever reads the log."""
+    caplog.set_level('DEBUG')
+    async with harness.running() as entry:
+        await entry.agent('a')
+        entry.show()
+        for headers in ({}, {'Authorization': 'Bearer wrong-key-9'}):
+            status, body = await entry.complete(headers=headers)
+            assert (status, body['error']['code']) == (401, 'unauthorized')
+        status, _ = await entry.complete()
+        assert status == 200
+    for record in caplog.records:
+        text = f'{record.getMessage()} {record.__dict__}'
+        assert harness.KEY not in text
+        assert 'wrong-key-9' not in text
+
+
+async def test_account_sees_only_its_services():
+    """An account that is limited to services must not use others."""
+    async with harness.running() as entry:
+        await entry.agent('a')
+        entry.show()
+        entry.session.configuration = harness.configuration(
+            services=['bookings']
+        )
+        status, _ = await entry.complete()
+        assert status == 404
+        async with entry.client.get(
+            '/v1/models', headers=harness.AUTH
+        ) as response:
+            assert (await response.json())['data'] == []
+
+
+async def test_models_lists_adapters():
+    """Callers find adapters under their model."""
+    async with harness.running() as entry:
+        async with entry.client.get(
+            '/v1/models', headers=harness.AUTH
+        ) as response:
+            data = (await response.json())['data']
+        assert [model['id'] for model in data] == ['m1', 'm1:formal']
+
+
+async def test_not_ready_before_control_was_heard():
+    """A balancer must not send callers to an entry without contracts."""
+    async with harness.running() as entry:
+        assert await status_of(entry, '/readyz') == 200
+        entry.context.ready = False
+        assert await status_of(entry, '/readyz') == 503
+        assert await status_of(entry, '/healthz') == 200
+        status, body = await entry.complete()
+        assert (status, body['error']['not_run']) == (503, True)
+
+
+async def status_of(entry, path):
+    """Return the status of a GET."""
+    async with entry.client.get(path) as response:
+        return response.status
+
+
+async def test_no_chain_without_all_layers():
+    """A model of which a range is missing cannot answer."""
+    async with harness.running() as entry:
+        await entry.agent('a', 0, 4)
+        entry.show()
+        status, body = await entry.complete()
+        assert (status, body['error']['code']) == (503, 'no_chain')
+        assert body['error']['not_run'] is True
+
+
+async def test_quarantined_request_is_refused():
+    """A request that crashes its servers must not run again."""
+    async with harness.running() as entry:
+        agent = await entry.agent('a')
+        entry.show()
+        await entry.complete('Crash')
+        entry.session.quarantined.add(agent.opened[0].fingerprint)
+        status, body = await entry.complete('Crash')
+        assert (status, body['error']['code']) == (422, 'quarantined')
+        status, _ = await entry.complete('Crash', max_tokens=5)
+        assert status == 200
+
+
+async def test_account_over_its_rate_is_told_when_to_come_back():
+    """Without `Retry-After` callers would repeat at once."""
+    timers = core_timers.ManualTimerService()
+    async with harness.running(timers) as entry:
+        await entry.agent('a')
+        entry.show()
+        entry.session.configuration = harness.configuration(requests_per_s=0.2)
+        assert (await entry.complete())[0] == 200
+        async with entry.client.post(
+            '/v1/completions',
+            json={'model': 'm1', 'prompt': 'Hi'},
+            headers=harness.AUTH,
+        ) as response:
+            assert response.status == 429
+            assert response.headers['Retry-After'] == '5'
+        await timers.advance(5)
+        assert (await entry.complete())[0] == 200
+
+
+async def test_metrics_are_rendered():
+    """Operators need the counters of requests and attempts."""
+    async with harness.running() as entry:
+        await entry.agent('a')
+        entry.show()
+        await entry.stream()
+        async with entry.client.get('/metrics') as response:
+            text = await response.text()
+        assert 'pimentowalk_entry_requests_total 1' in text
+        assert 'pimentowalk_entry_attempts_total 1' in text
+        assert 'pimentowalk_entry_first_token_seconds_count 1' in text
