--- a/pimentowalk/entry/assembly.py
+++ b/pimentowalk/entry/assembly.py
@@ -49,41 +49,54 @@
         """Return the tokens that are now in order, possibly none.
 
         Tokens of other requests or attempts and duplicates are dropped. A
-        token that contradicts the answer raises FrameError.
+        token that contradicts the answer raises FrameError; tokens before
+        it have been returned by then.
         """
-        if self._foreign(token) or token.token_index < self.next_index:
+        if self.complete or self._fenced:
             return []
-        self._check(token)
-        if token.token_index - self.next_index > MAX_EARLY_TOKENS:
-            raise _fault(token, 'is too far ahead')
+        if not (self._is_own(token) and self._is_current(token)):
+            return []
+        if token.token_index < self.next_index:
+            return []
+        self._check_index(token)
+        self._check_layers(token)
+        self._check_end(token)
         self._early.setdefault(token.token_index, token)
         return self._release()
 
-    def _foreign(self, token):
-        return (
-            self.complete
-            or self._fenced
-            or token.request_id != self.request_id
-            or token.attempt != self.attempt
-        )
+    def _is_own(self, token):
+        return token.request_id == self.request_id
+
+    def _is_current(self, token):
+        return token.attempt == self.attempt
 
-    def _check(self, token):
+    def _check_index(self, token):
         if token.token_index >= self.max_tokens:
             raise _fault(token, f'exceeds {self.max_tokens} tokens')
+        if token.token_index - self.next_index > MAX_EARLY_TOKENS:
+            raise _fault(token, 'is too far ahead')
+
+    def _check_layers(self, token):
         if not tiles(token.ranges, self.total_layers):
             raise _fault(
                 token,
                 f'ran layers {_text(token.ranges)} of all {self.total_layers}',
             )
+
+    def _check_end(self, token):
         if token.last and token.token_count != token.token_index + 1:
             raise _fault(token, f'ends an answer of {token.token_count}')
+        # The end and a token beyond it cannot both belong to the answer.
+        for index, early in self._early.items():
+            if token.last and index > token.token_index:
+                raise _fault(token, f'ends before token {index}')
+            if early.last and index < token.token_index:
+                raise _fault(token, f'follows the end at {index}')
 
     def _release(self):
         released = []
-        while not self.complete and self.next_index in self._early:
+        while self.next_index in self._early:
             token = self._early.pop(self.next_index)
-            if token.last and self._early:
-                raise _fault(token, 'ends the answer before later tokens')
             self.token_ids.append(token.token_id)
             self.complete = token.last
             self.finish_reason = token.finish_reason
--- a/pimentowalk/entry/tests/fake_agent.py
+++ b/pimentowalk/entry/tests/fake_agent.py
@@ -119,6 +119,11 @@
     agent.stalled.set()
 
 
+async def reply_lost(agent, peer, frame):
+    """Take a service call and end the connection without a reply."""
+    peer.close()
+
+
 def reply(frame, state=STATES.FINISHED, **others):
     """Return the reply to a service call."""
     return messages.ServiceReply(
--- a/pimentowalk/entry/tests/harness.py
+++ b/pimentowalk/entry/tests/harness.py
@@ -9,6 +9,7 @@
 import types
 
 import aiohttp
+import attrs
 
 from pimentowalk.core import timers as core_timers
 from pimentowalk.entry import daemon
@@ -145,6 +146,14 @@
     return events
 
 
+def set_budget(entry, percent):
+    """Set the retry budget of the model route; 0 has no reserve."""
+    routes = entry.session.configuration.routes
+    routes['assist'] = attrs.evolve(
+        routes['assist'], retry_budget_percent=percent
+    )
+
+
 def text_of(events):
     """Return the text of the pieces among events."""
     return ''.join(
--- a/pimentowalk/entry/tests/test_failures.py
+++ b/pimentowalk/entry/tests/test_failures.py
@@ -91,19 +91,11 @@
         assert error['peer'] in ('a', 'b')
 
 
-def set_budget(entry, percent):
-    """Set the retry budget of the model route, without its reserve."""
-    routes = entry.session.configuration.routes
-    routes['assist'] = attrs.evolve(
-        routes['assist'], retry_budget_percent=percent
-    )
-
-
 async def test_without_budget_a_cut_stream_ends_with_an_error_event():
     """A cut answer must not look complete, nor be called not run."""
     async with harness.running() as entry:
         _, asked = await pair(entry, fake_agent.cut_after(3))
-        set_budget(entry, 0)
+        harness.set_budget(entry, 0)
         events = await entry.stream()
         assert len(asked) == 1
         name, value = events[-1]
@@ -117,7 +109,7 @@
     """A planned stop of an agent must not fail requests."""
     async with harness.running() as entry:
         _, asked = await pair(entry, fake_agent.refuse('draining'))
-        set_budget(entry, 0)
+        harness.set_budget(entry, 0)
         status, _ = await entry.complete()
         assert (status, len(asked)) == (200, 2)
 
@@ -141,7 +133,7 @@
         agent.script = fake_agent.silent
         agent.query_state = query_state
         entry.show()
-        set_budget(entry, 0)
+        harness.set_budget(entry, 0)
         request = asyncio.ensure_future(
             entry.complete(headers={**harness.AUTH, 'X-Deadline-Ms': '200'})
         )
--- a/pimentowalk/entry/tests/test_services.py
+++ b/pimentowalk/entry/tests/test_services.py
@@ -23,11 +23,6 @@
     return run
 
 
-async def lose(agent, peer, frame):
-    """Take the call and end the connection without a reply."""
-    peer.close()
-
-
 async def hold(agent, peer, frame):
     """Take the call and answer only when released."""
     agent.stalled.set()
@@ -54,7 +49,7 @@
 async def test_lost_idempotent_call_is_retried():
     """A read may be sent again after a lost connection."""
     async with harness.running() as entry:
-        calls = await service_pair(entry, lose)
+        calls = await service_pair(entry, fake_agent.reply_lost)
         async with entry.client.get(
             '/bookings/list', headers=harness.AUTH
         ) as response:
@@ -65,7 +60,7 @@
 async def test_lost_booking_without_key_is_never_retried():
     """A booking whose outcome is unknown could run twice."""
     async with harness.running() as entry:
-        calls = await service_pair(entry, lose)
+        calls = await service_pair(entry, fake_agent.reply_lost)
         status, _, body = await entry.book()
         error = harness.error_of(body)
         assert (status, error['code']) == (502, 'outcome_unknown')
@@ -174,7 +169,7 @@
 async def test_lost_keyed_booking_stays_unknown_for_its_resend():
     """A resend after a lost connection must not run again."""
     async with harness.running() as entry:
-        calls = await service_pair(entry, lose)
+        calls = await service_pair(entry, fake_agent.reply_lost)
         for _ in range(2):
             status, _, body = await entry.book(key='k1')
             error = harness.error_of(body)
--- a/pimentowalk/routing/policies.py
+++ b/pimentowalk/routing/policies.py
@@ -84,24 +84,23 @@
 
     def _some(self, members, zones, query):
         """Sample servers, the first ones in a zone already reached."""
-        if len(members.servers) <= self._servers:
-            return self._willing(members.servers, query)
+        # Retries sample more, so that servers to avoid do not use it up.
+        count = self._servers + len(query.avoid)
         rng = self._state.rng
-        picked = {}
         near = sorted(zones & members.by_zone.keys())
-        for zone in near[: self._servers // 2]:
-            server = rng.choice(members.by_zone[zone])
-            picked[server.server_id] = server
-        for server in rng.sample(members.servers, self._servers):
-            if len(picked) < self._servers:
-                picked[server.server_id] = server
-        return self._willing(list(picked.values()), query)
-
-    def _willing(self, servers, query):
+        sample = [
+            rng.choice(members.by_zone[zone])
+            for zone in near[: self._servers // 2]
+        ]
+        sample += rng.sample(members.servers, min(count, len(members.servers)))
+        return self._willing(sample, query)
+
+    def _willing(self, sample, query):
         """Leave out servers to avoid and, by chance, joining ones."""
+        servers = list({s.server_id: s for s in sample}.values())
         fit = [s for s in servers if s.server_id not in query.avoid]
         willing = [s for s in fit if self._accepts(s)]
-        return willing or fit or servers
+        return (willing or fit or servers)[: self._servers]
 
     def _accepts(self, server):
         age_s = self._state.index.age_s(server.server_id)
