--- a/pimentowalk/entry/context.py
+++ b/pimentowalk/entry/context.py
@@ -145,6 +145,7 @@
         version=version,
         note_version=session.note_version,
         on_loads=routing.loads.report,
+        on_links=routing.measured_links,
     )
     limits = rate_limits.AccountLimits(
         timers,
--- a/pimentowalk/entry/model_run.py
+++ b/pimentowalk/entry/model_run.py
@@ -214,7 +214,8 @@
             error.message,
             code=error.code,
             step=error.step,
-            peer=error.peer or self.chain[0].server_id,
+            # A failed dial names an address, but chains are kept by ids.
+            peer=self.chain[0].server_id,
             never_admitted=never_admitted,
         )
 
--- a/pimentowalk/entry/pool.py
+++ b/pimentowalk/entry/pool.py
@@ -85,6 +85,7 @@
 
     def _on_loads(self, report):
         self._pool.on_loads(report.loads)
+        self._pool.on_links(report.links)
 
     def _deliver(self, request_id, body):
         inbox = self._inboxes.get(request_id)
@@ -100,13 +101,17 @@
     """Dial agents on first use and keep one connection to each.
 
     `version` returns the configuration version in force, `note_version`
-    gets the versions of received frames, `on_loads` their load reports.
+    gets the versions of received frames, `on_loads` their load reports and
+    `on_links` their measured round trips.
     """
 
-    def __init__(self, hello, timers, *, version, note_version, on_loads):
+    def __init__(
+        self, hello, timers, *, version, note_version, on_loads, on_links
+    ):
         self.timers = timers
         self.note_version = note_version
         self.on_loads = on_loads
+        self.on_links = on_links
         self._hello = hello
         self._version = version
         self._links = {}
--- a/pimentowalk/entry/tests/test_failures.py
+++ b/pimentowalk/entry/tests/test_failures.py
@@ -279,3 +279,46 @@
         texts = [body['choices'][0]['text'] for _, body in results]
         assert texts == [fake_agent.reference_text(p, 6) for p in prompts]
         assert entry.context.pool.open_count == 1
+
+
+async def test_load_reports_reach_the_chain_choice():
+    """Without reports the entry would know only its own work."""
+    async with harness.running() as entry:
+        agent = await entry.agent('a')
+        await entry.agent('b')
+        entry.show()
+
+        async def report(agent, peer, frame):
+            await peer.send(
+                messages.LoadReport(
+                    [messages.StageLoad('b', 900, 3, 50.0)],
+                    [
+                        messages.LinkDelay('a', 'b', 0.5),
+                        messages.LinkDelay('a', 'gone', 0.5),
+                    ],
+                )
+            )
+            await fake_agent.answer(agent, peer, frame)
+
+        for each in entry.agents:
+            each.script = report
+        await entry.complete()
+        routing = entry.context.routing
+        assert routing.loads.queued_tokens('b') > 800
+        assert routing.loads.tokens_per_s(agent.record()) == 1000.0
+        target = entry.agents[1].record()
+        assert routing.links.delay_s('a', 'z1', target) == 0.25
+
+
+async def test_unreachable_head_is_avoided_by_later_requests():
+    """A lost head has no load, so that it would look cheapest."""
+    async with harness.running() as entry:
+        lost = await entry.agent('a')
+        await entry.agent('b')
+        entry.show()
+        await lost.server.stop()
+        for _ in range(20):
+            assert (await entry.complete())[0] == 200
+        assert entry.context.metrics.counters['attempts'] <= 21
+        links = entry.context.routing.links
+        assert links.penalty_s('entry-1', 'b') == 0
--- a/pimentowalk/routing/policies.py
+++ b/pimentowalk/routing/policies.py
@@ -16,6 +16,11 @@
 # Servers sampled for each layer range, and ranges for each boundary.
 SAMPLED_SERVERS = 3
 SAMPLED_RANGES = 4
+# After the loss of half of the servers, one sample in fifteen holds lost
+# servers only. A chain with more than this penalty is therefore sampled
+# again, up to this many samples.
+SUSPECT_PENALTY_S = 0.1
+MAX_SAMPLES = 4
 # A joining server receives a growing share of work over this time.
 RAMP_S = 5.0
 LEAST_SHARE = 0.05
@@ -34,6 +39,16 @@
     prefixes: prefix.PrefixTable = attrs.field(factory=prefix.PrefixTable)
     rng: random.Random = attrs.field(factory=random.Random)
 
+    def measured_links(self, delays):
+        """Take over round trips that agents measured."""
+        for delay in delays:
+            source = self.index.get(delay.source_id)
+            target = self.index.get(delay.target_id)
+            if source is not None and target is not None:
+                self.links.measured(
+                    source.server_id, source.zone, target, delay.round_trip_s
+                )
+
 
 @POLICIES.register('least_cost')
 class LeastCost:
@@ -51,11 +66,21 @@
         group = self._state.index.group(query)
         if group is None:
             return None
-        sample = self._sample(group, query)
         cost = search.ChainCost(self._state.loads, self._state.links, query)
-        best_s, best = search.cheapest(sample, group.total_layers, cost)
+        best_s, best = self._cheapest(group, query, cost)
         return self._with_prefix(group, query, cost, best_s, best)
 
+    def _cheapest(self, group, query, cost):
+        """Search a sample, and others if its best chain failed lately."""
+        found = []
+        for _ in range(MAX_SAMPLES):
+            sample = self._sample(group, query)
+            best_s, best = search.cheapest(sample, group.total_layers, cost)
+            found.append((best_s, best))
+            if cost.penalty_s(best) < SUSPECT_PENALTY_S:
+                break
+        return min(found, key=lambda pair: pair[0])
+
     def _sample(self, group, query):
         state = self._state
         sample = {}
--- a/pimentowalk/routing/search.py
+++ b/pimentowalk/routing/search.py
@@ -45,6 +45,15 @@
         """Return the cost of the way of the tokens back to the head."""
         return 0.0 if last is head else self.link(last, head)
 
+    def penalty_s(self, chain):
+        """Return the penalties of all links of a chain."""
+        source_id = self._links.origin
+        total_s = 0.0
+        for server in chain:
+            total_s += self._links.penalty_s(source_id, server.server_id)
+            source_id = server.server_id
+        return total_s
+
     def of(self, chain):
         """Return the cost of a whole chain."""
         total_s = self.entry_link(chain[0])
--- a/pimentowalk/wire/frames.capnp
+++ b/pimentowalk/wire/frames.capnp
@@ -132,8 +132,15 @@
   engineCrashed @6 :Bool;
 }
 
+struct LinkDelay {
+  sourceId @0 :Text;
+  targetId @1 :Text;
+  roundTripS @2 :Float64;
+}
+
 struct LoadReport {
   loads @0 :List(StageLoad);
+  links @1 :List(LinkDelay);
 }
 
 struct Header {
--- a/pimentowalk/wire/messages.py
+++ b/pimentowalk/wire/messages.py
@@ -227,12 +227,26 @@
     engine_crashed: bool = False
 
 
+@attrs.frozen
+class LinkDelay:
+    """A measured round trip from one agent to another."""
+
+    source_id: str
+    target_id: str
+    round_trip_s: float
+
+
 @message('loadReport')
 @attrs.frozen
 class LoadReport:
-    """Report loads to the entries that recently sent work."""
+    """Report loads to the entries that recently sent work.
+
+    `links` holds the round trips that the sender measured to the agents of
+    next stages, or that reached it from later stages.
+    """
 
     loads: list[StageLoad]
+    links: list[LinkDelay] = attrs.field(factory=list)
 
 
 @attrs.frozen
