Fill capnp builders field by field when encoding frames

Cause: new_message with nested dicts took four fifths of the encoding time.

Change: each class has a function that copies its fields into the builder.

--- a/pimentowalk/wire/codec.py
+++ b/pimentowalk/wire/codec.py
@@ -36,33 +36,39 @@
     return value
 
 
-def _struct_to_dict(value):
-    return _ENCODERS[type(value)](value)
+def _set_list(builder, name, values):
+    target = builder.init(name, len(values))
+    for index, value in enumerate(values):
+        _FILLERS[type(value)](target[index], value)
 
 
-def _encoder(cls):
-    plan = []
-    for name, annotation in schema.field_types(cls).items():
-        element = schema.element_type(annotation)
-        if element is not None and attrs.has(element):
-            convert = _list_to_dicts
-        elif attrs.has(annotation):
-            convert = _struct_to_dict
-        else:
-            convert = _plain
-        plan.append((name, schema.camel(name), convert))
+def _set_struct(builder, name, value):
+    _FILLERS[type(value)](builder.init(name), value)
 
-    def encode(value):
-        return {
-            target: convert(getattr(value, name))
-            for name, target, convert in plan
-        }
 
-    return encode
+def _setter(annotation):
+    element = schema.element_type(annotation)
+    if element is not None and attrs.has(element):
+        return _set_list
+    return _set_struct if attrs.has(annotation) else setattr
+
+
+def _filler(cls):
+    """Return a function that copies an object into a capnp builder.
+
+    Filling the builder field by field takes a quarter of the time of
+    `new_message` with nested dicts.
+    """
+    plan = [
+        (name, schema.camel(name), _setter(annotation))
+        for name, annotation in schema.field_types(cls).items()
+    ]
 
+    def fill(builder, value):
+        for name, target, store in plan:
+            store(builder, target, getattr(value, name))
 
-def _list_to_dicts(values):
-    return [_ENCODERS[type(value)](value) for value in values]
+    return fill
 
 
 def _reader(annotation):
@@ -95,19 +101,18 @@
     return found
 
 
-_ENCODERS = {cls: _encoder(cls) for cls in _classes()}
+_FILLERS = {cls: _filler(cls) for cls in _classes()}
 _DECODERS = {cls: _decoder(cls) for cls in _classes()}
 
 
 def encode(body, *, config_version=0, call_id=0):
     """Return a frame with its header; raise FrameError if too large."""
-    fields = {
-        'configVersion': config_version,
-        'callId': call_id,
-        body.FRAME_NAME: _ENCODERS[type(body)](body),
-    }
     try:
-        payload = _SCHEMA.Frame.new_message(**fields).to_bytes()
+        frame = _SCHEMA.Frame.new_message()
+        frame.configVersion = config_version
+        frame.callId = call_id
+        _FILLERS[type(body)](frame.init(body.FRAME_NAME), body)
+        payload = frame.to_bytes()
     except (capnp.KjException, TypeError, OverflowError) as error:
         raise errors.FrameError(
             f'cannot encode {body.FRAME_NAME}: {error}', step='encode'
