--- a/pimentowalk/settings/__init__.py
+++ b/pimentowalk/settings/__init__.py
@@ -0,0 +1,5 @@
+"""Settings of the daemons and the files that operators publish.
+
+Public parts: `daemon` (one INI file for each process), `ini` (INI text with
+all its problems) and `values` (readers of single settings).
+"""
