--- /dev/null
+++ b/tools/tests/test_standin_engine.py
@@ -0,0 +1,388 @@
+"""Guard the stand-in engine against the interface of the design page."""
+
+import asyncio
+import contextlib
+import json
+
+import aiohttp
+import pytest
+
+from tools import standin_batcher as batcher
+from tools import standin_engine
+from tools import standin_model as model
+from tools.tests import waiting
+
+WEIGHTS = model.Weights('standin', '1')
+TOTAL_LAYERS = 8
+PROMPT = ' '.join(f'word{number}' for number in range(100))
+
+
+class Client:
+    """The agent's side of one stage connection."""
+
+    def __init__(self, socket):
+        self.socket = socket
+        self.loads = []
+        self.waiting = []
+
+    async def send(self, kind, **fields):
+        await self.socket.send_json({'type': kind, **fields})
+
+    async def receive(self, kind):
+        """Return the next message of a kind; keep reports of load."""
+        while True:
+            async with asyncio.timeout(waiting.TIMEOUT_S):
+                message = await self.socket.receive_json()
+            if message['type'] == kind:
+                return message
+            assert message['type'] == 'load', message
+            self.loads.append(message)
+
+    async def open(self, name, prompt=None, **fields):
+        await self.send(
+            'open',
+            sequence=name,
+            model='standin',
+            version='1',
+            adapter='',
+            **({'prompt': prompt} if prompt is not None else {}),
+            **fields,
+        )
+
+    async def step(self, name, index, **fields):
+        item = {'sequence': name, 'index': index, **fields}
+        await self.send('steps', items=[item])
+
+    async def done(self):
+        """Return the next finished step."""
+        while not self.waiting:
+            self.waiting = (await self.receive('done'))['items']
+        return self.waiting.pop(0)
+
+
+class Bench:
+    """Engines of one test, on loopback."""
+
+    def __init__(self, stack, session):
+        self._stack = stack
+        self.session = session
+
+    async def engine(self, first=0, end=TOTAL_LAYERS, *, crash=None, **more):
+        options = standin_engine.Options(
+            first_layer=first,
+            end_layer=end,
+            total_layers=TOTAL_LAYERS,
+            **{'tokens_per_s': 0, 'base_s': 0, 'weights_bytes': 0, **more},
+        )
+        batcher_options = {'crash': crash} if crash else {}
+        engine = standin_engine.Engine(options, **batcher_options)
+        await engine.start()
+        self._stack.push_async_callback(engine.stop)
+        return engine
+
+    async def client(self, engine):
+        url = f'http://127.0.0.1:{engine.port}/v1/stage'
+        socket = await self._stack.enter_async_context(
+            self.session.ws_connect(url)
+        )
+        client = Client(socket)
+        client.hello = await client.receive('hello')
+        return client
+
+    async def order(self, engine, fence, action, **arguments):
+        url = f'http://127.0.0.1:{engine.port}/v1/orders'
+        order = {'fence': fence, 'action': action, 'arguments': arguments}
+        async with self.session.post(url, json=order) as response:
+            return response.status
+
+    async def record(self, engine):
+        url = f'http://127.0.0.1:{engine.port}/v1/record'
+        async with self.session.get(url) as response:
+            return await response.json()
+
+    async def idle_record(self, engine):
+        """Return the record once no sequence is open."""
+        await waiting.until(lambda: not engine.batcher.sequences)
+        return await self.record(engine)
+
+
+@pytest.fixture
+async def bench():
+    async with contextlib.AsyncExitStack() as stack:
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        yield Bench(stack, session)
+
+
+async def answer(clients, name, prompt, *, generated=(), **parameters):
+    """Drive one sequence through a chain and return its tokens."""
+    first, *others = clients
+    await first.open(name, prompt, generated=list(generated), **parameters)
+    for client in others:
+        await client.open(name, **parameters)
+    tokens = []
+    step = {}
+    while True:
+        index = len(generated) + len(tokens)
+        for client in clients:
+            await client.step(name, index, **step)
+            item = await client.done()
+            assert (item['sequence'], item['index']) == (name, index)
+            step = {'hidden': item.get('hidden')}
+        tokens.append(item['token'])
+        assert item['text'] == model.token_text(item['token'])
+        if item['end']:
+            return tokens
+        step = {'token': item['token']}
+
+
+@pytest.mark.parametrize('bounds', [[0, 8], [0, 3, 8], [0, 2, 5, 8]])
+async def test_a_chain_gives_the_reference_answer(bench, bounds):
+    """An engine that differs from the model would make every check void."""
+    clients = []
+    engines = []
+    for first, end in zip(bounds, bounds[1:], strict=False):
+        engines.append(await bench.engine(first, end))
+        clients.append(await bench.client(engines[-1]))
+    parameters = {'max_tokens': 6, 'seed': 3, 'temperature': 0.5}
+    tokens = await answer(clients, 'aa-1', PROMPT, **parameters)
+    expected = model.reference_answer(
+        WEIGHTS, TOTAL_LAYERS, PROMPT, **parameters
+    )
+    assert tokens == expected
+    rest = await answer(
+        clients, 'aa-2', PROMPT, generated=tokens[:2], **parameters
+    )
+    assert rest == expected[2:]
+    ran = []
+    for engine in engines:
+        ran += batcher.layers_ran((await bench.record(engine))['ran'])
+    whole = range(TOTAL_LAYERS)
+    assert sorted(ran) == sorted(
+        [('aa', 1, i, n) for i in range(6) for n in whole]
+        + [('aa', 2, i, n) for i in range(2, 6) for n in whole]
+    )
+
+
+async def test_a_repeated_step_shows_in_record_and_answer(bench):
+    """An engine that hides repeated steps would hide a broken router."""
+    engine = await bench.engine()
+    client = await bench.client(engine)
+    await client.open('aa-1', 'hei', max_tokens=9)
+    await client.step('aa-1', 0)
+    token = (await client.done())['token']
+    await client.step('aa-1', 1, token=token)
+    first = await client.done()
+    await client.step('aa-1', 1, token=token)
+    assert (await client.done())['token'] != first['token']
+    rows = (await bench.record(engine))['ran']
+    assert [row['index'] for row in rows] == [0, 1, 1]
+
+
+async def test_steps_of_many_sequences_share_iterations(bench):
+    """An engine without batching would not show what batching costs."""
+    engine = await bench.engine(base_s=0.005)
+    client = await bench.client(engine)
+    names = [f'{number:02x}-1' for number in range(20)]
+    for name in names:
+        await client.open(name, 'hei', max_tokens=2)
+    items = [{'sequence': name, 'index': 0} for name in names]
+    await client.send('steps', items=items)
+    done = {(await client.done())['sequence'] for _ in names}
+    assert done == set(names)
+    record = await bench.record(engine)
+    assert record['largest_batch'] == len(names)
+    assert record['iterations'] == 1
+
+
+async def test_max_running_and_priority_order_the_work(bench):
+    """Urgent work must overtake work that waits for a slot."""
+    engine = await bench.engine(base_s=0.002, max_running=1)
+    client = await bench.client(engine)
+    for name, priority in [('aa-1', 0), ('bb-1', 0), ('cc-1', 5)]:
+        await client.open(name, 'hei', max_tokens=1, priority=priority)
+    await client.send(
+        'steps',
+        items=[
+            {'sequence': name, 'index': 0} for name in ('aa-1', 'bb-1', 'cc-1')
+        ],
+    )
+    order = []
+    for _ in range(3):
+        order.append((await client.done())['sequence'])
+        await client.send('close', sequence=order[-1])
+    assert order == ['cc-1', 'aa-1', 'bb-1']
+
+
+async def test_pause_holds_and_resume_continues(bench):
+    """A paused sequence must free its slot and lose nothing."""
+    engine = await bench.engine(max_running=1)
+    client = await bench.client(engine)
+    await client.open('aa-1', 'hei', max_tokens=1)
+    await client.open('bb-1', 'hei', max_tokens=1)
+    await client.send('pause', sequence='aa-1')
+    await client.step('aa-1', 0)
+    await client.step('bb-1', 0)
+    assert (await client.done())['sequence'] == 'bb-1'
+    await client.send('close', sequence='bb-1')
+    await client.send('resume', sequence='aa-1')
+    expected = model.reference_answer(
+        WEIGHTS, TOTAL_LAYERS, 'hei', max_tokens=1
+    )
+    assert [(await client.done())['token']] == expected
+
+
+async def test_cancel_and_closed_connection_end_sequences(bench):
+    """Cancelled work must neither run on nor answer."""
+    engine = await bench.engine()
+    client = await bench.client(engine)
+    await client.open('aa-1', 'hei', max_tokens=3)
+    await client.send('close', sequence='aa-1')
+    await client.step('aa-1', 0)
+    assert (await client.receive('failed'))['code'] == 'not_found'
+    await client.open('bb-1', 'hei', max_tokens=3)
+    await client.step('bb-1', 0)
+    await client.done()
+    assert (await bench.record(engine))['open'] == ['bb-1']
+    await client.socket.close()
+    record = await bench.idle_record(engine)
+    assert [row['request'] for row in record['ran']] == ['bb']
+
+
+async def test_prefix_cache_saves_work_and_stays_bounded(bench):
+    """A wrong cache hit would change answers."""
+    engines = [
+        await bench.engine(0, 4, cache_tokens=128),
+        await bench.engine(4, 8, cache_tokens=128),
+    ]
+    clients = [await bench.client(engine) for engine in engines]
+    for number, prompt in enumerate([PROMPT, PROMPT, f'{PROMPT} more']):
+        tokens = await answer(clients, f'0{number}-1', prompt, max_tokens=3)
+        assert tokens == model.reference_answer(
+            WEIGHTS, TOTAL_LAYERS, prompt, max_tokens=3
+        )
+    for engine in engines:
+        rows = (await bench.record(engine))['ran']
+        hits = [r['cached_tokens'] for r in rows if r['index'] == 0]
+        assert hits == [0, 96, 96]
+    await answer(clients, '03-1', f'other {PROMPT} {PROMPT}', max_tokens=1)
+    assert all(len(engine.cache) <= 128 for engine in engines)
+
+
+async def test_exported_state_continues_elsewhere(bench):
+    """A move that loses KV state would change the answer."""
+    source = await bench.client(await bench.engine())
+    target = await bench.client(await bench.engine())
+    expected = model.reference_answer(
+        WEIGHTS, TOTAL_LAYERS, 'hei', max_tokens=2
+    )
+    for client in (source, target):
+        await client.open('aa-1', 'hei', max_tokens=2)
+    await source.step('aa-1', 0)
+    token = (await source.done())['token']
+    await source.send('export', sequence='aa-1')
+    state = (await source.receive('state'))['state']
+    await target.send('import', sequence='aa-1', state=state)
+    await target.step('aa-1', 1, token=token)
+    assert [token, (await target.done())['token']] == expected
+    await target.send('import', sequence='aa-1', state={'weights': 1})
+    assert (await target.receive('failed'))['code'] == 'bad_request'
+
+
+@pytest.mark.parametrize('checks', [True, False])
+async def test_orders_check_or_ignore_the_fence(bench, checks):
+    """Both kinds of engines exist, so agents must be tested with both."""
+    engine = await bench.engine(checks_fencing=checks)
+    client = await bench.client(engine)
+    assert client.hello['checks_fencing'] is checks
+    assert await bench.order(engine, 5, 'load_adapter', adapter='a') == 200
+    assert (await client.receive('hello'))['adapters'] == ['a']
+    old = await bench.order(engine, 4, 'load_version', version='2')
+    assert old == (409 if checks else 200)
+    assert engine.options.version == ('1' if checks else '2')
+    assert await bench.order(engine, 6, 'explode') == 400
+
+
+async def test_weights_change_only_without_open_sequences(bench):
+    """Weights replaced under a running answer would corrupt it."""
+    engine = await bench.engine()
+    client = await bench.client(engine)
+    await client.open('aa-1', 'hei', max_tokens=3)
+    await client.step('aa-1', 0)
+    await client.done()
+    assert await bench.order(engine, 1, 'load_version', version='2') == 503
+    await client.send('close', sequence='aa-1')
+    await bench.idle_record(engine)
+    role = {'first_layer': 2, 'end_layer': 5}
+    assert await bench.order(engine, 2, 'change_role', **role) == 200
+    assert (await client.receive('hello'))['first_layer'] == 2
+    await client.send(
+        'open', sequence='bb-1', model='standin', version='9', adapter=''
+    )
+    assert (await client.receive('failed'))['code'] == 'not_found'
+
+
+async def test_load_reports_are_late(bench):
+    """Routing must be tested with the lag that real engines have."""
+    engine = await bench.engine(load_period_s=0.01, load_lag_s=0.05)
+    client = await bench.client(engine)
+    await client.open('aa-1', 'hei', max_tokens=3)
+    report = await client.receive('load')
+    while not report['running']:
+        report = await client.receive('load')
+    assert report == {'type': 'load', 'queued': 0, 'running': 1}
+
+
+@pytest.mark.parametrize(
+    'text', ['', '[]', '{}', '{"type": "open"}', '{"type": "steps"}', '"x"']
+)
+async def test_malformed_messages_are_answered(bench, text):
+    """One malformed message must not end the stage of all sequences."""
+    client = await bench.client(await bench.engine())
+    await client.socket.send_str(text)
+    assert (await client.receive('failed'))['code'] == 'bad_request'
+    await client.open('aa-1', 'hei', max_tokens=1)
+    await client.step('aa-1', 0)
+    assert (await client.done())['end']
+
+
+async def test_the_marker_crashes_when_the_prompt_runs(bench):
+    """Quarantine is tested with prompts that end the process."""
+    crashes = []
+    engine = await bench.engine(
+        crash_marker='POISON', crash=lambda: crashes.append(1)
+    )
+    client = await bench.client(engine)
+    await client.open('aa-1', 'a POISON word', max_tokens=1)
+    await client.open('bb-1', 'a clean word', max_tokens=1)
+    await client.step('bb-1', 0)
+    await client.done()
+    assert not crashes
+    await client.step('aa-1', 0)
+    await client.done()
+    assert crashes
+
+
+@pytest.mark.processes
+async def test_program_exits_on_the_marker_and_keeps_its_record(tmp_path):
+    """A crash that loses the record would hide what ran before it."""
+    record = tmp_path / 'ran.jsonl'
+    async with (
+        aiohttp.ClientSession() as session,
+        waiting.program(
+            'tools.standin_engine',
+            '--crash-marker=POISON',
+            f'--record-file={record}',
+        ) as process,
+    ):
+        url = f'{await waiting.line(process)}/v1/stage'
+        async with session.ws_connect(url) as socket:
+            client = Client(socket)
+            await client.receive('hello')
+            await client.open('aa-1', 'clean', max_tokens=1)
+            await client.step('aa-1', 0)
+            await client.done()
+            await client.open('bb-1', 'POISON', max_tokens=1)
+            await client.step('bb-1', 0)
+            assert await waiting.exit_status(process) == 70
+    rows = [json.loads(row) for row in record.read_text().splitlines()]
+    assert [row['request'] for row in rows] == ['aa']
