Accept voters with their addresses and return instances

Both forms are read now and resolve to the instances of [process] control; an address that differs from the one listed there is refused.

--- a/pimentowalk/settings/daemon.py
+++ b/pimentowalk/settings/daemon.py
@@ -59,13 +59,14 @@
 class ControlSettings:
     """Settings of `pimentowalk-control`.
 
-    `voters` are ids from `process.control` that form the first set of
-    voters; an instance with an empty list joins as a learner.
+    `voters` are those of `process.control` that form the first set of
+    voters; an instance with an empty list joins as a learner. The file
+    lists them by id or as `id@host:port`.
     """
 
     process: ProcessSettings
     data_folder: str
-    voters: list[str]
+    voters: list[instances.Instance]
     operators_file: str
     drain_timeout_s: float = 30.0
 
@@ -98,9 +99,14 @@
     return found
 
 
-def voter_ids(text):
-    """Return the ids of the first voters."""
-    found = values.list_of(values.name)(text)
+def voter(text):
+    """Return the id, or the instance, that names a voter."""
+    return control_instance(text) if '@' in text else values.name(text)
+
+
+def voters(text):
+    """Return the ids or instances of the first voters."""
+    found = values.list_of(voter)(text)
     if len(found) not in VOTER_COUNTS:
         raise ValueError(f'{len(found)} voters; expected 3 or 5 (or 1, or 0)')
     return found
@@ -165,26 +171,38 @@
     readers = {
         'data_folder': _path_reader(path, required=True),
         'operators_file': _path_reader(path, required=True),
-        'voters': voter_ids,
+        'voters': voters,
         'drain_timeout_s': DRAIN_TIMEOUT_S,
     }
-    return _load(path, 'control', ControlSettings, readers, _check_voters)
-
-
-def _check_voters(document, settings):
-    known = {one.instance_id for one in settings.process.control}
-    for voter in settings.voters:
-        if voter not in known:
-            reason = f'{voter!r} is no instance of [process] control'
-            document.report('control', 'voters', reason)
+    return _load(path, 'control', ControlSettings, readers, _resolve_voters)
+
+
+def _resolve_voters(document, settings):
+    by_name = {one.instance_id: one for one in settings.process.control}
+    by_name |= {one: one for one in settings.process.control}
+    found = []
+    for named in settings.voters:
+        if named in by_name:
+            found.append(by_name[named])
+            continue
+        shown = getattr(named, 'instance_id', named)
+        reason = f'{shown!r} is no instance of [process] control'
+        document.report('control', 'voters', reason)
+    if len(set(found)) < len(found):
+        document.report('control', 'voters', 'an instance is listed twice')
+    return attrs.evolve(settings, voters=found)
+
+
+def _unchanged(document, settings):
+    return settings
 
 
-def _load(path, section, cls, readers, check=None):
+def _load(path, section, cls, readers, finish=_unchanged):
     document = ini.read(path)
     if not document.problems or document.sections:
         settings = _build(document, section, cls, readers)
-        if settings is not None and check is not None:
-            check(document, settings)
+        if settings is not None:
+            settings = finish(document, settings)
     if document.problems:
         raise errors.SettingsError(
             '\n'.join(str(problem) for problem in document.problems),
