--- a/pimentowalk/settings/__init__.py
+++ b/pimentowalk/settings/__init__.py
@@ -1,5 +1,6 @@
 """Settings of the daemons and the files that operators publish.
 
-Public parts: `daemon` (one INI file for each process), `ini` (INI text with
-all its problems) and `values` (readers of single settings).
+Public parts: `daemon` (one INI file for each process), `published` (folders
+of operator files), `ini` (INI text with all its problems) and `values`
+(readers of single settings).
 """
--- /dev/null
+++ b/pimentowalk/settings/cross_checks.py
@@ -0,0 +1,176 @@
+"""Checks of operator files across sections, files and sources."""
+
+import attrs
+
+from pimentowalk.settings import ini
+from pimentowalk.topology import contracts
+
+# Paths that entries answer themselves.
+RESERVED = ('healthz', 'metrics', 'readyz', 'v1')
+MODEL_KEYS = ('model', 'version', 'total_layers', 'adapters')
+
+
+@attrs.frozen
+class Place:
+    """The file and section of a contract."""
+
+    file: str
+    section: str = ''
+
+    def __str__(self):
+        section = f' [{self.section}]' if self.section else ''
+        return f'{self.file}{section}'
+
+
+class CrossChecks:
+    """Collect contracts with their places and find what contradicts."""
+
+    def __init__(self):
+        self._defined = {}
+        self._contracts = []
+        self._problems = []
+
+    def add_published(self, source_name, source):
+        """Add the contracts in force of a source that is not replaced."""
+        place = Place(f'published source {source_name}')
+        for kind, contract in _pairs(source):
+            self._defined[kind, contract.name] = place
+            self._contracts.append((kind, contract, place))
+
+    def define(self, kind, name, file, section):
+        """Note that a section defines a name, valid or not."""
+        place = Place(file, section)
+        other = self._defined.setdefault((kind, name), place)
+        if other is not place:
+            self._report(place, '', f'{kind} {name} is also in {other}')
+
+    def add(self, kind, contract, file, section):
+        """Add a contract whose single values are valid."""
+        self._contracts.append((kind, contract, Place(file, section)))
+
+    def problems(self):
+        """Return all problems."""
+        self._check_services()
+        self._check_references()
+        self._check_unique(
+            'account', 'key_sha256', lambda account: {account.key_sha256}
+        )
+        self._check_unique('service', 'model', _model_names)
+        self._check_reserved_paths()
+        self._check_routes()
+        return self._problems
+
+    def _report(self, place, key, reason):
+        # A published source was checked when it was accepted.
+        if place.section:
+            problem = ini.Problem(place.file, place.section, key, reason)
+            self._problems.append(problem)
+
+    def _of_kind(self, kind):
+        return [
+            (contract, place)
+            for one, contract, place in self._contracts
+            if one == kind
+        ]
+
+    def _check_services(self):
+        for service, place in self._of_kind('service'):
+            if service.kind == contracts.MODEL:
+                for key in ('model', 'total_layers'):
+                    if not getattr(service, key):
+                        reason = 'is missing for a service of kind model'
+                        self._report(place, key, reason)
+                continue
+            for key in MODEL_KEYS:
+                if getattr(service, key):
+                    reason = 'has no meaning for a service of kind plain'
+                    self._report(place, key, reason)
+
+    def _check_references(self):
+        for route, place in self._of_kind('route'):
+            self._check_service_name(place, 'service', route.service)
+        for account, place in self._of_kind('account'):
+            for name in account.services:
+                self._check_service_name(place, 'services', name)
+
+    def _check_service_name(self, place, key, name):
+        if ('service', name) in self._defined:
+            return
+        known = sorted(n for kind, n in self._defined if kind == 'service')
+        shown = ', '.join(known) or 'none'
+        self._report(place, key, f'unknown service {name!r}; known: {shown}')
+
+    def _check_unique(self, kind, key, values_of):
+        seen = {}
+        for contract, place in self._of_kind(kind):
+            for value in sorted(values_of(contract)):
+                other = seen.setdefault(value, place)
+                if other is not place:
+                    self._report(place, key, f'is the same as in {other}')
+
+    def _check_reserved_paths(self):
+        plain = {
+            service.name
+            for service, _ in self._of_kind('service')
+            if service.kind == contracts.PLAIN
+        }
+        for route, place in self._of_kind('route'):
+            first = _parts(route)[:1]
+            if route.service in plain and first and first[0] in RESERVED:
+                reason = f'/{first[0]} is answered by the entries themselves'
+                self._report(place, 'path_prefix', reason)
+
+    def _check_routes(self):
+        # In this order a prefix directly precedes the paths below it.
+        routes = sorted(
+            self._of_kind('route'), key=lambda pair: _parts(pair[0])
+        )
+        open_routes = []
+        for route, place in routes:
+            parts = _parts(route)
+            while open_routes and not _covers(open_routes[-1][0], parts):
+                open_routes.pop()
+            if open_routes:
+                self._report_overlap(route, place, open_routes[-1])
+            open_routes.append((parts, route, place))
+
+    def _report_overlap(self, route, place, other):
+        _, other_route, other_place = other
+        pairs = [
+            (place, other_route, other_place),
+            (other_place, route, place),
+        ]
+        # Reported at the later route, or at the one that is not published.
+        for own, against, where in pairs:
+            if own.section:
+                reason = (
+                    f'overlaps {against.path_prefix} of route '
+                    f'{against.name} in {where}'
+                )
+                self._report(own, 'path_prefix', reason)
+                return
+
+
+def _model_names(service):
+    # Callers name a model by either; see `service_of_model`.
+    if service.kind != contracts.MODEL:
+        return set()
+    return {service.name, service.model} - {''}
+
+
+def _parts(route):
+    return [part for part in route.path_prefix.split('/') if part]
+
+
+def _covers(prefix, parts):
+    return parts[: len(prefix)] == prefix
+
+
+def _pairs(source):
+    for kind, attribute in (
+        ('service', 'services'),
+        ('route', 'routes'),
+        ('account', 'accounts'),
+    ):
+        for contract in getattr(source, attribute):
+            yield kind, contract
--- /dev/null
+++ b/pimentowalk/settings/tests/test_published.py
@@ -0,0 +1,271 @@
+"""Guard the operator files, which change what all entries do."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from pimentowalk.settings import published
+from pimentowalk.topology import contracts
+
+HASHES = [f'{number:064x}' for number in range(1, 9)]
+SERVICES = """
+[service skrivar]
+kind = model
+model = skrivar-7b
+version = 3
+total_layers = 24
+adapters = nynorsk, bokmål
+[service verkstad]
+kind = plain
+"""
+ROUTES = """
+[route skrivar]
+service = skrivar
+path_prefix = /v1
+[route verkstad]
+service = verkstad
+path_prefix = /bookings
+timeout_s = 12.5
+non_idempotent_methods = POST, PUT
+"""
+ACCOUNTS = f"""
+[account Nordfjord-Hjul]
+key_sha256 = {HASHES[0]}
+weight = 4
+services = skrivar, verkstad
+[account voss]
+key_sha256 = {HASHES[1]}
+"""
+GOOD = SERVICES + ROUTES + ACCOUNTS
+
+
+def folder(root, name='hjulverk', **files):
+    path = root / name
+    path.mkdir()
+    for stem, text in files.items():
+        (path / f'{stem}.ini').write_text(text, encoding='utf-8')
+    return path
+
+
+def problems_of(root, text, **options):
+    path = folder(root, everything=text)
+    return published.collect([path], **options)[1]
+
+
+def test_files_of_a_folder_form_one_source(tmp_path):
+    """A field lost here would change limits without any message."""
+    path = folder(tmp_path, services=SERVICES, routes=ROUTES, x=ACCOUNTS)
+    (path / 'README.txt').write_text('no settings')
+    (path / '.old.ini').write_text('no settings')
+    sources, problems = published.collect([path])
+    assert problems == []
+    source = sources['hjulverk']
+    assert source.services == [
+        contracts.Service(
+            'skrivar',
+            model='skrivar-7b',
+            version='3',
+            total_layers=24,
+            adapters=['nynorsk', 'bokmål'],
+        ),
+        contracts.Service('verkstad', kind='plain'),
+    ]
+    assert source.routes[1] == contracts.Route(
+        'verkstad',
+        'verkstad',
+        '/bookings',
+        timeout_s=12.5,
+        non_idempotent_methods=['POST', 'PUT'],
+    )
+    assert [account.weight for account in source.accounts] == [4.0, 1.0]
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'section', 'key', 'reason'),
+    [
+        ('= 12.5', '= 30s', 'route verkstad', 'timeout_s', "has a unit 's'"),
+        ('= 12.5', '= 30 s', 'route verkstad', 'timeout_s', 'such as 30'),
+        ('weight = 4', 'weight = 4%', 'account Nordf', 'weight', "unit '%'"),
+        ('weight = 4', 'weight = 1e3', 'account Nordf', 'weight', 'plain nu'),
+        ('weight = 4', 'weight = 0', 'account Nordf', 'weight', 'between'),
+        ('weight', 'wieght', 'account Nordf', 'wieght', 'unknown key'),
+        ('= plain', '= plane', 'service verkstad', 'kind', 'unknown name'),
+        (
+            'kind = plain',
+            'kind = plain\nmodel = x',
+            'service verkstad',
+            'model',
+            'kind plain',
+        ),
+        ('total_layers = 24', '', 'service skrivar', 'total_layers', 'missin'),
+        ('model = skrivar-7b', '', 'service skrivar', 'model', 'missing'),
+        (
+            'version = 3',
+            'queue_policy = lifo',
+            'service skrivar',
+            'queue_policy',
+            "unknown name 'lifo'; known: fair",
+        ),
+        (
+            'service = verkstad',
+            'service = verksted',
+            'route verkstad',
+            'service',
+            "unknown service 'verksted'; known: skrivar, verkstad",
+        ),
+        (
+            'skrivar, verkstad',
+            'skrivar, x',
+            'account Nordf',
+            'services',
+            "unknown service 'x'",
+        ),
+        ('= /v1', '= /bookings', 'route verkstad', 'path_prefix', 'overlaps'),
+        ('= /v1', '= /', 'route verkstad', 'path_prefix', 'overlaps /'),
+        (
+            '= /bookings',
+            '= /v1/bookings',
+            'route verkstad',
+            'path_prefix',
+            'overlaps /v1',
+        ),
+        (
+            '= /bookings',
+            '= /metrics/x',
+            'route verkstad',
+            'path_prefix',
+            'answered by the entries',
+        ),
+        ('/bookings', 'bookings', 'route verkstad', 'path_prefix', 'path'),
+        ('/bookings', '/a//b', 'route verkstad', 'path_prefix', 'shortest'),
+        (HASHES[1], HASHES[0], 'account voss', 'key_sha256', 'the same'),
+        (HASHES[1], 'secret', 'account voss', 'key_sha256', '64 lower-case'),
+        (
+            '[account voss]',
+            '[account Nordfjord-Hjul]',
+            'account Nordfjord-Hjul',
+            '',
+            'duplicate',
+        ),
+        ('[account voss]', '[acount voss]', 'acount voss', '', 'unknown sec'),
+        ('[account voss]', '[account a b]', 'account a b', '', 'not a name'),
+        ('[account voss]', '[account]', 'account', '', 'not a name'),
+        (
+            'kind = plain',
+            'kind = model\nmodel = skrivar\ntotal_layers = 1',
+            'service verkstad',
+            'model',
+            'the same as',
+        ),
+    ],
+)
+def test_a_fault_is_reported_at_its_place(
+    tmp_path, old, new, section, key, reason
+):
+    """A fault that is accepted reaches every entry within seconds."""
+    changed = GOOD.replace(old, new, 1)
+    assert changed != GOOD
+    problems = problems_of(tmp_path, changed)
+    assert [
+        problem
+        for problem in problems
+        if problem.section.startswith(section)
+        and problem.key == key
+        and reason in problem.reason
+        and problem.file.endswith('everything.ini')
+    ], problems
+
+
+def test_all_problems_come_in_one_run(tmp_path):
+    """Operators must not find the faults one by one."""
+    first = folder(tmp_path, 'a', x=GOOD.replace('12.5', '30s'))
+    second = folder(tmp_path, 'b', x='[route r]\nservice = none\n')
+    third = folder(tmp_path, 'c')
+    missing = tmp_path / 'd'
+    _, problems = published.collect([first, second, third, missing])
+    places = {(problem.file, problem.key) for problem in problems}
+    assert places == {
+        (str(first / 'x.ini'), 'timeout_s'),
+        (str(second / 'x.ini'), 'path_prefix'),
+        (str(third), ''),
+        (str(missing), ''),
+    }
+
+
+def test_names_are_unique_across_files_and_sources(tmp_path):
+    """Two definitions of a name would make the order of files matter."""
+    first = folder(tmp_path, 'a', x=GOOD)
+    second = folder(tmp_path, 'b', x=SERVICES, y=ACCOUNTS)
+    problems = published.collect([first, second])[1]
+    found = {(p.section, p.reason.split(' is ')[0]) for p in problems}
+    assert ('service skrivar', 'service skrivar') in found
+    assert ('account voss', 'account voss') in found
+    again = published.collect([first, tmp_path / 'c' / '..' / 'a'])[1]
+    assert 'two folders' in again[0].reason
+
+
+def test_contracts_in_force_of_other_sources_count(tmp_path):
+    """A publish must not take a path or key from another source."""
+    other = published.Source(
+        [contracts.Service('verkstad', kind='plain')],
+        [contracts.Route('old', 'verkstad', '/jobs')],
+        [contracts.ClientAccount('voss-2', HASHES[3])],
+    )
+    text = (
+        '[route jobs]\nservice = verkstad\npath_prefix = /jobs/open\n'
+        f'[account new]\nkey_sha256 = {HASHES[3]}\n'
+    )
+    path = folder(tmp_path, x=text)
+    assert "unknown service 'verkstad'" in str(published.collect([path])[1])
+    _, problems = published.collect([path], published={'other': other})
+    assert [(p.section, p.key) for p in problems] == [
+        ('account new', 'key_sha256'),
+        ('route jobs', 'path_prefix'),
+    ]
+    assert 'published source other' in problems[0].reason
+    _, problems = published.collect([path], published={'hjulverk': other})
+    assert [p.key for p in problems] == ['service']
+
+
+def test_policies_can_be_given(tmp_path):
+    """A policy that only exists in one version must not be published."""
+    text = GOOD.replace('version = 3', 'chain_policy = best')
+    policies = {'chain_policy': {'best'}, 'queue_policy': {'fair'}}
+    path = folder(tmp_path, x=text)
+    assert published.collect([path], policies=policies)[1] == []
+    assert 'known: ' in str(published.collect([path])[1])
+
+
+def test_known_policies_contain_the_defaults():
+    """A default that is not known would refuse every service."""
+    service = contracts.Service('any')
+    for key, known in published.known_policies().items():
+        assert getattr(service, key) in known
+
+
+ini_lines = strategies.lists(
+    strategies.one_of(
+        strategies.text(max_size=30),
+        strategies.sampled_from(GOOD.split('\n')),
+    ),
+    max_size=30,
+)
+
+
+@hypothesis.settings(
+    max_examples=300,
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=[hypothesis.HealthCheck.function_scoped_fixture],
+)
+@hypothesis.given(ini_lines)
+def test_arbitrary_text_gives_contracts_or_problems(tmp_path, lines):
+    """An exception would hide the problems found so far."""
+    path = tmp_path / 'source'
+    path.mkdir(exist_ok=True)
+    text = '\n'.join(lines)
+    content = text.encode('utf-8', errors='surrogatepass')
+    (path / 'x.ini').write_bytes(content)
+    sources, problems = published.collect([path])
+    assert list(sources) == ['source']
+    assert all(str(problem) for problem in problems)
--- a/pimentowalk/settings/values.py
+++ b/pimentowalk/settings/values.py
@@ -5,9 +5,10 @@
 
 import ipaddress
 import re
+import unicodedata
 import urllib.parse
 
-NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
+NAME = re.compile(r'\w[\w.-]{0,63}')
 NUMBER = re.compile(r'[+-]?[0-9]+(\.[0-9]+)?')
 NUMBER_WITH_UNIT = re.compile(r'([+-]?[0-9]+(?:\.[0-9]+)?)\s*([^0-9.\s]+)')
 SHA256 = re.compile(r'[0-9a-f]{64}')
@@ -16,20 +17,19 @@
 
 
 def name(text):
-    """Return an identifier of a node, zone, service or account."""
-    if not NAME.fullmatch(text):
+    """Return an identifier of a node, zone, service or account.
+
+    >>> name('Førde')
+    'Førde'
+    """
+    # One form of each letter, as files from different systems differ.
+    normal = unicodedata.normalize('NFC', text)
+    if not NAME.fullmatch(normal):
         raise ValueError(
-            f'{text!r} is not a name: 1 to 64 ASCII letters, digits, '
-            f'".", "_" and "-", the first a letter or digit'
+            f'{text!r} is not a name: 1 to 64 letters, digits, "_", "." '
+            f'and "-", the first a letter, digit or "_"'
         )
-    return text
-
-
-def words(text):
-    """Return any text on one line."""
-    if '\n' in text or not text.isprintable():
-        raise ValueError(f'{text!r} is not one line of printable text')
-    return text
+    return normal
 
 
 def optional(reader):
