Return voters as ids again

The control daemon looks each voter up by its id in [process] control, so the settings return ids. The file may still write id@host:port, as the launcher does; an address that differs from [process] control is refused.

--- a/pimentowalk/settings/daemon.py
+++ b/pimentowalk/settings/daemon.py
@@ -59,14 +59,14 @@
 class ControlSettings:
     """Settings of `pimentowalk-control`.
 
-    `voters` are those of `process.control` that form the first set of
+    `voters` are ids from `process.control` that form the first set of
     voters; an instance with an empty list joins as a learner. The file
-    lists them by id or as `id@host:port`.
+    may also list them as `id@host:port`.
     """
 
     process: ProcessSettings
     data_folder: str
-    voters: list[instances.Instance]
+    voters: list[str]
     operators_file: str
     drain_timeout_s: float = 30.0
 
@@ -105,7 +105,7 @@
 
 
 def voters(text):
-    """Return the ids or instances of the first voters."""
+    """Return the ids or instances that name the first voters."""
     found = values.list_of(voter)(text)
     if len(found) not in VOTER_COUNTS:
         raise ValueError(f'{len(found)} voters; expected 3 or 5 (or 1, or 0)')
@@ -178,16 +178,17 @@
 
 
 def _resolve_voters(document, settings):
-    by_name = {one.instance_id: one for one in settings.process.control}
-    by_name |= {one: one for one in settings.process.control}
+    known = {one.instance_id: one for one in settings.process.control}
     found = []
     for named in settings.voters:
-        if named in by_name:
-            found.append(by_name[named])
-            continue
-        shown = getattr(named, 'instance_id', named)
-        reason = f'{shown!r} is no instance of [process] control'
-        document.report('control', 'voters', reason)
+        instance_id = getattr(named, 'instance_id', named)
+        if named not in (instance_id, known.get(instance_id)):
+            reason = f'{instance_id!r} has another address in [process]'
+            document.report('control', 'voters', reason)
+        if instance_id not in known:
+            reason = f'{instance_id!r} is no instance of [process] control'
+            document.report('control', 'voters', reason)
+        found.append(instance_id)
     if len(set(found)) < len(found):
         document.report('control', 'voters', 'an instance is listed twice')
     return attrs.evolve(settings, voters=found)
