Run attempts and service calls through agents

The whole path depends on agents that drive an attempt token by token. The head queues and admits, prepares the later stages over its own connections, and starts each step when the last stage has returned the token.

A step could reach a later stage before its PrepareAttempt, because the two come over different connections. Buffering early steps was ruled out: it needs its own bounds and hides a stage that refuses. The head waits for the answers of all stages instead, so a refusal there still proves that nothing ran.

PrepareAttempt gets first_index, account, fingerprint and isolate; RenewAttempts is new. Tests run two agents with in-process engines whose layers keep a hash of all inputs.

--- /dev/null
+++ b/pimentowalk/admission/fair_queue.py
@@ -0,0 +1,284 @@
+"""Queues that decide which waiting work a backend server runs next."""
+
+import collections
+import math
+
+import attrs
+
+from pimentowalk.core import registry
+
+POLICIES = registry.Registry('queue policy')
+
+# Work that has waited for this share of the longest wait goes before
+# younger short work of its account, so that long work cannot starve.
+AGEING_SHARE = 0.25
+
+
+@attrs.frozen
+class QueueLimits:
+    """Bounds and reserves of one queue; see `contracts.Service`."""
+
+    max_running: int = 1
+    short_cost_tokens: int = 200
+    short_reserve_percent: int = 25
+    max_queue_s: float = 30.0
+    max_queue_requests: int = 1000
+
+    @property
+    def max_long_running(self):
+        """Return how many places long work may hold, at least one."""
+        reserved = math.ceil(
+            self.max_running * self.short_reserve_percent / 100
+        )
+        return max(1, self.max_running - reserved)
+
+
+@attrs.define(eq=False)
+class Work:
+    """One piece of waiting or running work.
+
+    `cost` is the predicted cost in tokens, `made` what was made so far,
+    `due_s` the time at which it is refused if still waiting. `isolate`
+    lets it run only while nothing else does.
+    """
+
+    key: object
+    account: str
+    weight: float
+    cost: float
+    arrived_s: float
+    due_s: float = math.inf
+    isolate: bool = False
+    made: float = 0.0
+    short: bool = False
+
+    @property
+    def charge(self):
+        """Return the cost by which the account's share is counted."""
+        return max(self.cost, self.made)
+
+
+@attrs.define(eq=False)
+class AccountQueue:
+    """The waiting work of one client account.
+
+    `virtual` is the cost served to the account divided by its weight.
+    """
+
+    weight: float = 1.0
+    virtual: float = 0.0
+    waiting_cost: float = 0.0
+    running_cost: float = 0.0
+    short: collections.deque = attrs.field(factory=collections.deque)
+    long: collections.deque = attrs.field(factory=collections.deque)
+
+    def __len__(self):
+        return len(self.short) + len(self.long)
+
+    @property
+    def excess(self):
+        """Return the waiting and running cost relative to the weight."""
+        return (self.waiting_cost + self.running_cost) / self.weight
+
+    def newest(self):
+        """Return the work that arrived last."""
+        ends = [queue[-1] for queue in (self.short, self.long) if queue]
+        return max(ends, key=lambda work: work.arrived_s)
+
+    def queue_of(self, work):
+        """Return the deque that holds a piece of work."""
+        return self.short if work.short else self.long
+
+    def choose(self, long_allowed, aged_before_s):
+        """Return the work to run next, or None."""
+        long = self.long[0] if self.long and long_allowed else None
+        if not self.short:
+            return long
+        short = self.short[0]
+        if long is not None and long.arrived_s <= aged_before_s:
+            return min(long, short, key=lambda work: work.arrived_s)
+        return short
+
+
+class BaseQueue:
+    """Count places, bounds and isolation; a policy chooses the order."""
+
+    def __init__(self, limits):
+        self.limits = limits
+        self.waiting = {}
+        self.running = {}
+        self.waiting_cost = 0.0
+
+    @property
+    def running_long(self):
+        """Return how many long pieces of work run."""
+        return sum(not work.short for work in self.running.values())
+
+    def push(self, work):
+        """Add work; return the work that is refused in exchange, if any."""
+        work.short = work.cost <= self.limits.short_cost_tokens
+        self.waiting[work.key] = work
+        self.waiting_cost += work.cost
+        self.add(work)
+        if len(self.waiting) <= self.limits.max_queue_requests:
+            return None
+        refused = self.least_entitled(work)
+        self.remove(refused.key)
+        return refused
+
+    def pop(self, now_s):
+        """Return the next work, now counted as running, or None."""
+        if len(self.running) >= self.limits.max_running:
+            return None
+        if any(work.isolate for work in self.running.values()):
+            return None
+        work = self.choose(now_s)
+        if work is None or (work.isolate and self.running):
+            return None
+        self.take(work)
+        del self.waiting[work.key]
+        self.waiting_cost -= work.cost
+        self.running[work.key] = work
+        return work
+
+    def remove(self, key):
+        """Remove waiting work; return it, or None if it does not wait."""
+        work = self.waiting.pop(key, None)
+        if work is not None:
+            self.waiting_cost -= work.cost
+            self.discard(work)
+        return work
+
+    def expire(self, now_s):
+        """Remove and return the work that has waited too long."""
+        oldest_s = now_s - self.limits.max_queue_s
+        late = [
+            work
+            for work in self.waiting.values()
+            if work.arrived_s <= oldest_s or work.due_s <= now_s
+        ]
+        for work in late:
+            self.remove(work.key)
+        return late
+
+    def made(self, key, tokens):
+        """Correct the cost of running work by what it has made."""
+        work = self.running.get(key)
+        if work is not None:
+            before = work.charge
+            work.made += tokens
+            self.correct(work, work.charge - before)
+
+    def finish(self, key):
+        """Free the place of running work and settle its cost."""
+        work = self.running.pop(key, None)
+        if work is not None:
+            self.correct(work, work.made - work.charge)
+            self.settle(work)
+
+    def correct(self, work, difference):
+        """Charge a difference between predicted and real cost."""
+
+    def settle(self, work):
+        """Forget work that ran."""
+
+
+@POLICIES.register('fifo')
+class FifoQueue(BaseQueue):
+    """Run work in the order of arrival: the baseline for comparisons."""
+
+    def add(self, work):
+        """Keep arrival order, which the dict of waiting work has."""
+
+    def discard(self, work):
+        """Keep nothing besides the dict of waiting work."""
+
+    def take(self, work):
+        """Keep nothing besides the dict of running work."""
+
+    def least_entitled(self, newest):
+        """Refuse the work that came last."""
+        return newest
+
+    def choose(self, now_s):
+        """Return the oldest work."""
+        return next(iter(self.waiting.values()), None)
+
+
+@POLICIES.register('fair')
+class FairQueue(BaseQueue):
+    """Share places between client accounts by weight in token cost.
+
+    The account with the least virtual cost goes first (start-time fair
+    queueing). An account that was idle starts at the present virtual time,
+    so that it gets neither a credit nor a debt for the time it was away.
+    """
+
+    def __init__(self, limits):
+        super().__init__(limits)
+        self.accounts = {}
+        self.virtual_now = 0.0
+
+    def add(self, work):
+        """Queue work under its account."""
+        account = self.accounts.get(work.account)
+        if account is None:
+            account = AccountQueue(virtual=self.virtual_now)
+            self.accounts[work.account] = account
+        if not account:
+            account.virtual = max(account.virtual, self.virtual_now)
+        account.weight = work.weight
+        account.waiting_cost += work.cost
+        account.queue_of(work).append(work)
+
+    def discard(self, work):
+        """Remove waiting work from its account."""
+        account = self.accounts[work.account]
+        account.queue_of(work).remove(work)
+        account.waiting_cost -= work.cost
+        self._forget_idle(work.account)
+
+    def take(self, work):
+        """Move work from waiting to running and charge its cost."""
+        account = self.accounts[work.account]
+        account.queue_of(work).remove(work)
+        account.waiting_cost -= work.cost
+        account.running_cost += work.cost
+        self.virtual_now = max(self.virtual_now, account.virtual)
+        account.virtual += work.cost / account.weight
+
+    def correct(self, work, difference):
+        """Charge or credit the account of running work."""
+        account = self.accounts[work.account]
+        account.virtual += difference / account.weight
+        account.running_cost += difference
+
+    def settle(self, work):
+        """Stop counting work that has ended."""
+        account = self.accounts[work.account]
+        account.running_cost -= work.made
+        self._forget_idle(work.account)
+
+    def least_entitled(self, newest):
+        """Return the newest work of the account furthest over its share."""
+        backlogged = [a for a in self.accounts.values() if a]
+        return max(backlogged, key=lambda a: a.excess).newest()
+
+    def choose(self, now_s):
+        """Return the next work by share, length and age."""
+        long_allowed = self.running_long < self.limits.max_long_running
+        aged_before_s = now_s - AGEING_SHARE * self.limits.max_queue_s
+        backlogged = [a for a in self.accounts.values() if a]
+        for account in sorted(backlogged, key=lambda a: a.virtual):
+            work = account.choose(long_allowed, aged_before_s)
+            if work is not None:
+                return work
+        return None
+
+    def _forget_idle(self, name):
+        # An account without work keeps its virtual cost only while that is
+        # ahead of the present virtual time.
+        account = self.accounts[name]
+        busy = len(account) or account.running_cost > 1e-9
+        if not busy and account.virtual <= self.virtual_now:
+            del self.accounts[name]
--- /dev/null
+++ b/pimentowalk/agent/engine_client.py
@@ -0,0 +1,162 @@
+"""The WebSocket connection to the engine of a backend server."""
+
+import asyncio
+import contextlib
+import json
+import logging
+
+import aiohttp
+import attrs
+
+from pimentowalk.core import logs
+from pimentowalk.core import timers as timer_services
+
+LOG = logging.getLogger(__name__)
+
+RECONNECT_S = 0.2
+# A prefill step holds one hidden state for each token of the prompt.
+MAX_MESSAGE_BYTES = 16 << 20
+
+
+@attrs.frozen
+class EngineHello:
+    """What an engine says about itself."""
+
+    model: str
+    version: str
+    adapters: list[str]
+    first_layer: int
+    end_layer: int
+    total_layers: int
+    max_running: int
+    capacity_tokens_per_s: float
+    accelerator: str = ''
+    checks_fencing: bool = False
+
+
+def parse_hello(message):
+    """Return the hello of an engine; raise KeyError on a missing field.
+
+    Unknown fields are ignored, so that newer engines can be used.
+    """
+    names = [field.name for field in attrs.fields(EngineHello)]
+    known = {name: message[name] for name in names if name in message}
+    try:
+        return EngineHello(**known)
+    except TypeError as error:
+        raise KeyError(str(error)) from None
+
+
+class EngineClient:
+    """Keep one WebSocket to the engine and pass its messages on.
+
+    `events` has `engine_ready(hello)`, `engine_lost()`,
+    `engine_done(items)`, `engine_failed(message)` and
+    `engine_load(message)`.
+    """
+
+    def __init__(self, backend_url, timers, events):
+        self._url = backend_url.rstrip('/')
+        self._timers = timers
+        self._events = events
+        self._pending = []
+        self._wake = asyncio.Event()
+        self._task = None
+        self._stopping = False
+        self.session = None
+        self.hello = None
+
+    @property
+    def ready(self):
+        """Return whether the engine is connected."""
+        return self.hello is not None
+
+    async def start(self):
+        """Start to connect; `engine_ready` tells when that is done."""
+        self.session = aiohttp.ClientSession()
+        self._task = asyncio.ensure_future(self._run())
+
+    async def stop(self):
+        """Close the WebSocket, which cancels all sequences."""
+        self._stopping = True
+        await timer_services.cancel_all([self._task] if self._task else [])
+        if self.session is not None:
+            await self.session.close()
+
+    def open(self, sequence, **fields):
+        """Open a sequence."""
+        self._put({'type': 'open', 'sequence': sequence, **fields})
+
+    def step(self, item):
+        """Run one step; steps queued together leave in one message."""
+        if self._pending and self._pending[-1]['type'] == 'steps':
+            self._pending[-1]['items'].append(item)
+        else:
+            self._put({'type': 'steps', 'items': [item]})
+
+    def close(self, sequence):
+        """Cancel a sequence."""
+        self._put({'type': 'close', 'sequence': sequence})
+
+    async def post_order(self, order):
+        """Send an order; return the HTTP status and the text."""
+        url = f'{self._url}/v1/orders'
+        async with self.session.post(url, json=order) as response:
+            return response.status, await response.text()
+
+    def _put(self, message):
+        if self.ready:
+            self._pending.append(message)
+            self._wake.set()
+
+    async def _run(self):
+        while True:
+            try:
+                await self._connect()
+            except (aiohttp.ClientError, OSError) as error:
+                LOG.debug('no engine: %s', error)
+            except (ValueError, KeyError, TypeError) as error:
+                LOG.warning(
+                    'unexpected message from the engine: %s',
+                    error,
+                    extra=logs.fields(step='engine'),
+                )
+            await self._timers.sleep(RECONNECT_S)
+
+    async def _connect(self):
+        async with self.session.ws_connect(
+            f'{self._url}/v1/stage', max_msg_size=MAX_MESSAGE_BYTES
+        ) as socket:
+            hello = parse_hello(await socket.receive_json())
+            self._pending.clear()
+            self.hello = hello
+            writer = asyncio.ensure_future(self._write(socket))
+            try:
+                await self._events.engine_ready(hello)
+                await self._read(socket)
+            finally:
+                self.hello = None
+                writer.cancel()
+                if not self._stopping:
+                    self._events.engine_lost()
+
+    async def _write(self, socket):
+        with contextlib.suppress(ConnectionError, aiohttp.ClientError):
+            while True:
+                await self._wake.wait()
+                self._wake.clear()
+                messages, self._pending = self._pending, []
+                for message in messages:
+                    await socket.send_str(json.dumps(message))
+
+    async def _read(self, socket):
+        async for frame in socket:
+            if frame.type != aiohttp.WSMsgType.TEXT:
+                return
+            message = json.loads(frame.data)
+            if message['type'] == 'done':
+                self._events.engine_done(message['items'])
+            elif message['type'] == 'failed':
+                self._events.engine_failed(message)
+            elif message['type'] == 'load':
+                self._events.engine_load(message)
--- /dev/null
+++ b/pimentowalk/agent/head.py
@@ -0,0 +1,368 @@
+"""The head role: queue, admission, driving steps, telling the entry."""
+
+import asyncio
+import logging
+import math
+
+import attrs
+
+from pimentowalk.admission import fair_queue
+from pimentowalk.agent import rules
+from pimentowalk.agent import sequences
+from pimentowalk.core import errors
+from pimentowalk.core import logs
+from pimentowalk.core import timers as timer_services
+from pimentowalk.wire import messages
+
+LOG = logging.getLogger(__name__)
+
+STATES = messages.AttemptState
+PREPARE_TIMEOUT_S = 2.0
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """An attempt that this head queues or drives."""
+
+    frame: messages.OpenAttempt
+    entry: object
+    sequence: object = None
+    preparing: asyncio.Task | None = None
+    prepared: list = attrs.field(factory=list)
+
+    @property
+    def key(self):
+        """Return the request id and the attempt."""
+        return self.frame.request_id, self.frame.attempt
+
+
+class HeadRole:
+    """Queue attempts, admit them by policy and drive their steps.
+
+    `gate` decides about new work: `refusal(frame)` returns a code or '',
+    `draining` whether the agent is leaving.
+    """
+
+    def __init__(self, own, stage, peers, records, timers, gate):
+        self._own = own
+        self._stage = stage
+        self._peers = peers
+        self._records = records
+        self._timers = timers
+        self._gate = gate
+        self.queue = fair_queue.FairQueue(fair_queue.QueueLimits())
+        self.attempts = {}
+        self.loads = lambda: []
+        self.on_finished = lambda frame: None
+
+    def open(self, entry, frame):
+        """Queue a new attempt, or refuse it."""
+        record = self._records.of(frame.request_id)
+        if not rules.accepts_attempt(record, frame.attempt):
+            self._answer_known(entry, frame, record)
+            return
+        record.highest = frame.attempt
+        self.close_below(frame.request_id, frame.attempt)
+        attempt = Attempt(frame, entry)
+        code = self._gate.refusal(frame) or self._mismatch(frame)
+        if code:
+            self._records.close(*attempt.key)
+            self._report(attempt, STATES.REFUSED, code, step='admit')
+            return
+        self._enqueue(attempt)
+        self.admit()
+
+    def _answer_known(self, entry, frame, record):
+        # A repeated frame of an attempt that waits or ran gets no answer:
+        # its state is reported by the first one.
+        if frame.attempt <= record.closed:
+            if frame.attempt not in record.admitted:
+                attempt = Attempt(frame, entry)
+                self._report(attempt, STATES.CANCELLED, 'not_run')
+
+    def _mismatch(self, frame):
+        try:
+            self._stage.check_prepare(prepare_frame(frame, 0), '')
+        except errors.NotRun as error:
+            return '' if error.code == 'overloaded' else error.code
+        return ''
+
+    def _enqueue(self, attempt):
+        frame = attempt.frame
+        now_s = self._timers.now_s()
+        due_s = now_s + frame.deadline_ms / 1000 if frame.deadline_ms else None
+        work = fair_queue.Work(
+            attempt.key,
+            frame.account,
+            frame.weight if frame.weight > 0 else 1.0,
+            max(1, frame.predicted_tokens),
+            now_s,
+            due_s or math.inf,
+            frame.isolate or self._gate.is_suspect(frame.fingerprint),
+        )
+        self.attempts[attempt.key] = attempt
+        refused = self.queue.push(work)
+        if refused is None or refused is not work:
+            self._report(attempt, STATES.QUEUED)
+        if refused is not None:
+            self._refuse_queued(refused.key, 'overloaded', 'the queue is full')
+
+    def _refuse_queued(self, key, code, text):
+        attempt = self.attempts.pop(key)
+        self._records.close(*key)
+        self._report(attempt, STATES.REFUSED, code, text, step='queue')
+
+    def admit(self):
+        """Start the attempts for which there is a place."""
+        while (work := self.queue.pop(self._timers.now_s())) is not None:
+            attempt = self.attempts[work.key]
+            attempt.preparing = asyncio.ensure_future(
+                self._start(attempt, work)
+            )
+
+    async def _start(self, attempt, work):
+        try:
+            await self._prepare(attempt, work)
+        except (errors.PimentowalkError, TimeoutError) as error:
+            attempt.preparing = None
+            self._end_unprepared(attempt, error)
+            return
+        attempt.preparing = None
+        self._run_first(attempt)
+
+    async def _prepare(self, attempt, work):
+        stages = list(enumerate(attempt.frame.chain))[1:]
+        if not work.isolate:
+            await asyncio.gather(
+                *(self._prepare_at(attempt, n, s, work) for n, s in stages)
+            )
+            return
+        for position, stage in stages:
+            await self._prepare_at(attempt, position, stage, work)
+
+    async def _prepare_at(self, attempt, position, stage, work):
+        peer = await self._peers.connection(stage)
+        attempt.prepared.append(stage)
+        frame = prepare_frame(attempt.frame, position, work.isolate)
+        try:
+            await peer.call(frame, PREPARE_TIMEOUT_S)
+        except TimeoutError:
+            raise errors.PeerLost(
+                'no answer', step='prepare', peer=stage.server_id
+            ) from None
+
+    def _end_unprepared(self, attempt, error):
+        if attempt.key in self.attempts:
+            self._end(
+                attempt, error.code, error.message, 'prepare', error.peer
+            )
+
+    def _run_first(self, attempt):
+        frame = attempt.frame
+        if attempt.key not in self.attempts:
+            return
+        record = self._records.of(frame.request_id)
+        if not rules.may_admit(
+            record, frame.attempt, draining=self._gate.draining
+        ):
+            code = 'draining' if self._gate.draining else 'not_run'
+            self._end(attempt, code, 'closed before it ran', 'admit')
+            return
+        attempt.sequence = sequences.Sequence(
+            frame.request_id,
+            frame.attempt,
+            frame.chain,
+            0,
+            len(frame.generated),
+            frame.max_tokens,
+            frame.account,
+            frame.fingerprint,
+            self.queue.running[attempt.key].isolate,
+        )
+        self._stage.open(
+            attempt.sequence,
+            frame,
+            prompt=frame.prompt,
+            generated=list(frame.generated),
+        )
+        self._stage.run(attempt.sequence, len(frame.generated), [])
+        self._report(attempt, STATES.ADMITTED)
+
+    def on_tokens(self, batch):
+        """Pass tokens to their entries and start the next steps."""
+        for token in batch:
+            attempt = self.attempts.get((token.request_id, token.attempt))
+            if attempt is None or attempt.sequence is None:
+                continue
+            sequence = attempt.sequence
+            if rules.accepts_token(
+                sequence.next_index, sequence.running_index, token.token_index
+            ):
+                self._pass_on(attempt, token)
+
+    def _pass_on(self, attempt, token):
+        self.queue.made(attempt.key, 1)
+        self._peers.to_peer(attempt.entry, token)
+        if token.last:
+            self._finish(attempt)
+            return
+        self._stage.run(
+            attempt.sequence, token.token_index + 1, [], token=token.token_id
+        )
+
+    def _finish(self, attempt):
+        self._report(attempt, STATES.FINISHED)
+        self.on_finished(attempt.frame)
+        self._forget(attempt, 'finished')
+
+    def on_failed(self, failure):
+        """End an attempt of which one stage has failed."""
+        attempt = self.attempts.get((failure.request_id, failure.attempt))
+        if attempt is not None:
+            self._end(
+                attempt,
+                failure.code,
+                failure.text,
+                failure.step,
+                failure.peer,
+                failure.engine_crashed,
+            )
+
+    def on_stage_lost(self, address):
+        """End the attempts of which a later stage is unreachable."""
+        for attempt in list(self.attempts.values()):
+            for stage in attempt.prepared:
+                if (stage.host, stage.port) == address:
+                    text = 'the connection to the stage ended'
+                    self._end(
+                        attempt, 'peer_lost', text, 'link', stage.server_id
+                    )
+                    break
+
+    def _end(
+        self, attempt, code, text='', step='', peer='', engine_crashed=False
+    ):
+        state = rules.failure_state(self._was_admitted(attempt))
+        self._report(
+            attempt,
+            state,
+            code,
+            text,
+            step=step,
+            peer=peer,
+            engine_crashed=engine_crashed,
+        )
+        self._forget(attempt, code)
+
+    def _was_admitted(self, attempt):
+        record = self._records.of(attempt.frame.request_id)
+        return attempt.frame.attempt in record.admitted
+
+    def close(self, entry, frame):
+        """Fence an attempt for its entry and confirm what it was."""
+        record = self._records.close(frame.request_id, frame.attempt)
+        known = self.attempts.get((frame.request_id, frame.attempt))
+        self.close_below(frame.request_id, frame.attempt)
+        if known is not None:
+            self._cancel(known, frame.reason)
+        elif frame.attempt not in record.admitted:
+            self._peers.to_peer(
+                entry,
+                messages.AttemptStatus(
+                    frame.request_id,
+                    frame.attempt,
+                    STATES.CANCELLED,
+                    'not_run',
+                    step='close',
+                    peer=self._own.server_id,
+                ),
+            )
+
+    def _cancel(self, attempt, reason):
+        admitted = self._was_admitted(attempt)
+        code = 'outcome_unknown' if admitted else 'not_run'
+        state = rules.closing_state(admitted)
+        self._report(attempt, state, code, reason, step='close')
+        self._forget(attempt, reason)
+
+    def close_below(self, request_id, attempt):
+        """End the lower attempts of a request."""
+        for key, lower in list(self.attempts.items()):
+            if key[0] == request_id and key[1] < attempt:
+                self._cancel(lower, 'a higher attempt was opened')
+
+    def _forget(self, attempt, reason):
+        key = attempt.key
+        self.attempts.pop(key, None)
+        self._records.close(*key)
+        self.queue.remove(key)
+        self.queue.finish(key)
+        if attempt.preparing is not None:
+            attempt.preparing.cancel()
+        self._stage.release(key)
+        for stage in attempt.prepared:
+            self._peers.to_stage(stage, messages.CloseAttempt(*key, reason))
+        self.admit()
+
+    def _report(self, attempt, state, code='', text='', **fields):
+        fields.setdefault('peer', self._own.server_id if code else '')
+        status = messages.AttemptStatus(
+            *attempt.key, state, code, text, loads=self.loads(), **fields
+        )
+        LOG.debug(
+            'attempt %d is %s %s',
+            attempt.frame.attempt,
+            state,
+            code,
+            extra=logs.fields(request_id=attempt.frame.request_id),
+        )
+        self._peers.to_peer(attempt.entry, status)
+
+    def expire(self):
+        """Refuse queued attempts that have waited too long."""
+        now_s = self._timers.now_s()
+        for work in self.queue.expire(now_s):
+            code = 'deadline' if work.due_s <= now_s else 'overloaded'
+            self._refuse_queued(work.key, code, 'waited too long')
+
+    def refuse_queued(self, code):
+        """Refuse everything that waits."""
+        for key in list(self.queue.waiting):
+            self.queue.remove(key)
+            self._refuse_queued(key, code, 'the agent is leaving')
+
+    def on_entry_lost(self, entry):
+        """Cancel the attempts of an entry that has gone."""
+        for attempt in list(self.attempts.values()):
+            if attempt.entry is entry:
+                self._cancel(attempt, 'the entry has gone')
+
+    def fail_all(self, code, text, step):
+        """Fail every attempt; those that never ran are refused."""
+        for attempt in list(self.attempts.values()):
+            self._end(attempt, code, text, step)
+
+    async def stop(self):
+        """End the tasks that prepare attempts."""
+        tasks = [a.preparing for a in self.attempts.values() if a.preparing]
+        await timer_services.cancel_all(tasks)
+
+
+def prepare_frame(frame, position, isolate=False):
+    """Return the frame that prepares one stage of an attempt."""
+    return messages.PrepareAttempt(
+        frame.request_id,
+        frame.attempt,
+        frame.model,
+        frame.version,
+        frame.adapter,
+        frame.seed,
+        frame.temperature,
+        position,
+        frame.max_tokens,
+        frame.chain,
+        len(frame.generated),
+        frame.account,
+        frame.fingerprint,
+        isolate,
+    )
--- /dev/null
+++ b/pimentowalk/agent/rules.py
@@ -0,0 +1,95 @@
+"""Decisions of an agent, shared with the specification of attempts."""
+
+import attrs
+
+from pimentowalk.wire import messages
+
+# An agent refuses an older scope version once it has known a newer one for
+# this long; before that, pushes to the entries may still be under way.
+STALE_AFTER_S = 2.0
+ATTEMPT_LEASE_S = 10.0
+
+
+@attrs.define
+class RequestRecord:
+    """What an agent knows about the attempts of one request.
+
+    Attempts up to `closed` are fenced. `admitted` holds the attempts that
+    may have run at this agent.
+    """
+
+    highest: int = -1
+    closed: int = -1
+    admitted: set[int] = attrs.field(factory=set)
+
+
+def accepts_attempt(record, attempt):
+    """Return whether a new attempt may be queued or prepared."""
+    return attempt > record.highest and attempt > record.closed
+
+
+def accepts_step(record, attempt, next_index, index):
+    """Return whether a step may run: unfenced, newest and in sequence."""
+    current = attempt > record.closed and attempt >= record.highest
+    return current and index == next_index
+
+
+def accepts_token(next_index, running_index, index):
+    """Return whether a token is the one that its head waits for.
+
+    `next_index` and `running_index` belong to the head's own sequence,
+    which is one step ahead of the token under way.
+    """
+    return running_index < 0 and index == next_index - 1
+
+
+def may_admit(record, attempt, *, draining):
+    """Return whether a queued attempt may still be admitted."""
+    current = attempt > record.closed and attempt >= record.highest
+    return current and not draining
+
+
+def refusal_code(*, draining, ready, stale, quarantined):
+    """Return the code with which new work is refused, or ''."""
+    if draining:
+        return 'draining'
+    if not ready:
+        return 'not_run'
+    if stale:
+        return 'stale_configuration'
+    if quarantined:
+        return 'quarantined'
+    return ''
+
+
+def is_stale(scope_version, known_version, known_for_s):
+    """Return whether work was sent under a scope version that is too old."""
+    return scope_version < known_version and known_for_s >= STALE_AFTER_S
+
+
+def failure_state(admitted):
+    """Return the state in which an attempt ends when it cannot go on."""
+    if admitted:
+        return messages.AttemptState.FAILED
+    return messages.AttemptState.REFUSED
+
+
+def closing_state(admitted):
+    """Return the state in which an attempt ends when its entry closes it."""
+    if admitted:
+        return messages.AttemptState.FAILED
+    return messages.AttemptState.CANCELLED
+
+
+def was_never_admitted(record, attempt, *, same_incarnation):
+    """Return whether the record proves that an attempt never ran here.
+
+    The caller fences the attempt first, so that it cannot run later.
+    """
+    fenced = attempt <= record.closed
+    return same_incarnation and fenced and attempt not in record.admitted
+
+
+def accepts_order(highest_fence, fence):
+    """Return whether the fencing number of an order is new."""
+    return fence > highest_fence
--- /dev/null
+++ b/pimentowalk/agent/tests/fakes.py
@@ -0,0 +1,314 @@
+"""Small stand-ins for what surrounds an agent in its tests."""
+
+import asyncio
+import contextlib
+import json
+
+from aiohttp import web
+
+from pimentowalk.agent import node
+from pimentowalk.core import identifiers
+from pimentowalk.topology import contracts
+from pimentowalk.wire import connection as wire
+from pimentowalk.wire import messages
+
+MODEL = 'brass'
+VERSION = '1'
+WAIT_S = 5.0
+
+
+async def reach(condition):
+    """Let the loop run until a condition holds; fail after many turns."""
+    for _ in range(5000):
+        if condition():
+            return
+        await asyncio.sleep(0.001)
+    raise AssertionError('the condition was never reached')
+
+
+def mix(state, value):
+    """Return the next state of a hash chain as eight bytes."""
+    return identifiers.hash64(state, value).to_bytes(8, 'big')
+
+
+def reference(prompt, total_layers, count, seed=0):
+    """Return the token ids of an answer, computed in one place."""
+    caches = [b''] * total_layers
+    tokens = []
+    value = prompt.encode()
+    for index in range(count):
+        for layer in range(total_layers):
+            caches[layer] = mix(caches[layer], value)
+            value = caches[layer]
+        tokens.append(int.from_bytes(value[:4], 'big') ^ seed)
+        value = str(tokens[index]).encode()
+    return tokens
+
+
+class FakeEngine:
+    """An engine on loopback whose layers keep a hash of all inputs.
+
+    `held` keeps results back until `release`; `record` lists the
+    (sequence, index) pairs that ran.
+    """
+
+    def __init__(self, first=0, end=2, total=2, max_running=4):
+        self.hello = {
+            'type': 'hello',
+            'model': MODEL,
+            'version': VERSION,
+            'adapters': [],
+            'first_layer': first,
+            'end_layer': end,
+            'total_layers': total,
+            'max_running': max_running,
+            'capacity_tokens_per_s': 1000.0,
+            'accelerator': 'fake',
+            'checks_fencing': False,
+        }
+        self.layers = range(first, end)
+        self.total = total
+        self.sequences = {}
+        self.record = []
+        self.messages = []
+        self.orders = []
+        self.order_status = 200
+        self.held = False
+        self.waiting = []
+        self.sockets = set()
+        self.runner = None
+        self.url = ''
+
+    async def start(self, port=0):
+        """Listen on loopback."""
+        application = web.Application()
+        application.router.add_get('/v1/stage', self._stage)
+        application.router.add_post('/v1/orders', self._order)
+        self.runner = web.AppRunner(application, shutdown_timeout=0.1)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, '127.0.0.1', port)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        self.url = f'http://127.0.0.1:{port}'
+
+    async def stop(self):
+        """Close the server and all sockets."""
+        await self.crash()
+        await self.runner.cleanup()
+
+    async def crash(self):
+        """Cut all connections as a killed engine would."""
+        for socket in list(self.sockets):
+            socket._req.transport.abort()
+
+    async def _order(self, request):
+        self.orders.append(await request.json())
+        return web.json_response({}, status=self.order_status)
+
+    async def _stage(self, request):
+        socket = web.WebSocketResponse()
+        await socket.prepare(request)
+        await socket.send_json(self.hello)
+        self.sockets.add(socket)
+        with contextlib.suppress(ConnectionError):
+            async for frame in socket:
+                await self._handle(socket, json.loads(frame.data))
+        self.sockets.discard(socket)
+        self.sequences.clear()
+        return socket
+
+    async def _handle(self, socket, message):
+        self.messages.append(message)
+        if message['type'] == 'open':
+            caches = dict.fromkeys(self.layers, b'')
+            self.sequences[message['sequence']] = (message, caches)
+        elif message['type'] == 'close':
+            self.sequences.pop(message['sequence'], None)
+        elif message['type'] == 'steps':
+            self.waiting.append((socket, message['items']))
+            if not self.held:
+                await self.release()
+
+    async def release(self):
+        """Send the results that were held back."""
+        waiting, self.waiting = self.waiting, []
+        for socket, items in waiting:
+            done = [self._run(item) for item in items]
+            done = [item for item in done if item is not None]
+            await socket.send_json({'type': 'done', 'items': done})
+
+    def _run(self, item):
+        if item['sequence'] not in self.sequences:
+            return None
+        opened, caches = self.sequences[item['sequence']]
+        index = item['index']
+        self.record.append((item['sequence'], index))
+        if self.layers.start > 0:
+            values = [
+                bytes.fromhex(item['hidden'])[at : at + 8]
+                for at in range(0, len(item['hidden']) // 2, 8)
+            ]
+        elif 'token' in item:
+            values = [str(item['token']).encode()]
+        else:
+            values = [opened['prompt'].encode()]
+            values += [str(token).encode() for token in opened['generated']]
+        for layer in self.layers:
+            values = [self._layer(caches, layer, v) for v in values]
+        done = {'sequence': item['sequence'], 'index': index}
+        if self.layers.stop < self.total:
+            return {**done, 'hidden': b''.join(values).hex()}
+        token = int.from_bytes(values[-1][:4], 'big') ^ opened['seed']
+        end = index + 1 >= opened['max_tokens']
+        return {**done, 'token': token, 'text': f'{token} ', 'end': end}
+
+    def _layer(self, caches, layer, value):
+        caches[layer] = mix(caches[layer], value)
+        return caches[layer]
+
+
+class FakeSession:
+    """Stand in for `control.client.NodeSession`."""
+
+    def __init__(self, configuration=None):
+        self.configuration = configuration or contracts.Configuration()
+        self.quarantined = set()
+        self.announced = 0
+        self.stopped = False
+        self.versions = []
+        self.callbacks = []
+
+    async def start(self):
+        """Do nothing."""
+
+    async def ready(self, timeout_s):
+        """Be ready at once."""
+
+    async def announce_now(self):
+        """Count announcements."""
+        self.announced += 1
+
+    async def stop(self):
+        """Note that the session has ended."""
+        self.stopped = True
+
+    def on_configuration(self, callback):
+        """Keep a callback for `configure`."""
+        self.callbacks.append(callback)
+
+    def note_version(self, version):
+        """Note a version seen in a frame."""
+        self.versions.append(version)
+
+    def configure(self, configuration):
+        """Put a configuration in force."""
+        self.configuration = configuration
+        for callback in self.callbacks:
+            callback()
+
+
+class FakeEntry:
+    """An entry that keeps everything that agents send to it."""
+
+    def __init__(self, node_id='entry-1'):
+        self.hello = messages.Hello(node_id, 'entry', 1, 'zone-1')
+        self.received = []
+        self.connection = None
+        self.task = None
+
+    async def connect(self, agent):
+        """Connect to an agent."""
+        self.connection = await wire.dial('127.0.0.1', agent.port, self.hello)
+        self.connection.on_frame = self._keep
+        self.task = asyncio.ensure_future(self.connection.run())
+
+    async def _keep(self, connection, envelope):
+        self.received.append(envelope.body)
+
+    async def close(self):
+        """End the connection."""
+        self.connection.close()
+        await self.task
+
+    def tokens(self, request_id=None):
+        """Return all received tokens in order."""
+        return [
+            token
+            for body in self.received
+            if isinstance(body, messages.TokenBatch)
+            for token in body.tokens
+            if request_id in (None, token.request_id)
+        ]
+
+    def statuses(self, request_id=None):
+        """Return the received states in order."""
+        return [
+            body
+            for body in self.received
+            if isinstance(body, messages.AttemptStatus)
+            and request_id in (None, body.request_id)
+        ]
+
+    async def ended(self, request_id):
+        """Wait until a request has ended; return its last status."""
+        await reach(
+            lambda: any(
+                status.state in messages.ENDED
+                for status in self.statuses(request_id)
+            )
+        )
+        return self.statuses(request_id)[-1]
+
+
+@contextlib.asynccontextmanager
+async def running_agent(engine, timers, name, session=None, **fields):
+    """Run an agent beside an engine for the length of a block."""
+    identity = node.Identity(
+        name,
+        identifiers.new_incarnation(),
+        'brass',
+        backend_url=engine.url,
+        **fields,
+    )
+    agent = node.Agent(identity, session or FakeSession(), timers)
+    await agent.start()
+    try:
+        yield agent
+    finally:
+        await agent.stop()
+
+
+def address(agent, first, end):
+    """Return the place of an agent in a chain."""
+    own = agent.identity
+    return messages.StageAddress(
+        own.server_id, own.incarnation, '127.0.0.1', agent.port, first, end
+    )
+
+
+def open_attempt(chain, *, request_id=None, attempt=1, **fields):
+    """Return an OpenAttempt with defaults."""
+    values = {
+        'account': 'polishers',
+        'service': 'brass',
+        'model': MODEL,
+        'version': VERSION,
+        'adapter': '',
+        'prompt': 'how to polish',
+        'generated': [],
+        'max_tokens': 5,
+        'seed': 3,
+        'temperature': 0.0,
+        'predicted_tokens': 5,
+        'deadline_ms': 0,
+        'weight': 1.0,
+        'fingerprint': 0,
+        'scope_version': 0,
+        **fields,
+    }
+    return messages.OpenAttempt(
+        request_id or identifiers.new_request_id(),
+        attempt,
+        chain=chain,
+        **values,
+    )
--- /dev/null
+++ b/pimentowalk/agent/tests/test_path.py
@@ -0,0 +1,134 @@
+"""Guard the path of an attempt through its agents."""
+
+import collections
+
+from aiohttp import web
+
+from pimentowalk.agent.tests import fakes
+from pimentowalk.core import identifiers
+from pimentowalk.core import timers
+from pimentowalk.topology import instances
+from pimentowalk.wire import messages
+
+RANGES = [messages.LayerRange(0, 2), messages.LayerRange(2, 5)]
+
+
+async def test_answer_crosses_both_stages_token_by_token(pair):
+    """A lost, swapped or repeated step would change the answer."""
+    frame = fakes.open_attempt(pair.chain)
+    await pair.entry.connection.send(frame)
+    status = await pair.entry.ended(frame.request_id)
+    assert status.state == 'finished'
+    tokens = pair.entry.tokens()
+    assert [t.token_index for t in tokens] == list(range(5))
+    expected = fakes.reference(frame.prompt, 5, 5, seed=3)
+    assert [t.token_id for t in tokens] == expected
+    assert all(t.ranges == RANGES for t in tokens)
+    assert [t.token_count for t in tokens if t.last] == [5]
+    for engine in (pair.head_engine, pair.last_engine):
+        assert [index for _, index in engine.record] == list(range(5))
+
+
+async def test_second_attempt_continues_the_same_answer(pair):
+    """A continuation that lost its prefix would change later tokens."""
+    expected = fakes.reference('how to polish', 5, 5, seed=3)
+    frame = fakes.open_attempt(pair.chain, attempt=2, generated=expected[:2])
+    await pair.entry.connection.send(frame)
+    await pair.entry.ended(frame.request_id)
+    tokens = pair.entry.tokens()
+    assert [t.token_index for t in tokens] == [2, 3, 4]
+    assert [t.token_id for t in tokens] == expected[2:]
+
+
+async def test_many_attempts_do_not_mix(pair):
+    """Batched steps must keep their own request."""
+    frames = [
+        fakes.open_attempt(pair.chain, prompt=f'question {n}')
+        for n in range(12)
+    ]
+    for frame in frames:
+        await pair.entry.connection.send(frame)
+    for frame in frames:
+        await pair.entry.ended(frame.request_id)
+        expected = fakes.reference(frame.prompt, 5, 5, seed=3)
+        tokens = pair.entry.tokens(frame.request_id)
+        assert [t.token_id for t in tokens] == expected
+    counts = collections.Counter(pair.last_engine.record)
+    assert set(counts.values()) == {1}
+
+
+async def test_steps_of_one_engine_batch_leave_in_one_frame(pair):
+    """A frame for each step would cost a send for every sequence."""
+    pair.head_engine.held = pair.last_engine.held = True
+    frames = [fakes.open_attempt(pair.chain) for _ in range(4)]
+    for frame in frames:
+        await pair.entry.connection.send(frame)
+    await fakes.reach(
+        lambda: sum(len(i) for _, i in pair.head_engine.waiting) == 4
+    )
+    batches = []
+    handle = pair.last.stage.on_steps
+    pair.last.stage.on_steps = lambda batch: (
+        batches.append(len(batch.steps)),
+        handle(batch),
+    )
+    pair.head_engine.waiting = [
+        (
+            pair.head_engine.waiting[0][0],
+            [item for _, items in pair.head_engine.waiting for item in items],
+        )
+    ]
+    await pair.head_engine.release()
+    await fakes.reach(lambda: sum(batches) == 4)
+    assert batches == [4]
+
+
+async def test_service_call_is_passed_on_and_answered():
+    """A plain call must reach the service whole and once."""
+    seen = []
+
+    async def serve(request):
+        seen.append((request.method, request.path_qs, await request.read()))
+        return web.Response(status=201, body=b'booked', headers={'X-Row': '7'})
+
+    application = web.Application()
+    application.router.add_route('*', '/{tail:.*}', serve)
+    runner = web.AppRunner(application, shutdown_timeout=0.1)
+    await runner.setup()
+    site = web.TCPSite(runner, '127.0.0.1', 0)
+    await site.start()
+    engine = fakes.FakeEngine()
+    port = site._server.sockets[0].getsockname()[1]
+    engine.url = f'http://127.0.0.1:{port}'
+    clock = timers.ManualTimerService()
+    async with fakes.running_agent(
+        engine, clock, 'desk', kind=instances.PLAIN
+    ) as agent:
+        entry = fakes.FakeEntry()
+        await entry.connect(agent)
+        call = service_call(path='/jobs?day=2', body=b'{"tyre": 26}')
+        reply = await entry.connection.call(call, fakes.WAIT_S)
+        assert (reply.state, reply.status) == ('finished', 201)
+        assert reply.body == b'booked'
+        assert messages.Header('X-Row', '7') in reply.headers
+        await entry.close()
+    await runner.cleanup()
+    assert seen == [('POST', '/jobs?day=2', b'{"tyre": 26}')]
+
+
+def service_call(**fields):
+    """Return a ServiceCall with defaults."""
+    values = {
+        'account': 'polishers',
+        'service': 'desk',
+        'method': 'POST',
+        'path': '/jobs',
+        'headers': [],
+        'body': b'',
+        'deadline_ms': 0,
+        'weight': 1.0,
+        'scope_version': 0,
+        'non_idempotent': True,
+        **fields,
+    }
+    return messages.ServiceCall(identifiers.new_request_id(), 1, **values)
--- a/pimentowalk/wire/frames.capnp
+++ b/pimentowalk/wire/frames.capnp
@@ -58,6 +58,10 @@
   position @7 :UInt64;
   maxTokens @8 :UInt64;
   chain @9 :List(StageAddress);
+  firstIndex @10 :UInt64;
+  account @11 :Text;
+  fingerprint @12 :UInt64;
+  isolate @13 :Bool;
 }
 
 struct StageLoad {
@@ -318,6 +322,11 @@
 struct Empty {
 }
 
+struct RenewAttempts {
+  requestIds @0 :List(Data);
+  attempts @1 :List(UInt64);
+}
+
 struct Frame {
   configVersion @0 :UInt64;
   callId @1 :UInt64;
@@ -354,5 +363,6 @@
     snapshotReply @31 :SnapshotReply;
     timeoutNow @32 :TimeoutNow;
     empty @33 :Empty;
+    renewAttempts @34 :RenewAttempts;
   }
 }
--- a/pimentowalk/wire/messages.py
+++ b/pimentowalk/wire/messages.py
@@ -125,7 +125,12 @@
 @message('openAttempt')
 @attrs.frozen
 class OpenAttempt:
-    """Ask a head agent to run an attempt of a model request."""
+    """Ask a head agent to run an attempt of a model request.
+
+    `generated` are the tokens already passed on; the first new token has
+    the index `len(generated)`, and `max_tokens` counts them too.
+    `deadline_ms` is the time left when the frame is sent, 0 without limit.
+    """
 
     request_id: bytes
     attempt: int
@@ -153,7 +158,10 @@
 class PrepareAttempt:
     """Tell a later stage of an admitted attempt about its chain.
 
-    `position` is the place of the receiver in the chain.
+    `position` is the place of the receiver in the chain and `first_index`
+    the token index of the first step. `account` and `fingerprint` serve
+    the record of requests in flight at an engine crash. The receiver
+    answers with `Empty`, or a `Failure` that proves that nothing ran.
     """
 
     request_id: bytes
@@ -166,6 +174,10 @@
     position: int
     max_tokens: int
     chain: list[StageAddress]
+    first_index: int = 0
+    account: str = ''
+    fingerprint: int = 0
+    isolate: bool = False
 
 
 @message('attemptStatus')
@@ -508,3 +520,15 @@
 @attrs.frozen
 class Empty:
     """Answer a call that has no other result."""
+
+
+@message('renewAttempts')
+@attrs.frozen
+class RenewAttempts:
+    """Renew the lease of running attempts at a later stage.
+
+    Both lists have one element for each attempt.
+    """
+
+    request_ids: list[bytes]
+    attempts: list[int]
