--- a/pimentowalk/admission/fair_queue.py
+++ b/pimentowalk/admission/fair_queue.py
@@ -176,6 +176,10 @@
             self.correct(work, work.made - work.charge)
             self.settle(work)
 
+    def adopt(self, work):
+        """Count work as running that another queue has started."""
+        self.running[work.key] = work
+
     def correct(self, work, difference):
         """Charge a difference between predicted and real cost."""
 
@@ -221,13 +225,9 @@
 
     def add(self, work):
         """Queue work under its account."""
-        account = self.accounts.get(work.account)
-        if account is None:
-            account = AccountQueue(virtual=self.virtual_now)
-            self.accounts[work.account] = account
+        account = self._account(work)
         if not account:
             account.virtual = max(account.virtual, self.virtual_now)
-        account.weight = work.weight
         account.waiting_cost += work.cost
         account.queue_of(work).append(work)
 
@@ -247,6 +247,13 @@
         self.virtual_now = max(self.virtual_now, account.virtual)
         account.virtual += work.cost / account.weight
 
+    def adopt(self, work):
+        """Count the cost of adopted work for its account."""
+        super().adopt(work)
+        account = self._account(work)
+        account.running_cost += work.charge
+        account.virtual += work.charge / account.weight
+
     def correct(self, work, difference):
         """Charge or credit the account of running work."""
         account = self.accounts[work.account]
@@ -275,6 +282,14 @@
                 return work
         return None
 
+    def _account(self, work):
+        account = self.accounts.get(work.account)
+        if account is None:
+            account = AccountQueue(virtual=self.virtual_now)
+            self.accounts[work.account] = account
+        account.weight = work.weight
+        return account
+
     def _forget_idle(self, name):
         # An account without work keeps its virtual cost only while that is
         # ahead of the present virtual time.
@@ -282,3 +297,29 @@
         busy = len(account) or account.running_cost > 1e-9
         if not busy and account.virtual <= self.virtual_now:
             del self.accounts[name]
+
+
+def reconfigure(queue, service):
+    """Return a queue under the policy and limits of a `Service`.
+
+    Waiting and running work is kept. Work beyond a lowered bound is refused
+    as further work arrives.
+    """
+    limits = QueueLimits(
+        queue.limits.max_running,
+        service.short_cost_tokens,
+        service.short_reserve_percent,
+        service.max_queue_s,
+        service.max_queue_requests,
+    )
+    policy = POLICIES.get(service.queue_policy)
+    if type(queue) is policy:
+        queue.limits = limits
+        return queue
+    fresh = policy(attrs.evolve(limits, max_queue_requests=len(queue.waiting)))
+    for work in queue.running.values():
+        fresh.adopt(work)
+    for work in queue.waiting.values():
+        fresh.push(work)
+    fresh.limits = limits
+    return fresh
--- /dev/null
+++ b/pimentowalk/admission/suspicion.py
@@ -0,0 +1,54 @@
+"""Requests that were in flight when an engine crashed."""
+
+import collections
+
+import attrs
+
+# A crash adds at most a few hundred fingerprints; the oldest go first.
+MAX_SUSPECTS = 10_000
+
+
+@attrs.frozen
+class InFlight:
+    """One request that an engine had when it crashed."""
+
+    fingerprint: int
+    account: str
+    request_id: bytes
+
+
+class Suspicion:
+    """Remember the fingerprints of requests in flight at a crash.
+
+    A suspect runs alone, so that a second crash has one possible cause and
+    harms no other request. Completion clears a suspect. Fingerprint 0
+    means that the sender gave none.
+
+    >>> suspicion = Suspicion()
+    >>> suspicion.crashed([InFlight(7, 'account-1', b'')])
+    >>> suspicion.is_suspect(7)
+    True
+    >>> suspicion.completed(7)
+    >>> suspicion.is_suspect(7)
+    False
+    """
+
+    def __init__(self):
+        self.crashes = collections.OrderedDict()
+
+    def crashed(self, in_flight):
+        """Add suspicion to each fingerprint, once for one crash."""
+        for fingerprint in {item.fingerprint for item in in_flight}:
+            if fingerprint:
+                count = self.crashes.pop(fingerprint, 0)
+                self.crashes[fingerprint] = count + 1
+        while len(self.crashes) > MAX_SUSPECTS:
+            self.crashes.popitem(last=False)
+
+    def completed(self, fingerprint):
+        """Clear a fingerprint whose request has run to its end."""
+        self.crashes.pop(fingerprint, None)
+
+    def is_suspect(self, fingerprint):
+        """Return whether requests with this fingerprint run alone."""
+        return fingerprint in self.crashes
--- a/pimentowalk/agent/engine_client.py
+++ b/pimentowalk/agent/engine_client.py
@@ -51,8 +51,8 @@
     """Keep one WebSocket to the engine and pass its messages on.
 
     `events` has `engine_ready(hello)`, `engine_lost()`,
-    `engine_done(items)`, `engine_failed(message)` and
-    `engine_load(message)`.
+    `engine_done(items)` and `engine_failed(message)`. The engine's own load
+    messages are not used: they lag behind what the agent has sent.
     """
 
     def __init__(self, backend_url, timers, events):
@@ -65,15 +65,21 @@
         self._stopping = False
         self.session = None
         self.hello = None
+        self.last_hello = None
 
     @property
     def ready(self):
         """Return whether the engine is connected."""
         return self.hello is not None
 
-    async def start(self):
-        """Start to connect; `engine_ready` tells when that is done."""
+    async def start(self, *, connect=True):
+        """Start to connect; `engine_ready` tells when that is done.
+
+        A plain service has no stage interface: only `session` is opened.
+        """
         self.session = aiohttp.ClientSession()
+        if not connect:
+            return
         self._task = asyncio.ensure_future(self._run())
 
     async def stop(self):
@@ -129,7 +135,7 @@
         ) as socket:
             hello = parse_hello(await socket.receive_json())
             self._pending.clear()
-            self.hello = hello
+            self.hello = self.last_hello = hello
             writer = asyncio.ensure_future(self._write(socket))
             try:
                 await self._events.engine_ready(hello)
@@ -158,5 +164,3 @@
                 self._events.engine_done(message['items'])
             elif message['type'] == 'failed':
                 self._events.engine_failed(message)
-            elif message['type'] == 'load':
-                self._events.engine_load(message)
--- a/pimentowalk/agent/gate.py
+++ b/pimentowalk/agent/gate.py
@@ -4,27 +4,32 @@
 
 
 class Gate:
-    """Decide about new work from drain state, configuration and crashes."""
+    """Decide about new work from drain state, configuration and crashes.
 
-    def __init__(self, own, session, timers, is_ready):
-        self._own = own
-        self._session = session
+    `agent` is a `node.Agent`.
+    """
+
+    def __init__(self, agent, timers):
+        self._agent = agent
         self._timers = timers
-        self._is_ready = is_ready
         self._known = {}
         self.draining = False
-        self.is_suspect = lambda fingerprint: False
+
+    def is_suspect(self, fingerprint):
+        """Return whether requests with this fingerprint run alone."""
+        return self._agent.suspicion.is_suspect(fingerprint)
 
     def refusal(self, frame):
         """Return the code with which a frame is refused, or ''."""
         return rules.refusal_code(
             draining=self.draining,
-            ready=self._is_ready(),
+            ready=self._agent.ready,
             stale=self._is_stale(frame),
-            quarantined=frame.fingerprint in self._session.quarantined,
+            quarantined=frame.fingerprint in self._agent.session.quarantined,
         )
 
     def _is_stale(self, frame):
+        # A frame from another agent has passed the check of its head.
         if not hasattr(frame, 'scope_version'):
             return False
         scopes = (f'service/{frame.service}', f'account/{frame.account}')
@@ -40,7 +45,7 @@
     def on_configuration(self):
         """Note when each newer scope version became known."""
         now_s = self._timers.now_s()
-        versions = self._session.configuration.scope_versions
+        versions = self._agent.session.configuration.scope_versions
         for scope, version in versions.items():
             if version > self._known.get(scope, (0, 0.0))[0]:
                 self._known[scope] = (version, now_s)
--- a/pimentowalk/agent/head.py
+++ b/pimentowalk/agent/head.py
@@ -4,9 +4,8 @@
 import logging
 import math
 
-import attrs
-
 from pimentowalk.admission import fair_queue
+from pimentowalk.agent import attempts
 from pimentowalk.agent import rules
 from pimentowalk.agent import sequences
 from pimentowalk.core import errors
@@ -17,23 +16,6 @@
 LOG = logging.getLogger(__name__)
 
 STATES = messages.AttemptState
-PREPARE_TIMEOUT_S = 2.0
-
-
-@attrs.define(eq=False)
-class Attempt:
-    """An attempt that this head queues or drives."""
-
-    frame: messages.OpenAttempt
-    entry: object
-    sequence: object = None
-    preparing: asyncio.Task | None = None
-    prepared: list = attrs.field(factory=list)
-
-    @property
-    def key(self):
-        """Return the request id and the attempt."""
-        return self.frame.request_id, self.frame.attempt
 
 
 class HeadRole:
@@ -63,7 +45,7 @@
             return
         record.highest = frame.attempt
         self.close_below(frame.request_id, frame.attempt)
-        attempt = Attempt(frame, entry)
+        attempt = attempts.Attempt(frame, entry)
         code = self._gate.refusal(frame) or self._mismatch(frame)
         if code:
             self._records.close(*attempt.key)
@@ -77,12 +59,12 @@
         # its state is reported by the first one.
         if frame.attempt <= record.closed:
             if frame.attempt not in record.admitted:
-                attempt = Attempt(frame, entry)
+                attempt = attempts.Attempt(frame, entry)
                 self._report(attempt, STATES.CANCELLED, 'not_run')
 
     def _mismatch(self, frame):
         try:
-            self._stage.check_prepare(prepare_frame(frame, 0), '')
+            self._stage.check_prepare(attempts.prepare_frame(frame, 0), '')
         except errors.NotRun as error:
             return '' if error.code == 'overloaded' else error.code
         return ''
@@ -143,9 +125,9 @@
     async def _prepare_at(self, attempt, position, stage, work):
         peer = await self._peers.connection(stage)
         attempt.prepared.append(stage)
-        frame = prepare_frame(attempt.frame, position, work.isolate)
+        frame = attempts.prepare_frame(attempt.frame, position, work.isolate)
         try:
-            await peer.call(frame, PREPARE_TIMEOUT_S)
+            await peer.call(frame, attempts.prepare_timeout_s(work.isolate))
         except TimeoutError:
             raise errors.PeerLost(
                 'no answer', step='prepare', peer=stage.server_id
@@ -329,7 +311,7 @@
         """Refuse everything that waits."""
         for key in list(self.queue.waiting):
             self.queue.remove(key)
-            self._refuse_queued(key, code, 'the agent is leaving')
+            self._refuse_queued(key, code, 'refused while it waited')
 
     def on_entry_lost(self, entry):
         """Cancel the attempts of an entry that has gone."""
@@ -337,32 +319,40 @@
             if attempt.entry is entry:
                 self._cancel(attempt, 'the entry has gone')
 
-    def fail_all(self, code, text, step):
+    def fail_all(self, text, step):
         """Fail every attempt; those that never ran are refused."""
+        self.refuse_queued('not_run')
         for attempt in list(self.attempts.values()):
+            admitted = self._was_admitted(attempt)
+            code = 'outcome_unknown' if admitted else 'not_run'
             self._end(attempt, code, text, step)
 
+    def query(self, request_id, attempt):
+        """Give an attempt up, so that it never runs later."""
+        known = self.attempts.get((request_id, attempt))
+        self.close_below(request_id, attempt)
+        if known is not None:
+            self._cancel(known, 'asked about')
+
+    def renew(self):
+        """Renew the leases of running attempts at their later stages."""
+        wanted = {}
+        for attempt in self.attempts.values():
+            for stage in attempt.prepared:
+                place = wanted.setdefault(
+                    (stage.host, stage.port), (stage, [])
+                )
+                place[1].append(attempt.key)
+        for stage, keys in wanted.values():
+            request_ids, attempts = zip(*keys, strict=True)
+            frame = messages.RenewAttempts(list(request_ids), list(attempts))
+            self._peers.to_stage(stage, frame)
+
+    def configure(self, service):
+        """Take over the queue policy and limits of a published service."""
+        self.queue = fair_queue.reconfigure(self.queue, service)
+
     async def stop(self):
         """End the tasks that prepare attempts."""
         tasks = [a.preparing for a in self.attempts.values() if a.preparing]
         await timer_services.cancel_all(tasks)
-
-
-def prepare_frame(frame, position, isolate=False):
-    """Return the frame that prepares one stage of an attempt."""
-    return messages.PrepareAttempt(
-        frame.request_id,
-        frame.attempt,
-        frame.model,
-        frame.version,
-        frame.adapter,
-        frame.seed,
-        frame.temperature,
-        position,
-        frame.max_tokens,
-        frame.chain,
-        len(frame.generated),
-        frame.account,
-        frame.fingerprint,
-        isolate,
-    )
--- a/pimentowalk/agent/outbox.py
+++ b/pimentowalk/agent/outbox.py
@@ -24,6 +24,7 @@
         self._loads = loads
         self._pending = []
         self._wake = asyncio.Event()
+        self._sending = False
         self._task = asyncio.ensure_future(self._run())
 
     def put(self, item):
@@ -31,6 +32,11 @@
         self._pending.append(item)
         self._wake.set()
 
+    @property
+    def busy(self):
+        """Return whether items are pending or being sent."""
+        return bool(self._pending) or self._sending
+
     async def stop(self):
         """Drop what is pending and end the sending task."""
         self._task.cancel()
@@ -46,8 +52,9 @@
             await self._wake.wait()
             self._wake.clear()
             items, self._pending = self._pending, []
-            if items:
-                await self._send_all(items)
+            self._sending = True
+            await self._send_all(items)
+            self._sending = False
 
     async def _send_all(self, items):
         for group in batches(items):
--- a/pimentowalk/agent/peers.py
+++ b/pimentowalk/agent/peers.py
@@ -13,7 +13,7 @@
 
     `on_frame` handles frames of dialled connections, `on_unsent(items,
     error, address)` gets what could not be sent to a later stage, and
-    `on_lost(address)` is called when a dialled connection ends.
+    `on_lost(address, connection)` is called when a dialled connection ends.
     """
 
     def __init__(self, hello, loads, version):
@@ -96,6 +96,11 @@
         if box is not None:
             box.cancel()
 
+    def has_unsent(self):
+        """Return whether any frame has not been handed to its socket."""
+        boxes = [*self._boxes.values(), *self._link_boxes.values()]
+        return any(box.busy for box in boxes)
+
     async def stop(self):
         """Close all dialled connections and outboxes."""
         boxes = [*self._boxes.values(), *self._link_boxes.values()]
--- a/pimentowalk/agent/rules.py
+++ b/pimentowalk/agent/rules.py
@@ -93,3 +93,13 @@
 def accepts_order(highest_fence, fence):
     """Return whether the fencing number of an order is new."""
     return fence > highest_fence
+
+
+def clock_jumped(last_s, now_s):
+    """Return whether the process was away for longer than a lease."""
+    return now_s - last_s > ATTEMPT_LEASE_S
+
+
+def lease_passed(renewed_s, now_s):
+    """Return whether a sequence had no step or renewal for a lease."""
+    return now_s - renewed_s > ATTEMPT_LEASE_S
--- a/pimentowalk/agent/sequences.py
+++ b/pimentowalk/agent/sequences.py
@@ -81,9 +81,9 @@
             self._expiry[request_id] = due_s
         return record
 
-    def close(self, request_id, attempt):
+    def close(self, request_id, attempt, keep_s=RECORD_S):
         """Fence an attempt and all lower ones; return the record."""
-        record = self.of(request_id)
+        record = self.of(request_id, keep_s)
         record.closed = max(record.closed, attempt)
         return record
 
--- a/pimentowalk/agent/service_calls.py
+++ b/pimentowalk/agent/service_calls.py
@@ -232,9 +232,10 @@
             )
         if isinstance(error, TimeoutError):
             return Outcome(STATES.FAILED, 'deadline', 'no reply in time')
+        in_flight = self.running_frames()
         crashed = not await self._alive()
         if crashed:
-            self.on_crash(self.running_frames())
+            self.on_crash(in_flight)
         LOG.warning(
             'service call failed: %r',
             error,
@@ -267,7 +268,11 @@
         """Refuse everything that waits."""
         for key in list(self.queue.waiting):
             self.queue.remove(key)
-            self._refuse(key, code, 'the agent is leaving')
+            self._refuse(key, code, 'refused while it waited')
+
+    def configure(self, service):
+        """Take over the queue policy and limits of a published service."""
+        self.queue = fair_queue.reconfigure(self.queue, service)
 
     def on_entry_lost(self, entry):
         """Drop the queued calls of an entry that has gone."""
--- a/pimentowalk/agent/stage.py
+++ b/pimentowalk/agent/stage.py
@@ -245,9 +245,11 @@
 
     def drop_expired(self):
         """Fail the sequences whose lease passed without a step."""
-        oldest_s = self._timers.now_s() - rules.ATTEMPT_LEASE_S
+        now_s = self._timers.now_s()
         for sequence in list(self.sequences.values()):
-            if sequence.head is not None and sequence.renewed_s < oldest_s:
+            if sequence.head is None:
+                continue
+            if rules.lease_passed(sequence.renewed_s, now_s):
                 text = 'no step and no renewal within the lease'
                 self.fail(sequence, 'outcome_unknown', text, 'lease')
 
--- a/pimentowalk/agent/tests/conftest.py
+++ b/pimentowalk/agent/tests/conftest.py
@@ -7,6 +7,7 @@
 
 from pimentowalk.agent.tests import fakes
 from pimentowalk.core import timers
+from pimentowalk.topology import instances
 
 
 @attrs.define
@@ -48,3 +49,29 @@
         await entry.connect(agents[0])
         stack.push_async_callback(entry.close)
         yield Pair(*agents, *engines, entry, clock)
+
+
+@attrs.define
+class Desk:
+    """An agent of a plain service and an entry connected to it."""
+
+    agent: object
+    service: object
+    entry: object
+    timers: object
+
+
+@pytest.fixture
+async def desk():
+    """Run an agent beside a plain service on a manual clock."""
+    clock = timers.ManualTimerService()
+    service = fakes.FakeService()
+    await service.start()
+    async with fakes.running_agent(
+        service, clock, 'desk', kind=instances.PLAIN
+    ) as agent:
+        entry = fakes.FakeEntry()
+        await entry.connect(agent)
+        yield Desk(agent, service, entry, clock)
+        await entry.close()
+    await service.stop()
--- a/pimentowalk/agent/tests/fakes.py
+++ b/pimentowalk/agent/tests/fakes.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from pimentowalk.agent import node
+from pimentowalk.core import errors
 from pimentowalk.core import identifiers
 from pimentowalk.topology import contracts
 from pimentowalk.wire import connection as wire
@@ -84,6 +85,7 @@
         application = web.Application()
         application.router.add_get('/v1/stage', self._stage)
         application.router.add_post('/v1/orders', self._order)
+        application.router.add_get('/healthz', self._health)
         self.runner = web.AppRunner(application, shutdown_timeout=0.1)
         await self.runner.setup()
         site = web.TCPSite(self.runner, '127.0.0.1', port)
@@ -101,6 +103,9 @@
         for socket in list(self.sockets):
             socket._req.transport.abort()
 
+    async def _health(self, request):
+        return web.Response()
+
     async def _order(self, request):
         self.orders.append(await request.json())
         return web.json_response({}, status=self.order_status)
@@ -167,6 +172,51 @@
         return caches[layer]
 
 
+class FakeService:
+    """A plain service on loopback that keeps what it receives.
+
+    With `gate` cleared, calls wait; `cut` ends them without an answer.
+    """
+
+    def __init__(self):
+        self.calls = []
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.cut = False
+        self.healthy = True
+        self.runner = None
+        self.url = ''
+
+    async def start(self):
+        """Listen on loopback."""
+        application = web.Application()
+        application.router.add_get('/healthz', self._health)
+        application.router.add_route('*', '/{tail:.*}', self._serve)
+        self.runner = web.AppRunner(application, shutdown_timeout=0.1)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, '127.0.0.1', 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        self.url = f'http://127.0.0.1:{port}'
+
+    async def stop(self):
+        """Close the server."""
+        self.gate.set()
+        await self.runner.cleanup()
+
+    async def _health(self, request):
+        return web.Response(status=200 if self.healthy else 503)
+
+    async def _serve(self, request):
+        body = await request.read()
+        self.calls.append((request.method, request.path_qs, body))
+        await self.gate.wait()
+        if self.cut:
+            request.transport.abort()
+        headers = {'X-Row': str(len(self.calls))}
+        return web.Response(status=201, body=b'booked', headers=headers)
+
+
 class FakeSession:
     """Stand in for `control.client.NodeSession`."""
 
@@ -207,6 +257,26 @@
             callback()
 
 
+class FakeControl:
+    """Answer the requests that an agent has for control."""
+
+    def __init__(self):
+        self.crashes = []
+        self.fence = 0
+        self.asked = 0
+
+    async def report_crash(self, item):
+        """Keep a crash report."""
+        self.crashes.append(item)
+
+    async def highest_fence(self):
+        """Return the number set by the test; None means unreachable."""
+        self.asked += 1
+        if self.fence is None:
+            raise errors.NoQuorum('no control')
+        return self.fence
+
+
 class FakeEntry:
     """An entry that keeps everything that agents send to it."""
 
@@ -270,7 +340,8 @@
         backend_url=engine.url,
         **fields,
     )
-    agent = node.Agent(identity, session or FakeSession(), timers)
+    session = session or FakeSession()
+    agent = node.Agent(identity, session, timers, FakeControl())
     await agent.start()
     try:
         yield agent
@@ -312,3 +383,23 @@
         chain=chain,
         **values,
     )
+
+
+def service_call(*, request_id=None, attempt=1, **fields):
+    """Return a non-idempotent ServiceCall with defaults."""
+    values = {
+        'account': 'polishers',
+        'service': 'desk',
+        'method': 'POST',
+        'path': '/jobs',
+        'headers': [],
+        'body': b'',
+        'deadline_ms': 0,
+        'weight': 1.0,
+        'scope_version': 0,
+        'non_idempotent': True,
+        **fields,
+    }
+    return messages.ServiceCall(
+        request_id or identifiers.new_request_id(), attempt, **values
+    )
--- a/pimentowalk/agent/tests/test_path.py
+++ b/pimentowalk/agent/tests/test_path.py
@@ -2,12 +2,7 @@
 
 import collections
 
-from aiohttp import web
-
 from pimentowalk.agent.tests import fakes
-from pimentowalk.core import identifiers
-from pimentowalk.core import timers
-from pimentowalk.topology import instances
 from pimentowalk.wire import messages
 
 RANGES = [messages.LayerRange(0, 2), messages.LayerRange(2, 5)]
@@ -83,52 +78,11 @@
     assert batches == [4]
 
 
-async def test_service_call_is_passed_on_and_answered():
+async def test_service_call_is_passed_on_and_answered(desk):
     """A plain call must reach the service whole and once."""
-    seen = []
-
-    async def serve(request):
-        seen.append((request.method, request.path_qs, await request.read()))
-        return web.Response(status=201, body=b'booked', headers={'X-Row': '7'})
-
-    application = web.Application()
-    application.router.add_route('*', '/{tail:.*}', serve)
-    runner = web.AppRunner(application, shutdown_timeout=0.1)
-    await runner.setup()
-    site = web.TCPSite(runner, '127.0.0.1', 0)
-    await site.start()
-    engine = fakes.FakeEngine()
-    port = site._server.sockets[0].getsockname()[1]
-    engine.url = f'http://127.0.0.1:{port}'
-    clock = timers.ManualTimerService()
-    async with fakes.running_agent(
-        engine, clock, 'desk', kind=instances.PLAIN
-    ) as agent:
-        entry = fakes.FakeEntry()
-        await entry.connect(agent)
-        call = service_call(path='/jobs?day=2', body=b'{"tyre": 26}')
-        reply = await entry.connection.call(call, fakes.WAIT_S)
-        assert (reply.state, reply.status) == ('finished', 201)
-        assert reply.body == b'booked'
-        assert messages.Header('X-Row', '7') in reply.headers
-        await entry.close()
-    await runner.cleanup()
-    assert seen == [('POST', '/jobs?day=2', b'{"tyre": 26}')]
-
-
-def service_call(**fields):
-    """Return a ServiceCall with defaults."""
-    values = {
-        'account': 'polishers',
-        'service': 'desk',
-        'method': 'POST',
-        'path': '/jobs',
-        'headers': [],
-        'body': b'',
-        'deadline_ms': 0,
-        'weight': 1.0,
-        'scope_version': 0,
-        'non_idempotent': True,
-        **fields,
-    }
-    return messages.ServiceCall(identifiers.new_request_id(), 1, **values)
+    call = fakes.service_call(path='/jobs?day=2', body=b'{"tyre": 26}')
+    reply = await desk.entry.connection.call(call, fakes.WAIT_S)
+    assert (reply.state, reply.status) == ('finished', 201)
+    assert reply.body == b'booked'
+    assert messages.Header('X-Row', '1') in reply.headers
+    assert desk.service.calls == [('POST', '/jobs?day=2', b'{"tyre": 26}')]
