--- a/pimentowalk/agent/attempts.py
+++ b/pimentowalk/agent/attempts.py
@@ -8,6 +8,8 @@
 from pimentowalk.wire import messages
 
 PREPARE_TIMEOUT_S = 2.0
+# The reason of a CloseAttempt that follows a complete answer.
+FINISHED = 'finished'
 
 
 @attrs.define(eq=False)
--- a/pimentowalk/agent/frames.py
+++ b/pimentowalk/agent/frames.py
@@ -1,5 +1,6 @@
 """Handlers of the frames that peers send to an agent."""
 
+from pimentowalk.agent import attempts
 from pimentowalk.agent import rules
 from pimentowalk.agent import sequences
 from pimentowalk.core import errors
@@ -56,8 +57,16 @@
             return
         if connection.hello.role == 'entry':
             self._agent.head.close(connection, frame)
+        else:
+            self._clear_suspicion(frame)
         self._agent.stage.close(frame.request_id, frame.attempt)
 
+    def _clear_suspicion(self, frame):
+        key = (frame.request_id, frame.attempt)
+        sequence = self._agent.stage.sequences.get(key)
+        if sequence is not None and frame.reason == attempts.FINISHED:
+            self._agent.suspicion.completed(sequence.fingerprint)
+
     async def _step_batch(self, connection, envelope):
         self._agent.load_table.hear(envelope.body.loads)
         self._agent.stage.on_steps(envelope.body)
--- a/pimentowalk/agent/gate.py
+++ b/pimentowalk/agent/gate.py
@@ -19,6 +19,16 @@
         """Return whether requests with this fingerprint run alone."""
         return self._agent.suspicion.is_suspect(fingerprint)
 
+    def suspect(self, frame):
+        """Add suspicion to a request after a crash at a later stage."""
+        self._agent.suspicion.crashed([frame])
+
+    def may_admit(self, record, attempt):
+        """Return whether a queued attempt may still be admitted."""
+        return rules.may_admit(
+            record, attempt, draining=self.draining, ready=self._agent.ready
+        )
+
     def refusal(self, frame):
         """Return the code with which a frame is refused, or ''."""
         return rules.refusal_code(
--- a/pimentowalk/agent/head.py
+++ b/pimentowalk/agent/head.py
@@ -144,9 +144,7 @@
         if attempt.key not in self.attempts:
             return
         record = self._records.of(frame.request_id)
-        if not rules.may_admit(
-            record, frame.attempt, draining=self._gate.draining
-        ):
+        if not self._gate.may_admit(record, frame.attempt):
             code = 'draining' if self._gate.draining else 'not_run'
             self._end(attempt, code, 'closed before it ran', 'admit')
             return
@@ -195,7 +193,7 @@
     def _finish(self, attempt):
         self._report(attempt, STATES.FINISHED)
         self.on_finished(attempt.frame)
-        self._forget(attempt, 'finished')
+        self._forget(attempt, attempts.FINISHED)
 
     def on_failed(self, failure):
         """End an attempt of which one stage has failed."""
@@ -209,6 +207,8 @@
                 failure.peer,
                 failure.engine_crashed,
             )
+            if failure.engine_crashed:
+                self._gate.suspect(attempt.frame)
 
     def on_stage_lost(self, address):
         """End the attempts of which a later stage is unreachable."""
--- a/pimentowalk/agent/node.py
+++ b/pimentowalk/agent/node.py
@@ -272,9 +272,8 @@
     def engine_lost(self):
         """Fail what ran on the engine and announce that it is away."""
         LOG.warning('the engine is lost', extra=logs.fields(step='engine'))
-        lost = self.stage.on_engine_lost()
-        self._crashed(lost)
         self.head.refuse_queued('not_run')
+        self._crashed(self.stage.on_engine_lost())
         self._spawn(self.session.announce_now())
 
     def engine_done(self, items):
--- a/pimentowalk/agent/preparation.py
+++ b/pimentowalk/agent/preparation.py
@@ -59,7 +59,7 @@
     async def _prepare(self, connection, frame):
         self._check(connection, frame)
         self._check_alone()
-        if not frame.isolate:
+        if not self._is_alone(frame):
             await self._open(connection, frame)
             return
         self._waiting_alone = True
@@ -69,6 +69,9 @@
         finally:
             self._waiting_alone = False
 
+    def _is_alone(self, frame):
+        return frame.isolate or self._gate.is_suspect(frame.fingerprint)
+
     def _check(self, connection, frame):
         record = self._records.of(frame.request_id)
         if frame.attempt <= record.closed or connection.closed:
@@ -92,7 +95,8 @@
             # A broken link is found while nothing has run yet.
             await self._peers.connection(frame.chain[frame.position + 1])
         self._check(connection, frame)
-        if not frame.isolate:
+        alone = self._is_alone(frame)
+        if not alone:
             self._check_alone()
         sequence = sequences.Sequence(
             frame.request_id,
@@ -103,7 +107,7 @@
             frame.max_tokens,
             frame.account,
             frame.fingerprint,
-            frame.isolate,
+            alone,
             connection,
         )
         self._stage.open(sequence, frame)
--- a/pimentowalk/agent/rules.py
+++ b/pimentowalk/agent/rules.py
@@ -28,10 +28,13 @@
     return attempt > record.highest and attempt > record.closed
 
 
-def accepts_step(record, attempt, next_index, index):
-    """Return whether a step may run: unfenced, newest and in sequence."""
+def accepts_step(record, attempt, next_index, running_index, index):
+    """Return whether a step may run: unfenced, newest and in sequence.
+
+    `running_index` is the step that the engine still has, or -1.
+    """
     current = attempt > record.closed and attempt >= record.highest
-    return current and index == next_index
+    return current and running_index < 0 and index == next_index
 
 
 def accepts_token(next_index, running_index, index):
@@ -43,10 +46,10 @@
     return running_index < 0 and index == next_index - 1
 
 
-def may_admit(record, attempt, *, draining):
+def may_admit(record, attempt, *, draining, ready):
     """Return whether a queued attempt may still be admitted."""
     current = attempt > record.closed and attempt >= record.highest
-    return current and not draining
+    return current and ready and not draining
 
 
 def refusal_code(*, draining, ready, stale, quarantined):
--- a/pimentowalk/agent/service_calls.py
+++ b/pimentowalk/agent/service_calls.py
@@ -152,9 +152,7 @@
         while (work := self.queue.pop(self._timers.now_s())) is not None:
             call = self.calls[work.key]
             record = self._records.of(work.key[0])
-            if not rules.may_admit(
-                record, work.key[1], draining=self._gate.draining
-            ):
+            if not self._gate.may_admit(record, work.key[1]):
                 self.queue.finish(work.key)
                 self._refuse(work.key, 'not_run', 'closed before it ran')
                 continue
--- a/pimentowalk/agent/stage.py
+++ b/pimentowalk/agent/stage.py
@@ -78,7 +78,11 @@
         """Run a step if it is the next one; return whether it was run."""
         record = self._records.of(sequence.request_id)
         accepted = rules.accepts_step(
-            record, sequence.attempt, sequence.next_index, index
+            record,
+            sequence.attempt,
+            sequence.next_index,
+            sequence.running_index,
+            index,
         )
         if not accepted:
             return False
