Add the replicated log: durable log, elections, appends, propose

Cause: configuration, claims and fencing numbers need one agreed order that survives the loss of a minority of the control instances.

Frames get the cluster id and the identity of the receiver's data folder, and `identityRequest`/`identityReply` are new.

The identity of a replica shares the vote file with its vote. A folder that was lost comes back with another identity, and frames that name the old one are refused. The voter with the lowest id forms a cluster only after all voters of the settings answered that they are empty and agree on the voters. A replica that votes or follows stores the cluster id.

Ruled out: a marker that is synced with each commit, which needs a second sync. The marker is written without one, and each record carries the synced end as well.

This commit serves those who build on the interface: `start`, `stop`, `propose`, `read_barrier`, `handle`, `members`, `change_members` and `transfer_leadership` work over loopback.

--- /dev/null
+++ b/pimentowalk/control/applier.py
@@ -0,0 +1,192 @@
+"""Apply committed records to the state machine, and take snapshots."""
+
+import asyncio
+import logging
+import struct
+
+from pimentowalk.control import consensus as control_consensus
+from pimentowalk.control import members as control_members
+from pimentowalk.control import snapshot as control_snapshot
+from pimentowalk.core import errors
+from pimentowalk.core import logs
+
+LOG = logging.getLogger(__name__)
+
+TIME = struct.Struct('>d')
+# Between this many records the event loop runs other tasks, so that a long
+# catch-up does not delay heartbeats.
+RECORDS_PER_TURN = 64
+
+
+def encode_command(command, time_s):
+    """Return the content of a command record."""
+    return TIME.pack(time_s) + command
+
+
+def decode_command(content):
+    """Return the command and the time of a command record."""
+    return content[TIME.size :], TIME.unpack_from(content)[0]
+
+
+class Applier:
+    """Apply records in order and answer those who proposed them.
+
+    A snapshot is taken every `snapshot_every` records; `kept_records`
+    stay in the log behind it, for members that are a little behind.
+    """
+
+    def __init__(self, consensus, state_machine, snapshot_every, kept):
+        self._consensus = consensus
+        self._state_machine = state_machine
+        self._snapshot_every = snapshot_every
+        self._kept_records = kept
+        self._waiters = {}
+        self._applied = control_consensus.Signal()
+        self.applied_index = 0
+        self.last_time_s = 0.0
+        self.snapshot = None
+
+    def load(self, snapshot):
+        """Start from the snapshot of the folder, if there is one."""
+        self.snapshot = snapshot
+        if snapshot is None:
+            return
+        self._state_machine.restore(snapshot.state)
+        self.applied_index = snapshot.last_index
+        self._consensus.commit_index = snapshot.last_index
+        self._consensus.load_members(
+            snapshot.last_index,
+            control_members.MemberSet.decode(snapshot.members),
+        )
+
+    def expect(self, record):
+        """Return a future with the result of a record once applied."""
+        future = asyncio.get_running_loop().create_future()
+        self._waiters[record.index] = (record.term, future)
+        return future
+
+    async def wait_applied(self, index):
+        """Wait until the record at an index has been applied."""
+        while self.applied_index < index:
+            await self._applied.wait()
+
+    async def wait_change(self):
+        """Wait until further records have been applied."""
+        await self._applied.wait()
+
+    async def run(self):
+        """Apply what becomes committed."""
+        while True:
+            committed = self._consensus.committed.wait()
+            waiting = asyncio.ensure_future(committed)
+            try:
+                await self._apply_committed()
+                await waiting
+            finally:
+                waiting.cancel()
+
+    async def _apply_committed(self):
+        consensus = self._consensus
+        turn = 0
+        while self.applied_index < consensus.commit_index:
+            record = consensus.log.entry(self.applied_index + 1)
+            self._apply(record)
+            turn += 1
+            if turn % RECORDS_PER_TURN == 0:
+                self._applied.notify()
+                await asyncio.sleep(0)
+            await self._snapshot_if_due()
+        self._applied.notify()
+
+    def _apply(self, record):
+        result, error = None, None
+        if record.kind == control_consensus.COMMAND:
+            result, error = self._apply_command(record)
+        self.applied_index = record.index
+        self._answer(record, result, error)
+        if record.kind == control_consensus.MEMBERS:
+            self._leave_if_removed(record)
+
+    def _apply_command(self, record):
+        command, time_s = decode_command(record.content)
+        self.last_time_s = max(self.last_time_s, time_s)
+        try:
+            return self._state_machine.apply(
+                record.index, command, time_s
+            ), None
+        except errors.PimentowalkError as error:
+            return None, error
+        except Exception as error:
+            LOG.exception('a command failed', extra=logs.fields(step='apply'))
+            return None, error
+
+    def _answer(self, record, result, error):
+        term, future = self._waiters.pop(record.index, (0, None))
+        if future is None or future.done():
+            return
+        if term != record.term:
+            # Another record is committed in this place, so that the
+            # proposed one never will be.
+            future.set_exception(
+                errors.NotLeader(
+                    'another record was committed in its place',
+                    step='propose',
+                    peer=self._consensus.leader_id,
+                )
+            )
+        elif error is not None:
+            future.set_exception(error)
+        else:
+            future.set_result(result)
+
+    def _leave_if_removed(self, record):
+        consensus = self._consensus
+        leads = consensus.role == control_consensus.LEADER
+        if leads and record.index == consensus.members_index:
+            if not consensus.is_voter:
+                consensus.follow()
+
+    async def _snapshot_if_due(self):
+        last = self.snapshot.last_index if self.snapshot else 0
+        if self.applied_index - last >= self._snapshot_every:
+            await self.take_snapshot()
+
+    async def take_snapshot(self):
+        """Write a snapshot of the applied state and compact the log."""
+        consensus = self._consensus
+        index = self.applied_index
+        snapshot = control_snapshot.Snapshot(
+            index,
+            consensus.log.term_at(index),
+            consensus.members_at(index).encode(),
+            self._state_machine.snapshot(),
+        )
+        await consensus.log.run(control_snapshot.save, snapshot)
+        if self.snapshot is None or self.snapshot.last_index < index:
+            self.snapshot = snapshot
+        await consensus.log.compact(index - self._kept_records)
+
+    async def install(self, snapshot):
+        """Replace state and log by a snapshot that the leader sent."""
+        consensus = self._consensus
+        index, term = snapshot.last_index, snapshot.last_term
+        if index <= consensus.commit_index:
+            return
+        await consensus.log.run(control_snapshot.save, snapshot)
+        if consensus.log.term_at(index) == term:
+            await consensus.log.sync()
+            await consensus.log.compact(index)
+        else:
+            await consensus.log.reset(index, term)
+        self.fail_waiters('a snapshot replaced the record')
+        self.load(snapshot)
+        self._applied.notify()
+
+    def fail_waiters(self, text):
+        """Report the outcome of all proposed records as unknown."""
+        waiters, self._waiters = self._waiters, {}
+        for _, future in waiters.values():
+            if not future.done():
+                future.set_exception(
+                    errors.OutcomeUnknown(text, step='propose')
+                )
--- /dev/null
+++ b/pimentowalk/control/changes.py
@@ -0,0 +1,72 @@
+"""Membership changes that a leader checks before it proposes them."""
+
+from pimentowalk.control import bootstrap
+from pimentowalk.control import members as control_members
+from pimentowalk.core import errors
+
+# A learner that is further behind would hold up commits once it votes.
+PROMOTE_LAG_RECORDS = 256
+
+
+async def find_learner(consensus, dial, instance):
+    """Return the member that an instance would be; raise Conflict."""
+    try:
+        reply = await bootstrap.ask_identity(
+            dial,
+            instance,
+            consensus.cluster_id,
+            consensus.timing.call_timeout_s,
+        )
+    except TimeoutError:
+        raise errors.PeerLost(
+            'no answer', step='add learner', peer=instance.instance_id
+        ) from None
+    if reply.cluster_id not in ('', consensus.cluster_id):
+        raise errors.Conflict(
+            'the instance belongs to another cluster',
+            step='add learner',
+            peer=instance.instance_id,
+        )
+    return bootstrap.member_of(instance, reply.identity)
+
+
+def changed_members(consensus, action, node_id, learner):
+    """Return the members after an action; raise Conflict."""
+    _check_settled(consensus)
+    members = consensus.members
+    if action == control_members.ADD_LEARNER:
+        return control_members.with_learner(members, learner)
+    if action == control_members.PROMOTE:
+        changed = control_members.with_promoted(members, node_id)
+        _check_caught_up(consensus, members.get(node_id))
+        return changed
+    if action == control_members.REMOVE:
+        return control_members.without(members, node_id)
+    raise errors.PimentowalkError(
+        f'unknown action {action!r}', code='bad_request'
+    )
+
+
+def _check_settled(consensus):
+    if not consensus.rules.may_change_members(
+        consensus.members_index,
+        consensus.commit_index,
+        consensus.log.term_at(consensus.commit_index),
+        consensus.term,
+    ):
+        raise errors.Conflict(
+            'an earlier change of members is not committed yet',
+            step='change members',
+        )
+
+
+def _check_caught_up(consensus, member):
+    progress = consensus.progress.get((member.node_id, member.identity))
+    match_index = progress.match_index if progress else 0
+    lag = consensus.log.last_index - match_index
+    if lag > PROMOTE_LAG_RECORDS:
+        raise errors.Conflict(
+            f'{member.node_id} is {lag} records behind',
+            step='promote',
+            peer=member.node_id,
+        )
--- a/pimentowalk/wire/frames.capnp
+++ b/pimentowalk/wire/frames.capnp
@@ -267,6 +267,8 @@
   lastTerm @3 :UInt64;
   preVote @4 :Bool;
   transfer @5 :Bool;
+  clusterId @6 :Text;
+  voterIdentity @7 :Text;
 }
 
 struct VoteReply {
@@ -288,6 +290,8 @@
   previousTerm @3 :UInt64;
   commitIndex @4 :UInt64;
   records @5 :List(LogRecord);
+  clusterId @6 :Text;
+  receiverIdentity @7 :Text;
 }
 
 struct AppendReply {
@@ -304,6 +308,8 @@
   offsetBytes @4 :UInt64;
   content @5 :Data;
   done @6 :Bool;
+  clusterId @7 :Text;
+  receiverIdentity @8 :Text;
 }
 
 struct SnapshotReply {
@@ -313,11 +319,26 @@
 
 struct TimeoutNow {
   term @0 :UInt64;
+  clusterId @1 :Text;
+  receiverIdentity @2 :Text;
 }
 
 struct Empty {
 }
 
+struct IdentityRequest {
+  clusterId @0 :Text;
+}
+
+struct IdentityReply {
+  nodeId @0 :Text;
+  identity @1 :Text;
+  clusterId @2 :Text;
+  empty @3 :Bool;
+  votersDigest @4 :UInt64;
+  lastIndex @5 :UInt64;
+}
+
 struct Frame {
   configVersion @0 :UInt64;
   callId @1 :UInt64;
@@ -354,5 +375,7 @@
     snapshotReply @31 :SnapshotReply;
     timeoutNow @32 :TimeoutNow;
     empty @33 :Empty;
+    identityRequest @34 :IdentityRequest;
+    identityReply @35 :IdentityReply;
   }
 }
--- a/pimentowalk/wire/messages.py
+++ b/pimentowalk/wire/messages.py
@@ -427,7 +427,10 @@
 @message('voteRequest')
 @attrs.frozen
 class VoteRequest:
-    """Ask for a vote; with `pre_vote` set, only whether it would be given."""
+    """Ask for a vote; with `pre_vote` set, only whether it would be given.
+
+    `voter_identity` is the identity under which the vote will be counted.
+    """
 
     term: int
     candidate_id: str
@@ -435,6 +438,8 @@
     last_term: int
     pre_vote: bool = False
     transfer: bool = False
+    cluster_id: str = ''
+    voter_identity: str = ''
 
 
 @message('voteReply')
@@ -457,6 +462,8 @@
     previous_term: int
     commit_index: int
     records: list[LogRecord]
+    cluster_id: str = ''
+    receiver_identity: str = ''
 
 
 @message('appendReply')
@@ -485,6 +492,8 @@
     offset_bytes: int
     content: bytes
     done: bool
+    cluster_id: str = ''
+    receiver_identity: str = ''
 
 
 @message('snapshotReply')
@@ -502,9 +511,36 @@
     """Ask a follower to start an election at once."""
 
     term: int
+    cluster_id: str = ''
+    receiver_identity: str = ''
 
 
 @message('empty')
 @attrs.frozen
 class Empty:
     """Answer a call that has no other result."""
+
+
+@message('identityRequest')
+@attrs.frozen
+class IdentityRequest:
+    """Ask a control replica who it is and whether its folder is empty."""
+
+    cluster_id: str = ''
+
+
+@message('identityReply')
+@attrs.frozen
+class IdentityReply:
+    """Tell who a control replica is.
+
+    `empty` is set where the replica has neither records nor a vote.
+    `voters_digest` is a hash over the voters of its settings.
+    """
+
+    node_id: str
+    identity: str
+    cluster_id: str
+    empty: bool
+    voters_digest: int
+    last_index: int
