Carry configuration and views from control to the nodes

Cause: entries and agents need a session that gives them the configuration and the announced servers before their own daemons can be tested.

ConfigurationPull, ConfigurationPush, ViewUpdate and QuarantineUpdate got fields at their ends for subscriptions, pieces and the order of quarantine lists.

Ruled out: pushes from every control instance to every node, which sends each change up to eight times.

Claims, fences, members and the daemon are missing.

--- /dev/null
+++ b/pimentowalk/control/commands.py
@@ -0,0 +1,414 @@
+"""Commands and queries for control, and their JSON form."""
+
+import json
+import zlib
+
+import attrs
+import cattrs
+from cattrs.preconf import json as json_converter
+
+from pimentowalk.core import errors
+from pimentowalk.core import registry
+from pimentowalk.topology import contracts
+from pimentowalk.topology import instances
+from pimentowalk.wire import messages
+
+COMMANDS = registry.Registry('control command')
+CONVERTER = json_converter.make_converter()
+
+# A frame holds 1 MiB; 11,000 accounts need about 3 MB of JSON, which
+# compresses below that limit.
+COMPRESS_ABOVE_BYTES = 1 << 16
+MAX_CONTENT_BYTES = 16 << 20
+
+
+def command(name, result, *, logged=False, operator=False, local=False):
+    """Register a command class.
+
+    `logged` commands go through the log, `operator` ones need a token and
+    `local` ones are answered by any control instance.
+    """
+
+    def decorate(cls):
+        cls.NAME = name
+        cls.RESULT = result
+        cls.LOGGED = logged
+        cls.OPERATOR = operator
+        cls.LOCAL = local
+        return COMMANDS.register(name)(cls)
+
+    return decorate
+
+
+@attrs.frozen
+class Refusal:
+    """The result of a command that changed nothing, with an error code."""
+
+    code: str
+    text: str
+
+
+@attrs.frozen
+class Done:
+    """The result of a command that returns nothing else."""
+
+    repeated: bool = False
+
+
+@attrs.frozen
+class Source:
+    """All contracts of one folder of operator files."""
+
+    services: list[contracts.Service] = attrs.field(factory=list)
+    routes: list[contracts.Route] = attrs.field(factory=list)
+    accounts: list[contracts.ClientAccount] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class PublishResult:
+    """The version that a publish created; `changes` lists scopes."""
+
+    version: int
+    repeated: bool = False
+    changes: list[str] = attrs.field(factory=list)
+
+
+@command('Publish', PublishResult, logged=True, operator=True)
+@attrs.frozen
+class Publish:
+    """Replace the contracts of some sources if the version is expected."""
+
+    change_id: str
+    author: str
+    expected_version: int
+    sources: dict[str, Source]
+    dry_run: bool = False
+
+
+@attrs.frozen
+class ServerAddress:
+    """The incarnation of a backend server and its peer address."""
+
+    server_id: str
+    incarnation: int
+    host: str
+    port: int
+
+
+@attrs.frozen
+class Claim:
+    """The durable record of one non-idempotent call.
+
+    `state` is `open`, `settled`, `unknown` or `released`.
+    """
+
+    claim_id: str
+    body_hash: str
+    request_id: bytes
+    attempt: int
+    server: ServerAddress
+    state: str
+    opened_s: float
+    status: int = 0
+    headers: list[messages.Header] = attrs.field(factory=list)
+    body: bytes = b''
+
+
+@attrs.frozen
+class ClaimResult:
+    """The state of a key after `OpenClaim`, and its claim."""
+
+    state: str
+    claim: Claim | None = None
+
+
+@command('OpenClaim', ClaimResult, logged=True)
+@attrs.frozen
+class OpenClaim:
+    """Claim an idempotency key of an account before the call is sent."""
+
+    account: str
+    key: str
+    body_hash: str
+    claim_id: str
+    request_id: bytes
+    server: ServerAddress
+    attempt: int = 1
+
+
+@command('SettleClaim', Done, logged=True)
+@attrs.frozen
+class SettleClaim:
+    """Record how a claimed call ended; `outcome` is done or unknown."""
+
+    account: str
+    key: str
+    claim_id: str
+    outcome: str
+    status: int = 0
+    headers: list[messages.Header] = attrs.field(factory=list)
+    body: bytes = b''
+
+
+@command('ReleaseClaim', Done, logged=True)
+@attrs.frozen
+class ReleaseClaim:
+    """Give a claim back after a proof that its call was never admitted."""
+
+    account: str
+    key: str
+    claim_id: str
+
+
+@attrs.frozen
+class FenceResult:
+    """The fencing number of an order, or the highest one issued."""
+
+    fence: int
+    repeated: bool = False
+
+
+@command('IssueFence', FenceResult, logged=True, operator=True)
+@attrs.frozen
+class IssueFence:
+    """Issue a fencing number for an order; `arguments` is JSON."""
+
+    change_id: str
+    author: str
+    server_id: str
+    action: str
+    arguments: str = '{}'
+
+
+@command('HighestFence', FenceResult)
+@attrs.frozen
+class HighestFence:
+    """Ask for the highest fencing number issued for a server."""
+
+    server_id: str
+
+
+@attrs.frozen
+class CrashResult:
+    """The crashes counted for a fingerprint."""
+
+    crashes: int
+    quarantined: bool
+
+
+@command('ReportCrash', CrashResult, logged=True)
+@attrs.frozen
+class ReportCrash:
+    """Report that a request was running when its server crashed."""
+
+    fingerprint: int
+    account: str
+    server_id: str
+    incarnation: int
+    request_id: bytes
+    attempt: int = 1
+
+
+@attrs.frozen
+class QuarantinedRequest:
+    """A quarantined fingerprint and the servers that it crashed."""
+
+    fingerprint: int
+    account: str
+    until_s: float
+    servers: list[str]
+
+
+@attrs.frozen
+class QuarantineResult:
+    """All quarantined fingerprints."""
+
+    requests: list[QuarantinedRequest]
+
+
+@command('ListQuarantine', QuarantineResult)
+@attrs.frozen
+class ListQuarantine:
+    """Ask for the quarantined fingerprints."""
+
+
+@command('ClearQuarantine', Done, logged=True, operator=True)
+@attrs.frozen
+class ClearQuarantine:
+    """Let a fingerprint run again and forget its crashes."""
+
+    change_id: str
+    author: str
+    fingerprint: int
+
+
+@command('ChangeMembers', Done, logged=True, operator=True)
+@attrs.frozen
+class ChangeMembers:
+    """Add a learner, promote it to a voter, or remove a member."""
+
+    change_id: str
+    author: str
+    action: str
+    instance: instances.Instance
+
+
+@attrs.frozen
+class Member:
+    """One member of the replicated log."""
+
+    instance: instances.Instance
+    voter: bool
+
+
+@attrs.frozen
+class MembersResult:
+    """The members of the replicated log and its leader."""
+
+    members: list[Member]
+    leader_id: str
+
+
+@command('ListMembers', MembersResult)
+@attrs.frozen
+class ListMembers:
+    """Ask for the members of the replicated log."""
+
+
+@attrs.frozen
+class ConfigurationResult:
+    """The published sources and the configuration that they form."""
+
+    configuration: contracts.Configuration
+    sources: dict[str, Source]
+
+
+@command('ReadConfiguration', ConfigurationResult)
+@attrs.frozen
+class ReadConfiguration:
+    """Ask for the accepted configuration."""
+
+
+@attrs.frozen
+class NodeStatus:
+    """What a control instance knows of one node."""
+
+    node_id: str
+    role: str
+    zone: str
+    incarnation: int
+    version_in_force: int
+    draining: bool
+    silent_s: float
+
+
+@attrs.frozen
+class StatusResult:
+    """The nodes that one control instance hears from."""
+
+    version: int
+    answered_by: str
+    leader_id: str
+    nodes: list[NodeStatus]
+
+
+@command('ReadStatus', StatusResult, local=True)
+@attrs.frozen
+class ReadStatus:
+    """Ask which version is in force at each node."""
+
+
+@attrs.frozen
+class AuditRecord:
+    """One applied change."""
+
+    index: int
+    time_s: float
+    author: str
+    name: str
+    change_id: str
+    from_version: int
+    to_version: int
+    detail: str = ''
+
+
+@attrs.frozen
+class AuditResult:
+    """Audit records in order of the log."""
+
+    records: list[AuditRecord]
+
+
+@command('ReadAudit', AuditResult)
+@attrs.frozen
+class ReadAudit:
+    """Ask for audit records after a log index."""
+
+    after_index: int = 0
+    limit: int = 100
+
+
+@command('FindServer', instances.BackendServer, local=True)
+@attrs.frozen
+class FindServer:
+    """Ask for the announced record of a backend server."""
+
+    server_id: str
+
+
+def pack(value):
+    """Return JSON bytes, compressed if they are long."""
+    content = json.dumps(value, separators=(',', ':')).encode()
+    if len(content) > COMPRESS_ABOVE_BYTES:
+        return zlib.compress(content, 1)
+    return content
+
+
+def unpack(content):
+    """Return the value of packed JSON; raise PimentowalkError."""
+    try:
+        if content[:1] == b'\x78':
+            unzip = zlib.decompressobj()
+            content = unzip.decompress(content, MAX_CONTENT_BYTES)
+            if unzip.unconsumed_tail:
+                raise errors.PimentowalkError(
+                    f'the content exceeds {MAX_CONTENT_BYTES} bytes',
+                    code='too_large',
+                )
+        return json.loads(content)
+    except (ValueError, zlib.error, RecursionError) as error:
+        raise errors.PimentowalkError(
+            f'malformed content: {error}', code='bad_request'
+        ) from None
+
+
+def encode(value):
+    """Return an attrs value as packed JSON."""
+    return pack(CONVERTER.unstructure(value))
+
+
+def _structure(value, cls):
+    try:
+        return CONVERTER.structure(value, cls)
+    except (cattrs.BaseValidationError, ValueError, TypeError) as error:
+        raise errors.PimentowalkError(
+            f'malformed {cls.__name__}: {error}', code='bad_request'
+        ) from None
+
+
+def decode(content, cls):
+    """Return an attrs value from packed JSON; raise PimentowalkError."""
+    return _structure(unpack(content), cls)
+
+
+def to_log(body):
+    """Return a command as the content of a log record."""
+    return pack({'name': body.NAME, 'body': CONVERTER.unstructure(body)})
+
+
+def from_log(content):
+    """Return the command in a log record; raise PimentowalkError."""
+    value = unpack(content)
+    if not isinstance(value, dict) or set(value) != {'name', 'body'}:
+        raise errors.PimentowalkError('not a command', code='bad_request')
+    return _structure(value['body'], COMMANDS.get(value['name']))
--- /dev/null
+++ b/pimentowalk/control/requests.py
@@ -0,0 +1,143 @@
+"""Answer the commands and queries that reach a control instance."""
+
+import logging
+
+import attrs
+
+from pimentowalk.control import commands
+from pimentowalk.core import errors
+from pimentowalk.core import logs
+from pimentowalk.core import registry
+from pimentowalk.wire import messages
+
+LOG = logging.getLogger(__name__)
+
+# Clients wait longer than this for an answer, so that they learn of an
+# uncertain outcome from the leader and not by their own timeout.
+PROPOSE_TIMEOUT_S = 2.0
+QUERIES = registry.Registry('control query')
+
+
+class RequestHandler:
+    """Run requests against the replica, the state and the directory."""
+
+    def __init__(self, node_id, replica, state, directory, operators, timers):
+        self.node_id = node_id
+        self.replica = replica
+        self.state = state
+        self.directory = directory
+        self.timers = timers
+        self._operators = operators
+
+    async def answer(self, request, peer):
+        """Return the `ControlReply` to a request; never raise."""
+        try:
+            result = await self._run(request)
+        except TimeoutError:
+            return self._error('outcome_unknown', 'no quorum in time')
+        except errors.PimentowalkError as error:
+            return self._error(error.code, error.message)
+        except Exception as error:
+            LOG.exception(
+                'request failed',
+                extra=logs.fields(step=request.name, peer=peer),
+            )
+            # The command may have been appended before the fault.
+            return self._error('outcome_unknown', type(error).__name__)
+        if isinstance(result, commands.Refusal):
+            return self._error(result.code, result.text)
+        return messages.ControlReply('', '', commands.encode(result))
+
+    def _error(self, code, text):
+        leader_id = self.replica.leader_id or ''
+        return messages.ControlReply(code, text, b'', leader_id)
+
+    async def _run(self, request):
+        cls = commands.COMMANDS.get(request.name)
+        if not cls.LOCAL and not self.replica.is_leader:
+            raise errors.NotLeader('this control instance does not lead')
+        body = commands.decode(request.content, cls)
+        if cls.OPERATOR:
+            name = self._operators.authenticate(request.token)
+            body = attrs.evolve(body, author=name)
+        if name_of_query(body) in QUERIES.names():
+            if not cls.LOCAL:
+                await self.replica.read_barrier()
+            return QUERIES.get(name_of_query(body))(self, body)
+        if isinstance(body, commands.ChangeMembers):
+            return await self._change_members(body)
+        return await self.replica.propose(
+            commands.to_log(body), PROPOSE_TIMEOUT_S
+        )
+
+    async def _change_members(self, body):
+        raise errors.PimentowalkError('not supported', code='bad_request')
+
+
+def name_of_query(body):
+    """Return the name under which a query is registered."""
+    if isinstance(body, commands.Publish) and body.dry_run:
+        return 'Publish dry run'
+    return body.NAME
+
+
+@QUERIES.register('Publish dry run')
+def dry_run(handler, body):
+    """Check a publish without a change."""
+    publishing = handler.state.part('publishing')
+    changed, removed = publishing.check(body)
+    return commands.PublishResult(
+        publishing.version, changes=sorted([*changed, *removed])
+    )
+
+
+@QUERIES.register('ReadConfiguration')
+def read_configuration(handler, body):
+    """Return the accepted configuration."""
+    publishing = handler.state.part('publishing')
+    return commands.ConfigurationResult(
+        publishing.configuration, publishing.sources()
+    )
+
+
+@QUERIES.register('FindServer')
+def find_server(handler, body):
+    """Return the announced record of a server."""
+    server = handler.directory.server(body.server_id)
+    if server is None:
+        raise errors.PimentowalkError(
+            f'no backend server {body.server_id!r} is announced',
+            code='not_found',
+        )
+    return server
+
+
+@QUERIES.register('ReadStatus')
+def read_status(handler, body):
+    """Return what this control instance knows of the nodes."""
+    now_s = handler.timers.now_s()
+    nodes = [
+        commands.NodeStatus(
+            node.node_id,
+            node.role,
+            node.zone,
+            node.incarnation,
+            node.version_in_force,
+            node.draining,
+            now_s - node.heard_s,
+        )
+        for node in handler.directory.nodes()
+    ]
+    return commands.StatusResult(
+        handler.state.version,
+        handler.node_id,
+        handler.replica.leader_id or '',
+        nodes,
+    )
+
+
+@QUERIES.register('ReadAudit')
+def read_audit(handler, body):
+    """Return audit records."""
+    records = handler.state.part('audit').after(body.after_index, body.limit)
+    return commands.AuditResult(records)
--- /dev/null
+++ b/pimentowalk/control/server.py
@@ -0,0 +1,192 @@
+"""Peer connections of a control instance."""
+
+import asyncio
+import logging
+import time
+
+from pimentowalk.control import directory
+from pimentowalk.control import pushes
+from pimentowalk.control import requests
+from pimentowalk.core import errors
+from pimentowalk.core import registry
+from pimentowalk.wire import connection as wire
+from pimentowalk.wire import messages
+
+LOG = logging.getLogger(__name__)
+
+CONTROL = 'control'
+CLIENT = 'client'
+# A bound on waiting requests keeps the memory of a stalled leader small;
+# beyond it requests are refused before they reach the log.
+MAX_REQUESTS = 1_000
+# One late heartbeat is usual right after a publish; the second one shows
+# that the node missed the push.
+BEHIND_HEARTBEATS = 2
+FRAMES = registry.Registry('frame of a control connection')
+NODE_FRAMES = ('announce', 'heartbeat')
+REPLICA_FRAMES = (
+    messages.VoteRequest,
+    messages.VoteReply,
+    messages.AppendRequest,
+    messages.AppendReply,
+    messages.SnapshotRequest,
+    messages.SnapshotReply,
+    messages.TimeoutNow,
+)
+
+
+class ControlServer:
+    """Serve the nodes, clients and replicas that connect."""
+
+    def __init__(
+        self,
+        hello,
+        host,
+        port,
+        replica,
+        state,
+        operators,
+        timers,
+        *,
+        heartbeat_s=1.0,
+        clock=time.time,
+    ):
+        self.replica = replica
+        self.state = state
+        self.timers = timers
+        self.heartbeat_s = heartbeat_s
+        self.directory = directory.Directory(heartbeat_s)
+        self.pushes = pushes.Pushes(
+            state,
+            self.directory,
+            timers,
+            heartbeat_s=heartbeat_s,
+            clock=clock,
+        )
+        self._requests = requests.RequestHandler(
+            hello.node_id, replica, state, self.directory, operators, timers
+        )
+        self._tasks = set()
+        self._subscriptions = []
+        self.peers = wire.PeerServer(
+            host, port, hello, self._accept, version=lambda: state.version
+        )
+
+    @property
+    def port(self):
+        """Return the port that the server listens on."""
+        return self.peers.port
+
+    async def start(self):
+        """Listen for connections."""
+        await self.peers.start()
+        self._subscriptions = [
+            self.timers.every(pushes.TICK_S, self.pushes.tick),
+            self.timers.every(self.heartbeat_s / 4, self._expire),
+        ]
+
+    async def stop(self):
+        """Finish the requests in progress and close all connections."""
+        await self.peers.stop_accepting()
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=requests.PROPOSE_TIMEOUT_S)
+        for subscription in self._subscriptions:
+            subscription.cancel()
+        await self.peers.stop()
+
+    def _expire(self):
+        self.directory.expire(self.timers.now_s())
+
+    def _accept(self, peer):
+        peer.on_frame = self._on_frame
+        peer.on_close = self._on_close
+        if peer.hello.role not in (CONTROL, CLIENT):
+            self.directory.opened(peer, peer.hello, self.timers.now_s())
+
+    def _on_close(self, peer):
+        self.pushes.forget(peer)
+        self.directory.closed(peer, self.timers.now_s())
+
+    async def _on_frame(self, peer, envelope):
+        if isinstance(envelope.body, REPLICA_FRAMES):
+            if peer.hello.role != CONTROL:
+                raise unexpected(peer, envelope)
+            await self.replica.handle(peer, envelope)
+            return
+        name = envelope.body.FRAME_NAME
+        if name not in FRAMES.names():
+            raise unexpected(peer, envelope)
+        if name in NODE_FRAMES and peer.hello.role in (CONTROL, CLIENT):
+            raise unexpected(peer, envelope)
+        await FRAMES.get(name)(self, peer, envelope)
+
+    def run_request(self, peer, envelope):
+        """Answer a request without holding up the connection."""
+        task = asyncio.ensure_future(self._answer(peer, envelope))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, peer, envelope):
+        if len(self._tasks) > MAX_REQUESTS:
+            reply = messages.ControlReply(
+                'overloaded', 'too many requests are waiting', b''
+            )
+        else:
+            reply = await self._requests.answer(envelope.body, peer.peer)
+        try:
+            await peer.reply(envelope, reply)
+        except errors.PeerLost:
+            pass
+        except errors.FrameError as error:
+            # A reply may exceed the frame limit; the command has run.
+            await peer.reply(envelope, wire.failure(error))
+
+
+def unexpected(peer, envelope):
+    """Return the error that closes a connection."""
+    return errors.FrameError(
+        f'unexpected {envelope.body.FRAME_NAME}',
+        step='receive',
+        peer=peer.peer,
+    )
+
+
+@FRAMES.register('announce')
+async def on_announce(server, peer, envelope):
+    """Record an announced backend server."""
+    now_s = server.timers.now_s()
+    server.directory.announce(peer, envelope.body.server, now_s)
+
+
+@FRAMES.register('heartbeat')
+async def on_heartbeat(server, peer, envelope):
+    """Note a heartbeat and tell a node that is behind."""
+    now_s = server.timers.now_s()
+    server.directory.heartbeat(peer, envelope.body, now_s)
+    if envelope.call_id:
+        await peer.reply(envelope, messages.Empty())
+    node = server.directory.node(peer.hello.node_id)
+    if envelope.body.version_in_force >= server.state.version:
+        node.behind_heartbeats = 0
+        return
+    node.behind_heartbeats += 1
+    if node.behind_heartbeats >= BEHIND_HEARTBEATS:
+        server.pushes.notify(peer)
+
+
+@FRAMES.register('watch')
+async def on_watch(server, peer, envelope):
+    """Start or change a watch."""
+    await server.pushes.watch(peer, envelope.body)
+
+
+@FRAMES.register('configurationPull')
+async def on_pull(server, peer, envelope):
+    """Send configuration changes."""
+    await server.pushes.pull(peer, envelope.body)
+
+
+@FRAMES.register('controlRequest')
+async def on_request(server, peer, envelope):
+    """Answer a command or query."""
+    server.run_request(peer, envelope)
--- /dev/null
+++ b/pimentowalk/control/state.py
@@ -0,0 +1,124 @@
+"""The control state that the replicated log builds."""
+
+import json
+
+from pimentowalk.control import audit  # noqa: F401 registers a part
+from pimentowalk.control import changes  # noqa: F401 registers a part
+from pimentowalk.control import commands
+from pimentowalk.control import parts
+from pimentowalk.control import publishing  # noqa: F401 registers a part
+from pimentowalk.control import quarantine  # noqa: F401 registers a part
+from pimentowalk.core import errors
+
+SNAPSHOT_FORMAT = 1
+
+
+class ControlState:
+    """Apply logged commands; equal logs give equal states.
+
+    `apply` returns the result of a command, or a `Refusal` that changed
+    nothing. Time is taken from the records only.
+    """
+
+    def __init__(self):
+        self.index = 0
+        self.time_s = 0.0
+        self._parts = {name: cls() for name, cls in parts.PARTS.entries()}
+        self._callbacks = []
+
+    def part(self, name):
+        """Return the part registered under a name."""
+        return self._parts[name]
+
+    @property
+    def version(self):
+        """Return the configuration version."""
+        return self.part('publishing').version
+
+    def on_change(self, callback):
+        """Call back after each applied record or restored snapshot."""
+        self._callbacks.append(callback)
+
+    def apply(self, index, command, time_s):
+        """Apply one log record and return its result or a `Refusal`."""
+        self.index = index
+        # Clocks of successive leaders differ; time must not run backwards.
+        self.time_s = max(self.time_s, time_s)
+        try:
+            result = self._dispatch(commands.from_log(command))
+        except errors.PimentowalkError as error:
+            return commands.Refusal(error.code, error.message)
+        for callback in self._callbacks:
+            callback()
+        return result
+
+    def earlier_result(self, body):
+        """Return the result of an earlier use of a change id, or None."""
+        if not hasattr(body, 'change_id'):
+            return None
+        data = self.part('changes').earlier(body)
+        if data is None:
+            return None
+        return commands.CONVERTER.structure(
+            {**data, 'repeated': True}, body.RESULT
+        )
+
+    def _dispatch(self, body):
+        handler = parts.HANDLERS.get(body.NAME)
+        earlier = self.earlier_result(body)
+        if earlier is not None:
+            return earlier
+        from_version = self.version
+        context = parts.Context(self.index, self.time_s)
+        result = handler(self, body, context)
+        if hasattr(body, 'change_id'):
+            self.part('changes').remember(body, result)
+        self._record(body, from_version)
+        return result
+
+    def _record(self, body, from_version):
+        self.part('audit').add(
+            commands.AuditRecord(
+                index=self.index,
+                time_s=self.time_s,
+                author=getattr(body, 'author', ''),
+                name=body.NAME,
+                change_id=getattr(body, 'change_id', ''),
+                from_version=from_version,
+                to_version=self.version,
+            ),
+            operator=body.OPERATOR,
+        )
+
+    def snapshot(self):
+        """Return the whole state as bytes."""
+        content = {
+            'format': SNAPSHOT_FORMAT,
+            'index': self.index,
+            'time_s': self.time_s,
+            'parts': {n: p.snapshot() for n, p in self._parts.items()},
+        }
+        return json.dumps(content, separators=(',', ':')).encode()
+
+    def restore(self, content):
+        """Replace the state by a snapshot; raise DamagedData."""
+        try:
+            data = json.loads(content)
+            if data['format'] != SNAPSHOT_FORMAT:
+                raise errors.DamagedData(
+                    f'snapshot format {data["format"]} is not '
+                    f'{SNAPSHOT_FORMAT}',
+                    step='restore',
+                )
+            fresh = {name: cls() for name, cls in parts.PARTS.entries()}
+            for name, value in fresh.items():
+                value.restore(data['parts'][name])
+        except (ValueError, KeyError, TypeError) as error:
+            raise errors.DamagedData(
+                f'the snapshot cannot be read: {error!r}', step='restore'
+            ) from None
+        self.index = data['index']
+        self.time_s = data['time_s']
+        self._parts = fresh
+        for callback in self._callbacks:
+            callback()
--- /dev/null
+++ b/pimentowalk/control/tests/fakes.py
@@ -0,0 +1,82 @@
+"""A replica of one member and a control instance for tests."""
+
+from pimentowalk.control import commands
+from pimentowalk.control import operators
+from pimentowalk.control import server
+from pimentowalk.control import state
+from pimentowalk.core import errors
+from pimentowalk.core import timers
+from pimentowalk.topology import instances
+from pimentowalk.wire import messages
+
+TOKEN = 'token-of-anna'
+
+
+class FakeReplica:
+    """Apply each command at once; faults are switched on by attributes."""
+
+    def __init__(self, node_id, state_machine):
+        self.node_id = node_id
+        self.state_machine = state_machine
+        self.leader_id = node_id
+        self.index = 0
+        self.time_s = 1_000_000.0
+        self.failures = []
+        self.handled = []
+        self.voters = {node_id: True}
+
+    @property
+    def is_leader(self):
+        return self.leader_id == self.node_id
+
+    async def propose(self, command, timeout_s):
+        """Apply a command; `failures` holds (error, applied) to raise."""
+        if not self.is_leader:
+            raise errors.NotLeader('a follower')
+        failure, applied = None, True
+        if self.failures:
+            failure, applied = self.failures.pop(0)
+        result = self.apply(command) if applied else None
+        if failure is not None:
+            raise failure
+        return result
+
+    def apply(self, command):
+        self.index += 1
+        return self.state_machine.apply(self.index, command, self.time_s)
+
+    async def read_barrier(self):
+        if not self.is_leader:
+            raise errors.NotLeader('a follower')
+
+    async def handle(self, connection, envelope):
+        self.handled.append(envelope.body)
+
+
+class ControlInstance:
+    """A control server over the fake replica on loopback."""
+
+    def __init__(self, node_id='control-1', port=0, heartbeat_s=0.05):
+        self.node_id = node_id
+        self.state = state.ControlState()
+        self.replica = FakeReplica(node_id, self.state)
+        hashes = {'anna': operators.hash_token(TOKEN)}
+        self.server = server.ControlServer(
+            messages.Hello(node_id, 'control', 1),
+            '127.0.0.1',
+            port,
+            self.replica,
+            self.state,
+            operators.Operators(hashes),
+            timers.TimerService(),
+            heartbeat_s=heartbeat_s,
+            clock=lambda: self.replica.time_s,
+        )
+
+    @property
+    def address(self):
+        return instances.Instance(self.node_id, '127.0.0.1', self.server.port)
+
+    def apply(self, body):
+        """Apply a command as if it had been committed."""
+        return self.replica.apply(commands.to_log(body))
--- a/pimentowalk/wire/frames.capnp
+++ b/pimentowalk/wire/frames.capnp
@@ -218,20 +218,25 @@
   changed @1 :List(BackendServer);
   removed @2 :List(Text);
   liveEntries @3 :UInt64;
+  more @4 :Bool;
 }
 
 struct ConfigurationPull {
   afterVersion @0 :UInt64;
+  subscription @1 :Text;
 }
 
 struct ConfigurationPush {
   fromVersion @0 :UInt64;
   toVersion @1 :UInt64;
   content @2 :Data;
+  piece @3 :UInt64;
+  pieces @4 :UInt64;
 }
 
 struct QuarantineUpdate {
   fingerprints @0 :List(UInt64);
+  appliedIndex @1 :UInt64;
 }
 
 struct Order {
--- a/pimentowalk/wire/messages.py
+++ b/pimentowalk/wire/messages.py
@@ -322,7 +322,7 @@
     """Ask a control instance for a view of these services.
 
     An empty list means all services. At most `servers_per_range` servers
-    of each layer range are sent, chosen for this node.
+    of each layer range are sent, chosen for this node; 0 ends the watch.
     """
 
     services: list[str]
@@ -332,20 +332,29 @@
 @message('viewUpdate')
 @attrs.frozen
 class ViewUpdate:
-    """Change a watched view; with `whole` set, replace it."""
+    """Change a watched view; with `whole` set, replace it.
+
+    A whole view may come in pieces, of which all but the last set `more`.
+    """
 
     whole: bool
     changed: list[instances.BackendServer]
     removed: list[str]
     live_entries: int
+    more: bool = False
 
 
 @message('configurationPull')
 @attrs.frozen
 class ConfigurationPull:
-    """Ask for the changes after a version."""
+    """Ask for the changes after a version.
+
+    `subscription` is `start` to get later changes pushed, `stop` to end
+    that, or empty to leave it as it is.
+    """
 
     after_version: int
+    subscription: str = ''
 
 
 @message('configurationPush')
@@ -353,20 +362,27 @@
 class ConfigurationPush:
     """Carry changes from one version to another as JSON.
 
-    `from_version` 0 carries the whole configuration.
+    `from_version` 0 carries the whole configuration. Long content comes in
+    `pieces` frames; no content only tells that `to_version` is accepted.
     """
 
     from_version: int
     to_version: int
     content: bytes
+    piece: int = 0
+    pieces: int = 1
 
 
 @message('quarantineUpdate')
 @attrs.frozen
 class QuarantineUpdate:
-    """Replace the list of quarantined fingerprints."""
+    """Replace the list of quarantined fingerprints.
+
+    `applied_index` is the log index at which the list was read.
+    """
 
     fingerprints: list[int]
+    applied_index: int = 0
 
 
 @message('order')
@@ -400,7 +416,7 @@
 
     name: str
     content: bytes
-    token: str = ''
+    token: str = attrs.field(default='', repr=False)
 
 
 @message('controlReply')
