Add claims, fencing numbers, member changes and the control daemon

Cause: bookings with an idempotency key, orders to backend servers and changes of voters need durable records with answers that repeats share.

Change: claims with 24 h retention by record time and a bounded number, rising fencing numbers, quarantine after two crashes for 10 minutes, audit records of operators and of nodes with separate bounds, membership changes through the replica, queries, operator tokens, and the daemon.

Ruled out: forgetting the oldest claim when the table is full, because its call could then run twice; new claims are refused as not run instead.

--- /dev/null
+++ b/pimentowalk/control/__main__.py
@@ -0,0 +1,5 @@
+"""Run `python -m pimentowalk.control SETTINGS`."""
+
+from pimentowalk.control import daemon
+
+daemon.main()
--- /dev/null
+++ b/pimentowalk/control/claims.py
@@ -0,0 +1,225 @@
+"""Durable claims on idempotency keys."""
+
+import collections
+import json
+
+import attrs
+
+from pimentowalk.control import commands
+from pimentowalk.control import parts
+from pimentowalk.core import errors
+
+RETENTION_S = 86_400.0
+# Further claims are refused as not run: to forget one early could let a
+# call run twice.
+CLAIMS_KEPT = 200_000
+# A longer reply is settled as unknown; a resend must not get a part of it.
+REPLY_BYTES = 1 << 16
+# Beyond this the oldest replies are dropped, and their claims are unknown.
+ALL_REPLIES_BYTES = 64 << 20
+
+OPEN = 'open'
+SETTLED = 'settled'
+UNKNOWN = 'unknown'
+RELEASED = 'released'
+OUTCOMES = {'done': SETTLED, 'unknown': UNKNOWN}
+
+
+def table_key(body):
+    """Return the key of a claim; accounts cannot reach each other's."""
+    return json.dumps([body.account, body.key])
+
+
+def reply_bytes(claim):
+    """Return the size of a recorded reply."""
+    headers = sum(len(h.name) + len(h.value) for h in claim.headers)
+    return headers + len(claim.body)
+
+
+@parts.part('claims')
+class Claims:
+    """Hold claims in order of opening.
+
+    Each claim is kept as JSON text: a snapshot of 200,000 attrs objects
+    would stop the process for seconds.
+    """
+
+    def __init__(self, limit=CLAIMS_KEPT, all_bytes=ALL_REPLIES_BYTES):
+        self._limit = limit
+        self._all_bytes = all_bytes
+        self._claims = collections.OrderedDict()
+        self._replies = collections.OrderedDict()
+        self._replies_bytes = 0
+
+    def __len__(self):
+        return len(self._claims)
+
+    def get(self, key):
+        """Return the claim of a table key, or None."""
+        text = self._claims.get(key)
+        if text is None:
+            return None
+        return commands.CONVERTER.loads(text, commands.Claim)
+
+    def _put(self, key, claim):
+        self._claims[key] = commands.CONVERTER.dumps(claim)
+        self._replies_bytes -= self._replies.pop(key, 0)
+        size = reply_bytes(claim)
+        if size:
+            self._replies[key] = size
+            self._replies_bytes += size
+
+    def expire(self, time_s):
+        """Forget claims that are older than the retention time."""
+        while self._claims:
+            key = next(iter(self._claims))
+            if self.get(key).opened_s + RETENTION_S > time_s:
+                break
+            del self._claims[key]
+            self._replies_bytes -= self._replies.pop(key, 0)
+
+    def open(self, body, time_s):
+        """Return the result of `OpenClaim` and whether it took the key."""
+        key = table_key(body)
+        old = self.get(key)
+        if old is None:
+            if len(self._claims) >= self._limit:
+                raise errors.PimentowalkError(
+                    f'{self._limit} claims are kept', code='overloaded'
+                )
+            return self._take(key, body, time_s), True
+        if old.body_hash != body.body_hash:
+            return commands.ClaimResult('key_reused'), False
+        if old.state == RELEASED:
+            return self._take_released(key, old, body, time_s)
+        if old.state == OPEN and old.claim_id == body.claim_id:
+            return commands.ClaimResult('new', old), False
+        return commands.ClaimResult(old.state, old), False
+
+    def _take_released(self, key, old, body, time_s):
+        # A delayed repeat of the released command must not take the key
+        # for a caller that has already been told "not run".
+        if old.claim_id == body.claim_id:
+            raise errors.Conflict('this claim was released')
+        del self._claims[key]
+        return self._take(key, body, time_s), True
+
+    def _take(self, key, body, time_s):
+        claim = commands.Claim(
+            claim_id=body.claim_id,
+            body_hash=body.body_hash,
+            request_id=body.request_id,
+            attempt=body.attempt,
+            server=body.server,
+            state=OPEN,
+            opened_s=time_s,
+        )
+        self._put(key, claim)
+        return commands.ClaimResult('new', claim)
+
+    def _own(self, key, claim_id):
+        claim = self.get(key)
+        if claim is None:
+            raise errors.PimentowalkError('no such claim', code='not_found')
+        if claim.claim_id != claim_id:
+            raise errors.Conflict('the key has another claim')
+        return claim
+
+    def settle(self, body):
+        """Record an outcome; return whether the claim changed."""
+        state = OUTCOMES.get(body.outcome)
+        if state is None:
+            raise errors.PimentowalkError(
+                f'outcome {body.outcome!r} is not done or unknown',
+                code='bad_request',
+            )
+        key = table_key(body)
+        claim = self._own(key, body.claim_id)
+        if claim.state == RELEASED:
+            raise errors.Conflict('this claim was released')
+        # The first recorded reply stays; "unknown" gives way to a reply
+        # that is found later.
+        if claim.state == SETTLED or claim.state == state:
+            return False
+        settled = attrs.evolve(claim, state=state)
+        if state == SETTLED:
+            settled = attrs.evolve(
+                settled,
+                status=body.status,
+                headers=body.headers,
+                body=body.body,
+            )
+        if reply_bytes(settled) > REPLY_BYTES:
+            settled = attrs.evolve(claim, state=UNKNOWN)
+        self._put(key, settled)
+        self._drop_replies()
+        return True
+
+    def _drop_replies(self):
+        while self._replies_bytes > self._all_bytes:
+            key = next(iter(self._replies))
+            claim = self.get(key)
+            self._put(
+                key,
+                attrs.evolve(
+                    claim, state=UNKNOWN, status=0, headers=[], body=b''
+                ),
+            )
+
+    def release(self, body):
+        """Give a claim back; return whether it changed."""
+        key = table_key(body)
+        claim = self._own(key, body.claim_id)
+        if claim.state == RELEASED:
+            return False
+        if claim.state != OPEN:
+            raise errors.Conflict(f'the claim is {claim.state}')
+        self._put(key, attrs.evolve(claim, state=RELEASED))
+        return True
+
+    def snapshot(self):
+        """Return the claims as JSON data."""
+        return {
+            'claims': list(self._claims.items()),
+            'replies': list(self._replies.items()),
+        }
+
+    def restore(self, data):
+        """Replace the claims."""
+        self._claims = collections.OrderedDict(data['claims'])
+        self._replies = collections.OrderedDict(data['replies'])
+        self._replies_bytes = sum(self._replies.values())
+
+
+def _describe(body):
+    return f'{body.account}/{body.key} claim {body.claim_id}'
+
+
+@parts.handles('OpenClaim')
+def open_claim(state, body, context):
+    """Apply an `OpenClaim` command."""
+    claims = state.part('claims')
+    claims.expire(context.time_s)
+    result, context.changed = claims.open(body, context.time_s)
+    context.detail = _describe(body)
+    return result
+
+
+@parts.handles('SettleClaim')
+def settle_claim(state, body, context):
+    """Apply a `SettleClaim` command."""
+    claims = state.part('claims')
+    claims.expire(context.time_s)
+    context.changed = claims.settle(body)
+    context.detail = f'{_describe(body)} {body.outcome}'
+    return commands.Done(repeated=not context.changed)
+
+
+@parts.handles('ReleaseClaim')
+def release_claim(state, body, context):
+    """Apply a `ReleaseClaim` command."""
+    claims = state.part('claims')
+    claims.expire(context.time_s)
+    context.changed = claims.release(body)
+    context.detail = _describe(body)
+    return commands.Done(repeated=not context.changed)
--- a/pimentowalk/control/client.py
+++ b/pimentowalk/control/client.py
@@ -105,7 +105,7 @@
             for address in addresses
         }
         self._caller = calls.Caller(self._links, self._connection, timers)
-        self._homes = []
+        self.homes = []
         self._newest = 0
         self._configuration_callbacks = []
         self._view_callbacks = []
@@ -175,11 +175,11 @@
         linked = [i for i, link in self._links.items() if link.is_open]
         linked.sort(key=lambda i: identifiers.hash64(self.hello.node_id, i))
         homes = linked[:HOMES]
-        for instance_id in self._homes:
+        for instance_id in self.homes:
             if instance_id not in homes:
                 self._leave_home(instance_id)
-        added = [i for i in homes if i not in self._homes]
-        self._homes = homes
+        added = [i for i in homes if i not in self.homes]
+        self.homes = homes
         for instance_id in added:
             self._enter_home(instance_id)
 
@@ -203,7 +203,7 @@
         while True:
             await self._newer_known.wait()
             await self.timers.sleep(PULL_DELAY_S)
-            for instance_id in self._homes * 2:
+            for instance_id in self.homes * 2:
                 if self._newest <= self.configuration.version:
                     break
                 await self._pull(instance_id)
@@ -244,7 +244,7 @@
 
     def apply_view(self, instance_id, update):
         """Apply changes of the view."""
-        if instance_id not in self._homes:
+        if instance_id not in self.homes:
             return
         self.view.update(instance_id, update, self.timers.now_s())
         if not update.more:
--- a/pimentowalk/control/commands.py
+++ b/pimentowalk/control/commands.py
@@ -1,5 +1,6 @@
 """Commands and queries for control, and their JSON form."""
 
+import collections.abc
 import json
 import zlib
 
@@ -64,13 +65,37 @@
     accounts: list[contracts.ClientAccount] = attrs.field(factory=list)
 
 
+def as_sources(values):
+    """Return sources, also from mappings or objects with the same names."""
+    return {name: _as_source(value) for name, value in values.items()}
+
+
+def _as_source(value):
+    if isinstance(value, Source):
+        return value
+    fields = {}
+    for field in attrs.fields(Source):
+        if isinstance(value, collections.abc.Mapping):
+            found = value.get(field.name, [])
+        else:
+            found = getattr(value, field.name)
+        if isinstance(found, collections.abc.Mapping):
+            found = found.values()
+        fields[field.name] = list(found)
+    return Source(**fields)
+
+
 @attrs.frozen
 class PublishResult:
-    """The version that a publish created; `changes` lists scopes."""
+    """The version that a publish created.
+
+    `changes` lists the first of the `change_count` changed scopes.
+    """
 
     version: int
     repeated: bool = False
     changes: list[str] = attrs.field(factory=list)
+    change_count: int = 0
 
 
 @command('Publish', PublishResult, logged=True, operator=True)
@@ -81,7 +106,7 @@
     change_id: str
     author: str
     expected_version: int
-    sources: dict[str, Source]
+    sources: dict[str, Source] = attrs.field(converter=as_sources)
     dry_run: bool = False
 
 
--- a/pimentowalk/control/parts.py
+++ b/pimentowalk/control/parts.py
@@ -8,12 +8,18 @@
 HANDLERS = registry.Registry('handler of a logged command')
 
 
-@attrs.frozen
+@attrs.define
 class Context:
-    """The place and time of the log record that is being applied."""
+    """The log record that is being applied.
+
+    A handler sets `changed` to false if it changed nothing, and `detail`
+    for the audit record.
+    """
 
     index: int
     time_s: float
+    changed: bool = True
+    detail: str = ''
 
 
 def part(name):
--- a/pimentowalk/control/publishing.py
+++ b/pimentowalk/control/publishing.py
@@ -94,12 +94,9 @@
         changed, removed = self.changed_after(expected)
         names = [f'{s} ({entry.version})' for s, entry in changed.items()]
         names += [f'{s} removed' for s in removed]
-        shown = ', '.join(sorted(names)[:DIFFERENCE_SHOWN])
-        more = len(names) - DIFFERENCE_SHOWN
-        suffix = f' and {more} more' if more > 0 else ''
         return (
             f'expected version {expected}, but version {self.version} is '
-            f'accepted; changed since: {shown or "nothing"}{suffix}'
+            f'accepted; changed since: {summary(sorted(names))}'
         )
 
     def _compare(self, sources):
@@ -232,4 +229,20 @@
             'a dry run is no change', code='bad_request'
         )
     changes = publishing.publish(body)
-    return commands.PublishResult(publishing.version, changes=changes)
+    context.detail = summary(changes)
+    return result(publishing.version, changes)
+
+
+def result(version, changes):
+    """Return the result of a publish, with a bounded list of scopes."""
+    shown = changes[:DIFFERENCE_SHOWN]
+    return commands.PublishResult(
+        version, changes=shown, change_count=len(changes)
+    )
+
+
+def summary(changes):
+    """Return the first scopes and the number of the others."""
+    shown = ', '.join(changes[:DIFFERENCE_SHOWN])
+    more = len(changes) - DIFFERENCE_SHOWN
+    return f'{shown} and {more} more' if more > 0 else shown or 'nothing'
--- a/pimentowalk/control/quarantine.py
+++ b/pimentowalk/control/quarantine.py
@@ -62,22 +62,28 @@
         ]
 
     def report(self, body, time_s):
-        """Count a crash; return the crashes and whether quarantined."""
+        """Count a crash.
+
+        Returns the number of crashes, whether the fingerprint is
+        quarantined, and whether this crash was new.
+        """
         self._expire(time_s)
         suspect = self._quarantined.get(body.fingerprint)
         if suspect is None:
             suspect = self._suspects.setdefault(
                 body.fingerprint, Suspect(body.account)
             )
-        if len(suspect.crashes) < CRASHES_KEPT:
-            suspect.crashes.setdefault(crash_key(body), time_s)
+        key = crash_key(body)
+        new = key not in suspect.crashes
+        if new and len(suspect.crashes) < CRASHES_KEPT:
+            suspect.crashes[key] = time_s
         count = len(suspect.crashes)
         if suspect.until_s == 0.0 and count >= CRASHES_TO_QUARANTINE:
             suspect.until_s = time_s + QUARANTINE_S
             del self._suspects[body.fingerprint]
             self._quarantined[body.fingerprint] = suspect
         self._bound()
-        return count, suspect.until_s > time_s
+        return count, suspect.until_s > time_s, new
 
     def _expire(self, time_s):
         # Both tables are in order of time, because records are.
@@ -132,7 +138,9 @@
 @parts.handles('ReportCrash')
 def report_crash(state, body, context):
     """Apply a `ReportCrash` command."""
-    count, quarantined = state.part('quarantine').report(body, context.time_s)
+    part = state.part('quarantine')
+    count, quarantined, context.changed = part.report(body, context.time_s)
+    context.detail = f'{body.fingerprint} at {body.server_id}'
     return commands.CrashResult(count, quarantined)
 
 
@@ -140,4 +148,5 @@
 def clear_quarantine(state, body, context):
     """Apply a `ClearQuarantine` command."""
     state.part('quarantine').clear(body.fingerprint)
+    context.detail = str(body.fingerprint)
     return commands.Done()
--- a/pimentowalk/control/requests.py
+++ b/pimentowalk/control/requests.py
@@ -5,6 +5,8 @@
 import attrs
 
 from pimentowalk.control import commands
+from pimentowalk.control import members
+from pimentowalk.control import publishing
 from pimentowalk.core import errors
 from pimentowalk.core import logs
 from pimentowalk.core import registry
@@ -21,12 +23,15 @@
 class RequestHandler:
     """Run requests against the replica, the state and the directory."""
 
-    def __init__(self, node_id, replica, state, directory, operators, timers):
+    def __init__(
+        self, node_id, replica, state, directory, operators, timers, clock
+    ):
         self.node_id = node_id
         self.replica = replica
         self.state = state
         self.directory = directory
         self.timers = timers
+        self.clock = clock
         self._operators = operators
 
     async def answer(self, request, peer):
@@ -71,7 +76,14 @@
         )
 
     async def _change_members(self, body):
-        raise errors.PimentowalkError('not supported', code='bad_request')
+        await self.replica.read_barrier()
+        earlier = self.state.earlier_result(body)
+        if earlier is not None:
+            return earlier
+        await members.change(self.replica, body)
+        return await self.replica.propose(
+            commands.to_log(body), PROPOSE_TIMEOUT_S
+        )
 
 
 def name_of_query(body):
@@ -84,19 +96,39 @@
 @QUERIES.register('Publish dry run')
 def dry_run(handler, body):
     """Check a publish without a change."""
-    publishing = handler.state.part('publishing')
-    changed, removed = publishing.check(body)
-    return commands.PublishResult(
-        publishing.version, changes=sorted([*changed, *removed])
-    )
+    published = handler.state.part('publishing')
+    changed, removed = published.check(body)
+    return publishing.result(published.version, sorted([*changed, *removed]))
 
 
 @QUERIES.register('ReadConfiguration')
 def read_configuration(handler, body):
     """Return the accepted configuration."""
-    publishing = handler.state.part('publishing')
+    published = handler.state.part('publishing')
     return commands.ConfigurationResult(
-        publishing.configuration, publishing.sources()
+        published.configuration, published.sources()
+    )
+
+
+@QUERIES.register('HighestFence')
+def highest_fence(handler, body):
+    """Return the highest fencing number of a server."""
+    fence = handler.state.part('fences').highest(body.server_id)
+    return commands.FenceResult(fence)
+
+
+@QUERIES.register('ListQuarantine')
+def list_quarantine(handler, body):
+    """Return the quarantined requests."""
+    part = handler.state.part('quarantine')
+    return commands.QuarantineResult(part.listed(handler.clock()))
+
+
+@QUERIES.register('ListMembers')
+def list_members(handler, body):
+    """Return the members of the replicated log."""
+    return commands.MembersResult(
+        members.listed(handler.replica), handler.replica.leader_id or ''
     )
 
 
--- a/pimentowalk/control/server.py
+++ b/pimentowalk/control/server.py
@@ -64,9 +64,16 @@
             clock=clock,
         )
         self._requests = requests.RequestHandler(
-            hello.node_id, replica, state, self.directory, operators, timers
+            hello.node_id,
+            replica,
+            state,
+            self.directory,
+            operators,
+            timers,
+            clock,
         )
         self._tasks = set()
+        self._draining = False
         self._subscriptions = []
         self.peers = wire.PeerServer(
             host, port, hello, self._accept, version=lambda: state.version
@@ -85,11 +92,21 @@
             self.timers.every(self.heartbeat_s / 4, self._expire),
         ]
 
-    async def stop(self):
-        """Finish the requests in progress and close all connections."""
+    @property
+    def waiting_requests(self):
+        """Return the number of requests in progress."""
+        return len(self._tasks)
+
+    async def finish_requests(self):
+        """Refuse new connections and requests; wait for those running."""
+        self._draining = True
         await self.peers.stop_accepting()
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=requests.PROPOSE_TIMEOUT_S)
+
+    async def stop(self):
+        """Finish the requests in progress and close all connections."""
+        await self.finish_requests()
         for subscription in self._subscriptions:
             subscription.cancel()
         await self.peers.stop()
@@ -127,7 +144,9 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _answer(self, peer, envelope):
-        if len(self._tasks) > MAX_REQUESTS:
+        if self._draining:
+            reply = messages.ControlReply('draining', 'stopping', b'')
+        elif len(self._tasks) > MAX_REQUESTS:
             reply = messages.ControlReply(
                 'overloaded', 'too many requests are waiting', b''
             )
--- a/pimentowalk/control/state.py
+++ b/pimentowalk/control/state.py
@@ -4,7 +4,10 @@
 
 from pimentowalk.control import audit  # noqa: F401 registers a part
 from pimentowalk.control import changes  # noqa: F401 registers a part
+from pimentowalk.control import claims  # noqa: F401 registers a part
 from pimentowalk.control import commands
+from pimentowalk.control import fences  # noqa: F401 registers a part
+from pimentowalk.control import members  # noqa: F401 registers a handler
 from pimentowalk.control import parts
 from pimentowalk.control import publishing  # noqa: F401 registers a part
 from pimentowalk.control import quarantine  # noqa: F401 registers a part
@@ -73,19 +76,21 @@
         result = handler(self, body, context)
         if hasattr(body, 'change_id'):
             self.part('changes').remember(body, result)
-        self._record(body, from_version)
+        if context.changed:
+            self._record(body, context, from_version)
         return result
 
-    def _record(self, body, from_version):
+    def _record(self, body, context, from_version):
         self.part('audit').add(
             commands.AuditRecord(
-                index=self.index,
-                time_s=self.time_s,
+                index=context.index,
+                time_s=context.time_s,
                 author=getattr(body, 'author', ''),
                 name=body.NAME,
                 change_id=getattr(body, 'change_id', ''),
                 from_version=from_version,
                 to_version=self.version,
+                detail=context.detail,
             ),
             operator=body.OPERATOR,
         )
--- a/pimentowalk/control/tests/fakes.py
+++ b/pimentowalk/control/tests/fakes.py
@@ -23,7 +23,9 @@
         self.time_s = 1_000_000.0
         self.failures = []
         self.handled = []
-        self.voters = {node_id: True}
+        own = instances.Instance(node_id, '127.0.0.1', 1)
+        self._members = {node_id: commands.Member(own, True)}
+        self.actions = []
 
     @property
     def is_leader(self):
@@ -49,6 +51,23 @@
         if not self.is_leader:
             raise errors.NotLeader('a follower')
 
+    def members(self):
+        return list(self._members.values())
+
+    async def add_learner(self, instance):
+        self.actions.append('add_learner')
+        member = commands.Member(instance, False)
+        self._members[instance.instance_id] = member
+
+    async def promote(self, instance_id):
+        self.actions.append('promote')
+        member = self._members[instance_id]
+        self._members[instance_id] = commands.Member(member.instance, True)
+
+    async def remove(self, instance_id):
+        self.actions.append('remove')
+        del self._members[instance_id]
+
     async def handle(self, connection, envelope):
         self.handled.append(envelope.body)
 
--- /dev/null
+++ b/pimentowalk/control/tests/harness.py
@@ -0,0 +1,60 @@
+"""Run control instances, node sessions and clients in tests."""
+
+import asyncio
+import contextlib
+
+from pimentowalk.control import client
+from pimentowalk.control.tests import fakes
+from pimentowalk.core import timers
+from pimentowalk.wire import messages
+
+WAIT_S = 10
+
+
+async def until(condition):
+    """Wait until a condition holds; the limit only ends a failed test."""
+    async with asyncio.timeout(WAIT_S):
+        while not condition():
+            await timers.TimerService().sleep(0.005)
+
+
+@contextlib.asynccontextmanager
+async def control(count=1):
+    """Run control instances that share no state."""
+    found = [fakes.ControlInstance(f'control-{n + 1}') for n in range(count)]
+    for instance in found:
+        await instance.server.start()
+    try:
+        yield found
+    finally:
+        for instance in found:
+            await instance.server.stop()
+
+
+@contextlib.asynccontextmanager
+async def session(instances, node_id='entry-1', role='entry', **options):
+    """Run a node session."""
+    node = client.NodeSession(
+        messages.Hello(node_id, role, 7, 'zone-1'),
+        [instance.address for instance in instances],
+        timers.TimerService(),
+        heartbeat_s=0.05,
+        **options,
+    )
+    await node.start()
+    try:
+        yield node
+    finally:
+        await node.stop()
+
+
+@contextlib.asynccontextmanager
+async def operator(instances, token=fakes.TOKEN):
+    """Run an operator's client."""
+    caller = client.ControlClient(
+        [instance.address for instance in instances], token=token
+    )
+    try:
+        yield caller
+    finally:
+        await caller.close()
--- /dev/null
+++ b/pimentowalk/control/tests/test_parts.py
@@ -0,0 +1,288 @@
+"""Guard the rules of claims, fences, quarantine and publishing."""
+
+import attrs
+import pytest
+
+from pimentowalk.control import changes
+from pimentowalk.control import claims
+from pimentowalk.control import commands
+from pimentowalk.control import fences
+from pimentowalk.control import publishing
+from pimentowalk.control import quarantine
+from pimentowalk.control import state
+from pimentowalk.control.tests import builders
+from pimentowalk.core import errors
+from pimentowalk.topology import contracts
+from pimentowalk.wire import messages
+
+DAY_S = claims.RETENTION_S
+
+
+class Log:
+    """Apply commands at increasing log indexes."""
+
+    def __init__(self):
+        self.state = state.ControlState()
+        self.time_s = 5_000.0
+
+    def apply(self, body):
+        """Return the result of one command."""
+        index = self.state.index + 1
+        content = commands.to_log(body)
+        return self.state.apply(index, content, self.time_s)
+
+    def restart(self):
+        """Replace the state by one restored from its snapshot."""
+        fresh = state.ControlState()
+        fresh.restore(self.state.snapshot())
+        self.state = fresh
+
+
+@pytest.fixture
+def log():
+    return Log()
+
+
+def test_second_publish_under_one_version_gets_the_difference(log):
+    """A lost update would silently undo the first operator's change."""
+    log.apply(builders.publish('c1', 0))
+    refusal = log.apply(builders.publish('c2', 0, two=builders.source(2)))
+    assert refusal.code == 'conflict'
+    assert 'service/svc-1 (1)' in refusal.text
+
+
+def test_change_id_gives_the_first_result_and_fits_one_change(log):
+    """A resent publish must neither conflict nor be applied twice."""
+    first = log.apply(builders.publish('c1', 0))
+    log.restart()
+    again = log.apply(builders.publish('c1', 0))
+    assert again == attrs.evolve(first, repeated=True)
+    other = log.apply(builders.publish('c1', 1, two=builders.source(2)))
+    assert other.code == 'conflict'
+    assert log.state.version == 1
+
+
+def test_only_changed_contracts_get_the_new_version(log):
+    """An agent would refuse work whose contracts did not change."""
+    log.apply(builders.publish('c1', 0))
+    log.apply(builders.publish('c2', 1, one=builders.source(1, weight=2.0)))
+    versions = log.state.part('publishing').configuration.scope_versions
+    assert versions == {'service/svc-1': 1, 'route/r-1': 1, 'account/acc-1': 2}
+
+
+BAD_SOURCES = {
+    'owned': ({'two': builders.source(1)}, 'owned by one'),
+    'unknown service': (
+        {'two': commands.Source([], [contracts.Route('r', 'no', '/x')])},
+        'unknown service no',
+    ),
+    'service still used': (
+        {'one': commands.Source([], builders.source(1).routes)},
+        'unknown service svc-1',
+    ),
+    'same path': (
+        {'two': commands.Source([], [contracts.Route('r', 'svc-1', '/r1')])},
+        'share path /r1',
+    ),
+    'double': (
+        {'two': commands.Source(builders.source(2).services * 2)},
+        'defined twice',
+    ),
+}
+
+
+@pytest.mark.parametrize('name', BAD_SOURCES)
+def test_publish_refuses_what_does_not_fit(log, name):
+    """A contradictory configuration would break routing everywhere."""
+    sources, reason = BAD_SOURCES[name]
+    log.apply(builders.publish('c1', 0))
+    before = log.state.part('publishing').snapshot()
+    refusal = log.apply(builders.publish('c2', 1, **sources))
+    assert refusal.code == 'bad_request' and reason in refusal.text
+    assert log.state.part('publishing').snapshot() == before
+
+
+def test_contract_moves_between_sources_of_one_change_set(log):
+    """Operators must be able to hand a service over."""
+    log.apply(builders.publish('c1', 0))
+    moved = {'one': commands.Source(), 'two': builders.source(1)}
+    assert log.apply(builders.publish('c2', 1, **moved)).version == 2
+    assert list(log.state.part('publishing').sources()) == ['two']
+
+
+def test_change_memory_and_removals_are_bounded(monkeypatch):
+    """Years of changes must not fill the memory of control."""
+    memory = changes.Changes(limit=2)
+    for number in range(3):
+        body = builders.publish(f'c{number}', number)
+        memory.remember(body, commands.PublishResult(number + 1))
+    assert memory.earlier(builders.publish('c0', 0)) is None
+    assert memory.earlier(builders.publish('c2', 2))['version'] == 3
+    monkeypatch.setattr(publishing, 'REMOVED_KEPT', 1)
+    part = publishing.Publishing()
+    part.publish(builders.publish('a', 0))
+    part.publish(builders.publish('b', 1, one=commands.Source()))
+    assert not part.knows_changes_after(1)
+    assert part.knows_changes_after(2)
+
+
+def open_claim(claim_id='claim-1', body_hash='h1', **fields):
+    server = commands.ServerAddress('server-1', 3, '127.0.0.1', 9)
+    values = {'account': 'acc-1', 'key': 'key-1', 'server': server}
+    values.update(request_id=b'\x01' * 16, **fields)
+    return commands.OpenClaim(body_hash=body_hash, claim_id=claim_id, **values)
+
+
+def settle(outcome='done', claim_id='claim-1', **fields):
+    return commands.SettleClaim('acc-1', 'key-1', claim_id, outcome, **fields)
+
+
+def release(claim_id='claim-1'):
+    return commands.ReleaseClaim('acc-1', 'key-1', claim_id)
+
+
+def test_claim_is_taken_once_and_answers_with_its_reply(log):
+    """A resend through another entry must not book twice."""
+    assert log.apply(open_claim()).state == 'new'
+    assert log.apply(open_claim()).state == 'new'
+    log.restart()
+    second = log.apply(open_claim('claim-2'))
+    assert (second.state, second.claim.claim_id) == ('open', 'claim-1')
+    assert log.apply(open_claim('claim-3', 'h2')).state == 'key_reused'
+    assert log.apply(open_claim('claim-4', account='acc-2')).state == 'new'
+    headers = [messages.Header('X', 'y')]
+    reply = settle(status=201, headers=headers, body=b'\x00\xff')
+    log.apply(reply)
+    assert log.apply(settle(body=b'other')).repeated
+    log.restart()
+    settled = log.apply(open_claim('claim-2'))
+    assert (settled.state, settled.claim.body) == ('settled', b'\x00\xff')
+    assert settled.claim.headers == headers
+
+
+def test_released_claim_can_be_taken_by_another_only(log):
+    """A delayed repeat must not take back what was released."""
+    log.apply(open_claim())
+    log.apply(release())
+    assert log.apply(release()).repeated
+    assert log.apply(open_claim()).code == 'conflict'
+    assert log.apply(settle()).code == 'conflict'
+    assert log.apply(open_claim('claim-2')).state == 'new'
+    assert log.apply(settle()).code == 'conflict'
+    assert log.apply(settle(claim_id='claim-2')) == commands.Done()
+    assert log.apply(release('claim-2')).code == 'conflict'
+
+
+def test_unknown_outcome_gives_way_to_a_reply_but_not_back(log):
+    """A reply that was recorded once must stay."""
+    log.apply(open_claim())
+    log.apply(settle('unknown'))
+    assert log.apply(open_claim('claim-2')).state == 'unknown'
+    log.apply(settle('done', body=b'ok'))
+    log.apply(settle('unknown'))
+    assert log.apply(open_claim('claim-2')).state == 'settled'
+
+
+def test_claims_expire_by_the_time_of_the_records(log):
+    """Replicas that used their own clocks would differ."""
+    log.apply(open_claim())
+    log.time_s += DAY_S - 1
+    assert log.apply(open_claim('claim-2')).state == 'open'
+    log.time_s -= 500
+    assert log.apply(open_claim('claim-2')).state == 'open'
+    log.time_s += 501
+    assert log.apply(open_claim('claim-2')).state == 'new'
+
+
+def test_bounds_of_claims_refuse_or_forget_replies():
+    """A forgotten open claim could run twice; a reply may be unknown."""
+    part = claims.Claims(limit=2, all_bytes=10)
+    for number in (1, 2):
+        part.open(open_claim(f'claim-{number}', key=f'key-{number}'), 0.0)
+    with pytest.raises(errors.PimentowalkError) as caught:
+        part.open(open_claim('claim-3', key='key-3'), 0.0)
+    assert caught.value.code == 'overloaded'
+    part.settle(settle(body=b'12345678'))
+    other = attrs.evolve(settle(body=b'12345678'), claim_id='claim-2')
+    part.settle(attrs.evolve(other, key='key-2'))
+    result, _ = part.open(open_claim('claim-9'), 0.0)
+    assert (result.state, result.claim.body) == ('unknown', b'')
+    big = claims.Claims()
+    big.open(open_claim(), 0.0)
+    big.settle(settle(body=b'x' * (claims.REPLY_BYTES + 1)))
+    assert big.open(open_claim('claim-2'), 0.0)[0].state == 'unknown'
+
+
+def test_fences_rise_and_the_bound_never_lowers_them(log):
+    """An order with a number issued before must stay refusable."""
+    issue = commands.IssueFence('f1', 'anna', 'server-1', 'load')
+    assert log.apply(issue).fence == 1
+    assert log.apply(issue) == commands.FenceResult(1, repeated=True)
+    log.restart()
+    log.apply(attrs.evolve(issue, change_id='f2', server_id='server-2'))
+    assert log.apply(attrs.evolve(issue, change_id='f3')).fence == 3
+    small = fences.Fences(limit=1)
+    issued = {name: small.issue(name) for name in ('a', 'b', 'a')}
+    assert all(small.highest(name) >= n for name, n in issued.items())
+
+
+def crash(request_id=b'r1', server_id='server-1', fingerprint=77):
+    return commands.ReportCrash(fingerprint, 'acc-1', server_id, 3, request_id)
+
+
+@pytest.mark.parametrize('server_id', ['server-1', 'server-2'])
+def test_second_crash_quarantines_for_a_while(log, server_id):
+    """A request that is resent would crash one server after the other."""
+    assert log.apply(crash()) == commands.CrashResult(1, False)
+    assert log.apply(crash()) == commands.CrashResult(1, False)
+    log.restart()
+    second = log.apply(crash(b'r2', server_id))
+    assert second == commands.CrashResult(2, True)
+    part = log.state.part('quarantine')
+    assert part.listed(log.time_s)[0].fingerprint == 77
+    log.time_s += quarantine.QUARANTINE_S
+    assert part.active(log.time_s) == []
+    assert log.apply(crash(b'r3')) == commands.CrashResult(1, False)
+
+
+def test_cleared_fingerprint_starts_anew_and_table_is_bounded(
+    log, monkeypatch
+):
+    """Callers must not fill control with fingerprints."""
+    log.apply(crash())
+    log.apply(crash(b'r2'))
+    log.apply(commands.ClearQuarantine('q1', 'anna', 77))
+    assert log.apply(crash(b'r3')).crashes == 1
+    monkeypatch.setattr(quarantine, 'SUSPECTS_KEPT', 2)
+    for number in range(5):
+        log.apply(crash(fingerprint=number))
+    assert log.apply(crash(b'r2', fingerprint=4)).quarantined
+    assert not log.apply(crash(b'r2', fingerprint=0)).quarantined
+
+
+def test_audit_tells_each_applied_change_once(log):
+    """Operators must find out who changed what, also after a restart."""
+    log.apply(builders.publish('c1', 0))
+    log.apply(builders.publish('c1', 0))
+    log.apply(builders.publish('c2', 0))
+    log.apply(open_claim())
+    log.apply(open_claim())
+    log.restart()
+    records = log.state.part('audit').after(0, 10)
+    told = [(r.index, r.name, r.author, r.change_id) for r in records]
+    assert told == [(1, 'Publish', 'anna', 'c1'), (4, 'OpenClaim', '', '')]
+    assert (records[0].from_version, records[0].to_version) == (0, 1)
+
+
+@pytest.mark.parametrize('content', [b'', b'{"name":"Publish"}', b'x\x9cjunk'])
+def test_malformed_record_is_refused_by_every_replica(log, content):
+    """One replica that raises would fall behind the others."""
+    refusal = log.state.apply(1, content, 0.0)
+    assert refusal.code == 'bad_request'
+
+
+def test_snapshot_of_another_format_is_refused(log):
+    """A newer snapshot must not be read as the present one."""
+    content = log.state.snapshot().replace(b'"format":1', b'"format":2')
+    with pytest.raises(errors.DamagedData, match='format'):
+        log.state.restore(content)
