Add the operators' commands

Operators need to check, publish and inspect, to drain and order backend servers, and to manage members and the quarantine, from scripts too.

A publish prints every problem of all folders and sends nothing if there is one; it also checks against the contracts in force of other sources. After an unknown outcome the message names the change id and version to repeat. An order is sent only to the agent that answers under the id of the server; without an answer from it the outcome is unknown, while a fencing number that may have been issued without an order is 'not run'.

--- /dev/null
+++ b/pimentowalk/cli/tests/test_cli.py
@@ -0,0 +1,336 @@
+"""Guard the operators' commands and their exit statuses."""
+
+import asyncio
+import contextlib
+import json
+import threading
+
+import pytest
+
+from pimentowalk.cli import main
+from pimentowalk.cli import operator_file
+from pimentowalk.cli import remote
+from pimentowalk.cli.tests import fake_control
+from pimentowalk.core import errors
+from pimentowalk.settings import published
+from pimentowalk.topology import contracts
+from pimentowalk.topology import instances
+from pimentowalk.wire import connection
+from pimentowalk.wire import messages
+
+OPERATOR = (
+    '[operator]\nname = kari\ntoken = secret-1\ncontrol = c1@127.0.0.1:7101\n'
+)
+GOOD = (
+    '[service verkstad]\nkind = plain\n'
+    '[route verkstad]\nservice = verkstad\npath_prefix = /bookings\n'
+    f'[account voss]\nkey_sha256 = {"0" * 64}\n'
+)
+
+
+@pytest.fixture
+def control(monkeypatch, tmp_path):
+    fake = fake_control.FakeControl()
+    monkeypatch.setattr(remote, 'new_client', fake.connect)
+    monkeypatch.setattr(remote, 'command_module', fake_control.Commands)
+    path = tmp_path / 'operator.ini'
+    path.write_text(OPERATOR)
+    path.chmod(0o600)
+    monkeypatch.setenv(operator_file.VARIABLE, str(path))
+    return fake
+
+
+@pytest.fixture
+def files(tmp_path):
+    folder = tmp_path / 'hjulverk'
+    folder.mkdir()
+    (folder / 'verkstad.ini').write_text(GOOD)
+    return folder
+
+
+def run_json(capsys, *argv):
+    status = main.run([*map(str, argv), '--json'])
+    return status, json.loads(capsys.readouterr().out)
+
+
+def test_every_command_has_help(capsys):
+    """An operator under pressure needs each option explained."""
+    commands = []
+    for name, found in main.COMMANDS.items():
+        nested = found if isinstance(found, dict) else [None]
+        commands += [[name, sub] if sub else [name] for sub in nested]
+    for command in [[], *commands]:
+        with pytest.raises(SystemExit) as caught:
+            main.run([*command, '--help'])
+        assert caught.value.code == 0
+        shown = capsys.readouterr()
+        assert shown.err == ''
+        assert not command or '--operator-file' in shown.out
+    with pytest.raises(SystemExit) as caught:
+        main.run(['publish', '--no-such-option'])
+    assert caught.value.code == main.ExitStatus.BAD_INPUT
+
+
+def test_publish_sends_one_change_from_the_version_in_force(
+    control, files, capsys
+):
+    """A publish in pieces could leave half of a change in effect."""
+    status, shown = run_json(capsys, 'publish', files)
+    assert status == 0
+    [command] = control.sent('Publish')
+    assert (command.author, command.expected_version) == ('kari', 4)
+    assert [a.name for a in command.sources['hjulverk'].accounts] == ['voss']
+    assert shown['change_id'] == command.change_id
+    assert shown['result']['version'] == 5
+    assert control.operator.token == 'secret-1'
+
+
+@pytest.mark.parametrize('command', ['check', 'publish'])
+def test_problems_are_all_printed_and_nothing_is_published(
+    control, files, tmp_path, capsys, command
+):
+    """A folder with a fault must not take effect in part."""
+    (files / 'bad.ini').write_text('[route x]\nservice = y\ntimeout_s = 3s\n')
+    missing = tmp_path / 'missing'
+    assert main.run([command, str(files), str(missing)]) == 2
+    shown = capsys.readouterr().err
+    for expected in [
+        "bad.ini: [route x] timeout_s: '3s' has a unit",
+        'bad.ini: [route x] path_prefix: is missing',
+        f'{missing}: cannot be read',
+    ]:
+        assert expected in shown
+    status, shown = run_json(capsys, command, files, missing)
+    assert status == 2
+    assert {'file', 'section', 'key', 'reason'} == set(shown['problems'][0])
+    assert len(shown['problems']) == 3
+    assert control.sent('Publish') == []
+
+
+def test_publish_is_checked_against_other_sources(control, files, capsys):
+    """Another source's path must be refused before it is sent."""
+    other = published.Source(
+        routes=[contracts.Route('old', 'verkstad', '/bookings')]
+    )
+    control.sources = {'other': other}
+    assert main.run(['publish', str(files)]) == 2
+    assert 'published source other' in capsys.readouterr().err
+    assert main.run(['check', str(files)]) == 0
+    assert main.run(['check', str(files), '--online']) == 2
+
+
+def test_online_check_is_a_dry_run(control, files):
+    """A check that changes something would be no check."""
+    assert main.run(['check', str(files), '--online']) == 0
+    assert [command.dry_run for command in control.sent('Publish')] == [True]
+
+
+def test_problems_are_told_when_control_does_not_answer(
+    control, files, capsys
+):
+    """A fault in the files must not wait for control to come back."""
+    control.failures['ReadConfiguration'] = errors.NoQuorum('no leader')
+    assert main.run(['publish', str(files)]) == 1
+    assert 'no_quorum' in capsys.readouterr().err
+    (files / 'bad.ini').write_text('[route x]\nservice = y\n')
+    assert main.run(['publish', str(files)]) == 2
+
+
+def test_a_conflict_is_refused_and_an_unknown_outcome_repeatable(
+    control, files, capsys
+):
+    """A repeat with a new id could undo a colleague's later change."""
+    control.failures['Publish'] = errors.Conflict('version 5 is accepted')
+    assert main.run(['publish', str(files)]) == 1
+    assert 'version 5 is accepted' in capsys.readouterr().err
+    control.failures['Publish'] = errors.OutcomeUnknown('no reply')
+    assert main.run(['publish', str(files)]) == 3
+    shown = capsys.readouterr().err
+    change_id = control.sent('Publish')[-1].change_id
+    options = ['--change-id', change_id, '--expected-version', '4']
+    assert ' '.join(options) in shown
+    del control.failures['Publish']
+    control.version = 9
+    assert main.run(['publish', str(files), *options]) == 0
+    repeated = control.sent('Publish')[-1]
+    assert (repeated.change_id, repeated.expected_version) == (change_id, 4)
+
+
+@pytest.mark.parametrize(
+    ('change', 'reason'),
+    [
+        (lambda path: path.chmod(0o640), 'unreadable for others'),
+        (lambda path: path.unlink(), 'cannot be read'),
+        (lambda path: path.write_text('[x]\n'), 'unknown section'),
+        (
+            lambda path: path.write_text(OPERATOR.replace('kari', '-')),
+            'is not a name',
+        ),
+        (
+            lambda path: path.write_text(OPERATOR.replace('secret-1', 'sø')),
+            'is not a token',
+        ),
+    ],
+)
+def test_a_bad_operator_file_is_refused(
+    control, tmp_path, capsys, change, reason
+):
+    """A token that others can read lets them publish."""
+    change(tmp_path / 'operator.ini')
+    assert main.run(['status']) == 2
+    shown = capsys.readouterr().err
+    assert reason in shown
+    assert 'secret' not in shown
+    assert control.requests == []
+
+
+def test_the_operator_file_is_needed(control, monkeypatch, capsys):
+    """A missing file must say how to name one."""
+    monkeypatch.delenv(operator_file.VARIABLE)
+    assert main.run(['audit']) == 2
+    assert operator_file.VARIABLE in capsys.readouterr().err
+
+
+def test_tables_and_json_show_the_same(control, capsys):
+    """A script and a person must see the same state."""
+    control.accounts = {'voss': contracts.ClientAccount('voss', '0' * 64)}
+    control.servers['agent-1'] = instances.BackendServer(
+        'agent-1', 1, 'skrivar', '127.0.0.1', 1, zone='Voss'
+    )
+    for command, expected in [
+        (['status'], 'agent-2'),
+        (['status', '--behind'], 'agent-1'),
+        (['audit', '--after-index', '7'], 'service/skrivar'),
+        (['accounts'], 'voss'),
+        (['servers'], 'agent-1'),
+        (['members', 'list'], 'c2'),
+        (['quarantine', 'list'], '00000000000000ab'),
+    ]:
+        assert main.run(command) == 0
+        assert expected in capsys.readouterr().out
+        status, shown = run_json(capsys, *command)
+        assert status == 0
+        assert expected in json.dumps(shown)
+    assert control.sent('ReadAudit')[0].after_index == 7
+    _, shown = run_json(capsys, 'status', '--behind')
+    assert [node['node_id'] for node in shown['nodes']] == ['agent-1']
+    _, shown = run_json(capsys, 'servers', '--service', 'verkstad')
+    assert shown == {'servers': []}
+
+
+@pytest.mark.parametrize(
+    ('argv', 'action', 'instance'),
+    [
+        (
+            ['add-learner', 'c3@127.0.0.1:7103'],
+            'add_learner',
+            instances.Instance('c3', '127.0.0.1', 7103),
+        ),
+        (['promote', 'c2'], 'promote', fake_control.CONTROL_2),
+        (['remove', 'c9'], 'remove', instances.Instance('c9', '', 0)),
+    ],
+)
+def test_members_are_changed(control, argv, action, instance):
+    """A change of the wrong member could cost the quorum."""
+    assert main.run(['members', *argv, '--change-id', 'x1']) == 0
+    [command] = control.sent('ChangeMembers')
+    assert (command.action, command.instance) == (action, instance)
+    assert (command.author, command.change_id) == ('kari', 'x1')
+
+
+def test_quarantine_is_cleared_by_fingerprint(control, capsys):
+    """The form that the list shows must be the one that clears."""
+    _, shown = run_json(capsys, 'quarantine', 'list')
+    fingerprint = shown['requests'][0]['fingerprint']
+    assert main.run(['quarantine', 'clear', fingerprint]) == 0
+    assert control.sent('ClearQuarantine')[0].fingerprint == 0xAB
+    assert main.run(['quarantine', 'clear', 'xyz']) == 2
+    assert main.run(['members', 'add-learner', 'c3@host:1']) == 2
+
+
+class Agent:
+    """An agent that records orders, in a thread with its own loop."""
+
+    def __init__(self, node_id, reply):
+        self.orders = []
+        self._hello = messages.Hello(node_id, 'agent', 1)
+        self._reply = reply
+
+    @contextlib.contextmanager
+    def running(self):
+        """Listen while the block runs; yield the port."""
+        loop = asyncio.new_event_loop()
+        thread = threading.Thread(target=loop.run_forever)
+        thread.start()
+        server = connection.PeerServer(
+            '127.0.0.1', 0, self._hello, self._accept
+        )
+
+        def call(coroutine):
+            future = asyncio.run_coroutine_threadsafe(coroutine, loop)
+            return future.result(10)
+
+        call(server.start())
+        try:
+            yield server.port
+        finally:
+            call(server.stop())
+            loop.call_soon_threadsafe(loop.stop)
+            thread.join()
+            loop.close()
+
+    def _accept(self, peer):
+        peer.on_frame = self._on_frame
+
+    async def _on_frame(self, peer, envelope):
+        self.orders.append(envelope.body)
+        if self._reply is None:
+            peer.abort()
+        else:
+            await peer.reply(envelope, self._reply)
+
+
+ACCEPTED = messages.OrderReply(True)
+STALE = messages.OrderReply(False, 'stale_fence', 'not higher than 20', 20)
+
+
+@pytest.mark.parametrize(
+    ('node_id', 'reply', 'status'),
+    [
+        ('agent-1', ACCEPTED, 0),
+        ('agent-1', STALE, 1),
+        ('agent-1', None, 3),
+        ('agent-9', ACCEPTED, 1),
+    ],
+)
+def test_drain_orders_the_agent_with_a_fence(
+    control, capsys, node_id, reply, status
+):
+    """An order without a fence, or to another server, does harm."""
+    agent = Agent(node_id, reply)
+    with agent.running() as port:
+        control.servers['agent-1'] = instances.BackendServer(
+            'agent-1', 1, 'skrivar', '127.0.0.1', port
+        )
+        assert main.run(['drain', 'agent-1']) == status
+    expected = [messages.Order(17, 'drain', b'{}')]
+    assert agent.orders == (expected if node_id == 'agent-1' else [])
+    change_id = control.sent('IssueFence')[0].change_id
+    assert (status == 3) == (change_id in capsys.readouterr().err)
+
+
+def test_orders_that_cannot_be_sent_are_refused(control, capsys):
+    """An operator must know that nothing was ordered."""
+    argv = ['order', 'agent-1', 'load_version', '--arguments']
+    assert main.run([*argv, '[1]']) == 2
+    assert main.run([*argv, '{"version": "2"}']) == 1
+    assert control.sent('IssueFence') == []
+    control.servers['agent-1'] = instances.BackendServer(
+        'agent-1', 1, 'skrivar', '127.0.0.1', 1
+    )
+    assert main.run([*argv, '{"version": "2"}']) == 1
+    assert 'peer_lost' in capsys.readouterr().err
+    assert control.sent('IssueFence')[0].arguments == '{"version": "2"}'
+    control.failures['IssueFence'] = errors.OutcomeUnknown('no reply')
+    assert main.run([*argv, '{}']) == 1
+    assert 'no order was sent' in capsys.readouterr().err
