--- a/pimentowalk/control/receiver.py
+++ b/pimentowalk/control/receiver.py
@@ -9,6 +9,15 @@
 from pimentowalk.core import errors
 from pimentowalk.wire import messages
 
+# What replicas send each other; the answers are matched to their calls.
+FRAMES = (
+    messages.VoteRequest,
+    messages.AppendRequest,
+    messages.SnapshotRequest,
+    messages.TimeoutNow,
+    messages.IdentityRequest,
+)
+
 
 class Receiver:
     """Answer votes, appends, snapshots and transfers.
--- a/pimentowalk/control/server.py
+++ b/pimentowalk/control/server.py
@@ -6,6 +6,7 @@
 
 from pimentowalk.control import directory
 from pimentowalk.control import pushes
+from pimentowalk.control import receiver
 from pimentowalk.control import requests
 from pimentowalk.core import errors
 from pimentowalk.core import registry
@@ -24,15 +25,6 @@
 BEHIND_HEARTBEATS = 2
 FRAMES = registry.Registry('frame of a control connection')
 NODE_FRAMES = ('announce', 'heartbeat')
-REPLICA_FRAMES = (
-    messages.VoteRequest,
-    messages.VoteReply,
-    messages.AppendRequest,
-    messages.AppendReply,
-    messages.SnapshotRequest,
-    messages.SnapshotReply,
-    messages.TimeoutNow,
-)
 
 
 class ControlServer:
@@ -125,7 +117,7 @@
         self.directory.closed(peer, self.timers.now_s())
 
     async def _on_frame(self, peer, envelope):
-        if isinstance(envelope.body, REPLICA_FRAMES):
+        if isinstance(envelope.body, receiver.FRAMES):
             if peer.hello.role != CONTROL:
                 raise unexpected(peer, envelope)
             await self.replica.handle(peer, envelope)
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -161,7 +161,7 @@
         for (node, port), zone in zip(self.control, zones, strict=True):
             self.start_control(node, port, zone, operators_file)
 
-    def start_control(self, node, port, zone, operators_file, voters=None):
+    def start_control(self, node, port, zone, operators_file):
         """Start a control instance with its own data folder."""
         settings = self.write_settings(
             node,
@@ -169,7 +169,7 @@
                 'process': self.process_section(node, port, zone),
                 'control': {
                     'data_folder': self.folder / f'{node}-data',
-                    'voters': voters or self.control_addresses,
+                    'voters': ', '.join(node for node, _ in self.control),
                     'operators_file': operators_file,
                 },
             },
