Test orders, plain services and the drain of agents

A first version of two tests failed now and then: they looked at a state that is reached a little after the one they waited for.

--- a/pimentowalk/agent/service_calls.py
+++ b/pimentowalk/agent/service_calls.py
@@ -203,7 +203,12 @@
                 timeout=aiohttp.ClientTimeout(total=left_s),
             ) as response:
                 return await self._read(response)
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        except (
+            TimeoutError,
+            aiohttp.ClientError,
+            OSError,
+            ValueError,
+        ) as error:
             raise await self._outcome(frame, error) from None
 
     async def _read(self, response):
--- a/pimentowalk/agent/tests/fakes.py
+++ b/pimentowalk/agent/tests/fakes.py
@@ -184,6 +184,7 @@
         self.gate.set()
         self.cut = False
         self.healthy = True
+        self.reply = b'booked'
         self.runner = None
         self.url = ''
 
@@ -214,7 +215,7 @@
         if self.cut:
             request.transport.abort()
         headers = {'X-Row': str(len(self.calls))}
-        return web.Response(status=201, body=b'booked', headers=headers)
+        return web.Response(status=201, body=self.reply, headers=headers)
 
 
 class FakeSession:
--- /dev/null
+++ b/pimentowalk/agent/tests/test_drain.py
@@ -0,0 +1,145 @@
+"""Guard the planned end of an agent."""
+
+import asyncio
+
+from pimentowalk.agent import daemon
+from pimentowalk.agent.tests import fakes
+from pimentowalk.core import timers
+from pimentowalk.wire import messages
+
+
+async def advance_until(clock, condition):
+    """Move the clock in small steps until a condition holds."""
+    for _ in range(500):
+        if condition():
+            return
+        await clock.advance(0.05)
+        await asyncio.sleep(0.001)
+    raise AssertionError('the condition was never reached')
+
+
+async def test_drain_finishes_what_runs_and_refuses_the_rest(pair):
+    """A planned stop must not interrupt a request in progress."""
+    pair.last_engine.held = True
+    frames = [fakes.open_attempt(pair.chain) for _ in range(6)]
+    for frame in frames:
+        await pair.entry.connection.send(frame)
+    await fakes.reach(
+        lambda: sum(len(i) for _, i in pair.last_engine.waiting) == 4
+    )
+    drained = pair.head.lifecycle.begin_drain()
+    for frame in frames[4:]:
+        status = await pair.entry.ended(frame.request_id)
+        assert (status.state, status.code) == ('refused', 'draining')
+    assert pair.head.session.announced == 1
+    assert pair.head.announcement().draining
+    late = fakes.open_attempt(pair.chain)
+    await pair.entry.connection.send(late)
+    status = await pair.entry.ended(late.request_id)
+    assert (status.state, status.code) == ('refused', 'draining')
+    assert not drained.done()
+    pair.last_engine.held = False
+    await pair.last_engine.release()
+    for frame in frames[:4]:
+        assert (await pair.entry.ended(frame.request_id)).state == 'finished'
+    await advance_until(pair.timers, drained.done)
+
+
+async def test_attempt_in_preparation_is_refused_when_draining(pair):
+    """An attempt admitted after the announcement would be new work."""
+    gate = asyncio.Event()
+    connection = pair.head.peers.connection
+
+    async def slow(stage):
+        await gate.wait()
+        return await connection(stage)
+
+    pair.head.peers.connection = slow
+    frame = fakes.open_attempt(pair.chain)
+    await pair.entry.connection.send(frame)
+    await fakes.reach(lambda: pair.head.head.attempts)
+    pair.head.lifecycle.begin_drain()
+    gate.set()
+    status = await pair.entry.ended(frame.request_id)
+    assert (status.state, status.code) == ('refused', 'draining')
+    assert not pair.head_engine.record
+
+
+async def test_drain_order_ends_the_agent_when_idle(pair):
+    """An operator's drain must lead to the end of the process."""
+    sent = messages.Order(1, 'drain', b'')
+    reply = await pair.entry.connection.call(sent, fakes.WAIT_S)
+    assert reply.done
+    assert pair.head.lifecycle.draining.is_set()
+    drained = pair.head.lifecycle.begin_drain()
+    await advance_until(pair.timers, drained.done)
+
+
+class Process:
+    """A daemon around an agent whose work never ends by itself."""
+
+    def __init__(self, engine, clock):
+        identity = fakes.node.Identity(
+            'agent-9', 1, 'brass', backend_url=engine.url
+        )
+        self.session = fakes.FakeSession()
+        self.agent = fakes.node.Agent(
+            identity, self.session, clock, fakes.FakeControl()
+        )
+        self.daemon = daemon.Daemon(self.agent, self.session, clock, 20.0)
+        self.task = asyncio.ensure_future(self.daemon.run())
+
+    async def busy_entry(self):
+        """Run one attempt whose result the engine keeps."""
+        await fakes.reach(lambda: self.agent.server.port)
+        entry = fakes.FakeEntry()
+        await entry.connect(self.agent)
+        chain = [fakes.address(self.agent, 0, 2)]
+        frame = fakes.open_attempt(chain)
+        await entry.connection.send(frame)
+        await fakes.reach(lambda: self.agent.stage.sequences)
+        return entry, frame
+
+
+async def test_second_signal_ends_the_process_and_names_what_was_cut():
+    """An operator must be able to end a drain that does not end."""
+    clock = timers.ManualTimerService()
+    engine = fakes.FakeEngine()
+    await engine.start()
+    engine.held = True
+    process = Process(engine, clock)
+    entry, frame = await process.busy_entry()
+    process.daemon.on_signal()
+    await advance_until(clock, process.agent.lifecycle.draining.is_set)
+    assert not process.task.done()
+    process.daemon.on_signal()
+    assert await process.task == [frame.request_id.hex()]
+    assert process.session.stopped
+    await entry.task
+    await engine.stop()
+
+
+async def test_drain_timeout_ends_the_process():
+    """A request that never ends must not keep the process for ever."""
+    clock = timers.ManualTimerService()
+    engine = fakes.FakeEngine()
+    await engine.start()
+    engine.held = True
+    process = Process(engine, clock)
+    entry, frame = await process.busy_entry()
+    process.daemon.on_signal()
+    await advance_until(clock, process.task.done)
+    assert process.task.result() == [frame.request_id.hex()]
+    assert clock.now_s() >= 20
+    await entry.task
+    await engine.stop()
+
+
+async def test_signal_before_the_engine_is_there_ends_the_process():
+    """A process that waits for its engine must still obey a signal."""
+    engine = fakes.FakeEngine()
+    engine.url = 'http://127.0.0.1:1'
+    process = Process(engine, timers.ManualTimerService())
+    await asyncio.sleep(0)
+    process.daemon.on_signal()
+    assert await process.task == []
--- /dev/null
+++ b/pimentowalk/agent/tests/test_orders.py
@@ -0,0 +1,131 @@
+"""Guard the fencing of orders."""
+
+import json
+
+import pytest
+
+from pimentowalk.agent import node
+from pimentowalk.agent import orders
+from pimentowalk.agent.tests import fakes
+from pimentowalk.core import errors
+from pimentowalk.wire import messages
+
+OWN = node.Identity('agent-1', 1, 'brass')
+
+
+class Recorder:
+    """Take the place of the engine; `status` is its answer."""
+
+    def __init__(self):
+        self.sent = []
+        self.status = 200
+
+    async def post_order(self, order):
+        self.sent.append(order)
+        return self.status, 'text'
+
+
+def order(fence, action='load_model', arguments=None):
+    """Return an order."""
+    content = json.dumps(arguments or {}).encode()
+    return messages.Order(fence, action, content)
+
+
+def make(engine, folder='', control=None, drained=None):
+    """Return the orders of one life of an agent."""
+    control = control or fakes.FakeControl()
+    drain = (drained if drained is not None else []).append
+    return orders.Orders(
+        OWN, engine, str(folder), control.highest_fence, lambda: drain(1)
+    )
+
+
+async def test_old_and_repeated_numbers_never_reach_the_engine():
+    """An engine that ignores the number relies on the agent."""
+    engine = Recorder()
+    subject = make(engine)
+    replies = [await subject.handle(order(n)) for n in (4, 4, 3, 5)]
+    assert [r.done for r in replies] == [True, False, False, True]
+    assert {r.code for r in replies if not r.done} == {'stale_fence'}
+    assert [sent['fence'] for sent in engine.sent] == [4, 5]
+    assert [r.highest_fence for r in replies] == [4, 4, 4, 5]
+
+
+async def test_number_survives_a_restart_in_its_file(tmp_path):
+    """A restarted agent must refuse what an earlier life has run."""
+    engine = Recorder()
+    control = fakes.FakeControl()
+    control.fence = 2
+    first = make(engine, tmp_path / 'data', control)
+    assert (await first.handle(order(7))).done
+    again = make(engine, tmp_path / 'data', control)
+    assert (await again.handle(order(7))).code == 'stale_fence'
+    assert (await again.handle(order(8))).done
+    assert control.asked == 1
+
+
+async def test_number_is_stored_before_the_engine_gets_the_order(tmp_path):
+    """A crash in between must not let the number run twice."""
+
+    class Crashing(Recorder):
+        async def post_order(self, sent):
+            assert orders.FenceFile(tmp_path).read() == sent['fence']
+            raise errors.OutcomeUnknown('crashed')
+
+    reply = await make(Crashing(), tmp_path).handle(order(3))
+    assert reply.code == 'outcome_unknown'
+    again = make(Recorder(), tmp_path)
+    assert (await again.handle(order(3))).code == 'stale_fence'
+
+
+async def test_damaged_file_refuses_orders(tmp_path):
+    """A number that cannot be read must not be taken as zero."""
+    (tmp_path / orders.FILE_NAME).write_text('x')
+    engine = Recorder()
+    reply = await make(engine, tmp_path).handle(order(3))
+    assert (reply.code, engine.sent) == ('damaged_data', [])
+
+
+async def test_without_a_file_control_is_asked_before_the_first_order():
+    """An agent without a disk forgets the numbers of its earlier lives."""
+    engine = Recorder()
+    control = fakes.FakeControl()
+    control.fence = None
+    subject = make(engine, control=control)
+    assert (await subject.handle(order(9))).code == 'no_quorum'
+    control.fence = 9
+    assert (await subject.handle(order(9))).code == 'stale_fence'
+    assert (await subject.handle(order(10))).done
+    assert (control.asked, len(engine.sent)) == (2, 1)
+
+
+@pytest.mark.parametrize(
+    ('status', 'code'), [(409, 'stale_fence'), (500, 'bad_request')]
+)
+async def test_refusal_of_the_engine_is_passed_on(status, code):
+    """The operator must see that the engine did not obey."""
+    engine = Recorder()
+    engine.status = status
+    reply = await make(engine).handle(order(1))
+    assert (reply.done, reply.code) == (False, code)
+
+
+async def test_drain_order_is_not_forwarded():
+    """Draining concerns the agent; the engine has no such order."""
+    engine = Recorder()
+    drained = []
+    reply = await make(engine, drained=drained).handle(order(1, 'drain'))
+    assert (reply.done, drained, engine.sent) == (True, [1], [])
+
+
+async def test_order_of_a_peer_reaches_the_engine(pair):
+    """The whole way of an order over the wire and over HTTP."""
+    sent = order(3, arguments={'model': 'brass'})
+    reply = await pair.entry.connection.call(sent, fakes.WAIT_S)
+    assert reply == messages.OrderReply(True, highest_fence=3)
+    expected = {
+        'fence': 3,
+        'action': 'load_model',
+        'arguments': {'model': 'brass'},
+    }
+    assert pair.head_engine.orders == [expected]
