--- a/pimentowalk/admission/fair_queue.py
+++ b/pimentowalk/admission/fair_queue.py
@@ -10,8 +10,12 @@
 POLICIES = registry.Registry('queue policy')
 
 # Work that has waited for this share of the longest wait goes before
-# younger short work of its account, so that long work cannot starve.
+# younger short work of its account, so that long work cannot starve. A
+# suspect that has waited as long keeps others back until it can run alone.
 AGEING_SHARE = 0.25
+# Idle accounts whose virtual cost is ahead are kept; beyond this many more
+# accounts than waiting ones, those that have become irrelevant are dropped.
+SPARE_ACCOUNTS = 64
 
 
 @attrs.frozen
@@ -69,11 +73,13 @@
     virtual: float = 0.0
     waiting_cost: float = 0.0
     running_cost: float = 0.0
+    running: int = 0
     short: collections.deque = attrs.field(factory=collections.deque)
     long: collections.deque = attrs.field(factory=collections.deque)
+    alone: collections.deque = attrs.field(factory=collections.deque)
 
     def __len__(self):
-        return len(self.short) + len(self.long)
+        return len(self.short) + len(self.long) + len(self.alone)
 
     @property
     def excess(self):
@@ -82,11 +88,14 @@
 
     def newest(self):
         """Return the work that arrived last."""
-        ends = [queue[-1] for queue in (self.short, self.long) if queue]
+        queues = (self.short, self.long, self.alone)
+        ends = [queue[-1] for queue in queues if queue]
         return max(ends, key=lambda work: work.arrived_s)
 
     def queue_of(self, work):
         """Return the deque that holds a piece of work."""
+        if work.isolate:
+            return self.alone
         return self.short if work.short else self.long
 
     def choose(self, long_allowed, aged_before_s):
@@ -107,6 +116,7 @@
         self.limits = limits
         self.waiting = {}
         self.running = {}
+        self.suspects = {}
         self.waiting_cost = 0.0
 
     @property
@@ -119,6 +129,8 @@
         work.short = work.cost <= self.limits.short_cost_tokens
         self.waiting[work.key] = work
         self.waiting_cost += work.cost
+        if work.isolate:
+            self.suspects[work.key] = work
         self.add(work)
         if len(self.waiting) <= self.limits.max_queue_requests:
             return None
@@ -132,19 +144,30 @@
             return None
         if any(work.isolate for work in self.running.values()):
             return None
-        work = self.choose(now_s)
-        if work is None or (work.isolate and self.running):
+        work = self._next(now_s)
+        if work is None:
             return None
         self.take(work)
         del self.waiting[work.key]
+        self.suspects.pop(work.key, None)
         self.waiting_cost -= work.cost
         self.running[work.key] = work
         return work
 
+    def _next(self, now_s):
+        aged_before_s = now_s - AGEING_SHARE * self.limits.max_queue_s
+        suspect = next(iter(self.suspects.values()), None)
+        if suspect is not None and not self.running:
+            return suspect
+        if suspect is not None and suspect.arrived_s <= aged_before_s:
+            return None
+        return self.choose(aged_before_s)
+
     def remove(self, key):
         """Remove waiting work; return it, or None if it does not wait."""
         work = self.waiting.pop(key, None)
         if work is not None:
+            self.suspects.pop(key, None)
             self.waiting_cost -= work.cost
             self.discard(work)
         return work
@@ -204,9 +227,10 @@
         """Refuse the work that came last."""
         return newest
 
-    def choose(self, now_s):
-        """Return the oldest work."""
-        return next(iter(self.waiting.values()), None)
+    def choose(self, aged_before_s):
+        """Return the oldest work that need not run alone."""
+        ordinary = (w for w in self.waiting.values() if not w.isolate)
+        return next(ordinary, None)
 
 
 @POLICIES.register('fair')
@@ -221,6 +245,7 @@
     def __init__(self, limits):
         super().__init__(limits)
         self.accounts = {}
+        self.backlogged = {}
         self.virtual_now = 0.0
 
     def add(self, work):
@@ -230,19 +255,20 @@
             account.virtual = max(account.virtual, self.virtual_now)
         account.waiting_cost += work.cost
         account.queue_of(work).append(work)
+        self.backlogged[work.account] = account
+        if len(self.accounts) > SPARE_ACCOUNTS + 2 * len(self.backlogged):
+            for name in list(self.accounts):
+                self._forget_idle(name)
 
     def discard(self, work):
         """Remove waiting work from its account."""
-        account = self.accounts[work.account]
-        account.queue_of(work).remove(work)
-        account.waiting_cost -= work.cost
+        self._leave(work)
         self._forget_idle(work.account)
 
     def take(self, work):
         """Move work from waiting to running and charge its cost."""
-        account = self.accounts[work.account]
-        account.queue_of(work).remove(work)
-        account.waiting_cost -= work.cost
+        account = self._leave(work)
+        account.running += 1
         account.running_cost += work.cost
         self.virtual_now = max(self.virtual_now, account.virtual)
         account.virtual += work.cost / account.weight
@@ -251,6 +277,7 @@
         """Count the cost of adopted work for its account."""
         super().adopt(work)
         account = self._account(work)
+        account.running += 1
         account.running_cost += work.charge
         account.virtual += work.charge / account.weight
 
@@ -263,25 +290,38 @@
     def settle(self, work):
         """Stop counting work that has ended."""
         account = self.accounts[work.account]
+        account.running -= 1
         account.running_cost -= work.made
         self._forget_idle(work.account)
+        if not self.running and not self.waiting:
+            # The busy period ends, and with it all credits and debts.
+            virtuals = [a.virtual for a in self.accounts.values()]
+            self.virtual_now = max([self.virtual_now, *virtuals])
+            self.accounts.clear()
 
     def least_entitled(self, newest):
         """Return the newest work of the account furthest over its share."""
-        backlogged = [a for a in self.accounts.values() if a]
-        return max(backlogged, key=lambda a: a.excess).newest()
+        waiting = self.backlogged.values()
+        return max(waiting, key=lambda a: a.excess).newest()
 
-    def choose(self, now_s):
+    def choose(self, aged_before_s):
         """Return the next work by share, length and age."""
         long_allowed = self.running_long < self.limits.max_long_running
-        aged_before_s = now_s - AGEING_SHARE * self.limits.max_queue_s
-        backlogged = [a for a in self.accounts.values() if a]
-        for account in sorted(backlogged, key=lambda a: a.virtual):
+        waiting = self.backlogged.values()
+        for account in sorted(waiting, key=lambda a: a.virtual):
             work = account.choose(long_allowed, aged_before_s)
             if work is not None:
                 return work
         return None
 
+    def _leave(self, work):
+        account = self.accounts[work.account]
+        account.queue_of(work).remove(work)
+        account.waiting_cost -= work.cost
+        if not account:
+            del self.backlogged[work.account]
+        return account
+
     def _account(self, work):
         account = self.accounts.get(work.account)
         if account is None:
@@ -294,8 +334,8 @@
         # An account without work keeps its virtual cost only while that is
         # ahead of the present virtual time.
         account = self.accounts[name]
-        busy = len(account) or account.running_cost > 1e-9
-        if not busy and account.virtual <= self.virtual_now:
+        idle = not account and not account.running
+        if idle and account.virtual <= self.virtual_now:
             del self.accounts[name]
 
 
