--- a/pimentowalk/wire/frames.capnp
+++ b/pimentowalk/wire/frames.capnp
@@ -222,20 +222,25 @@
   changed @1 :List(BackendServer);
   removed @2 :List(Text);
   liveEntries @3 :UInt64;
+  more @4 :Bool;
 }
 
 struct ConfigurationPull {
   afterVersion @0 :UInt64;
+  subscription @1 :Text;
 }
 
 struct ConfigurationPush {
   fromVersion @0 :UInt64;
   toVersion @1 :UInt64;
   content @2 :Data;
+  piece @3 :UInt64;
+  pieces @4 :UInt64;
 }
 
 struct QuarantineUpdate {
   fingerprints @0 :List(UInt64);
+  appliedIndex @1 :UInt64;
 }
 
 struct Order {
@@ -271,6 +276,8 @@
   lastTerm @3 :UInt64;
   preVote @4 :Bool;
   transfer @5 :Bool;
+  clusterId @6 :Text;
+  voterIdentity @7 :Text;
 }
 
 struct VoteReply {
@@ -292,6 +299,8 @@
   previousTerm @3 :UInt64;
   commitIndex @4 :UInt64;
   records @5 :List(LogRecord);
+  clusterId @6 :Text;
+  receiverIdentity @7 :Text;
 }
 
 struct AppendReply {
@@ -308,6 +317,8 @@
   offsetBytes @4 :UInt64;
   content @5 :Data;
   done @6 :Bool;
+  clusterId @7 :Text;
+  receiverIdentity @8 :Text;
 }
 
 struct SnapshotReply {
@@ -317,6 +328,8 @@
 
 struct TimeoutNow {
   term @0 :UInt64;
+  clusterId @1 :Text;
+  receiverIdentity @2 :Text;
 }
 
 struct Empty {
@@ -327,6 +340,19 @@
   attempts @1 :List(UInt64);
 }
 
+struct IdentityRequest {
+  clusterId @0 :Text;
+}
+
+struct IdentityReply {
+  nodeId @0 :Text;
+  identity @1 :Text;
+  clusterId @2 :Text;
+  empty @3 :Bool;
+  votersDigest @4 :UInt64;
+  lastIndex @5 :UInt64;
+}
+
 struct Frame {
   configVersion @0 :UInt64;
   callId @1 :UInt64;
@@ -364,5 +390,7 @@
     timeoutNow @32 :TimeoutNow;
     empty @33 :Empty;
     renewAttempts @34 :RenewAttempts;
+    identityRequest @35 :IdentityRequest;
+    identityReply @36 :IdentityReply;
   }
 }
