--- a/pimentowalk/admission/suspicion.py
+++ b/pimentowalk/admission/suspicion.py
@@ -15,6 +15,7 @@
     fingerprint: int
     account: str
     request_id: bytes
+    attempt: int
 
 
 class Suspicion:
@@ -25,7 +26,7 @@
     means that the sender gave none.
 
     >>> suspicion = Suspicion()
-    >>> suspicion.crashed([InFlight(7, 'account-1', b'')])
+    >>> suspicion.crashed([InFlight(7, 'account-1', b'', 1)])
     >>> suspicion.is_suspect(7)
     True
     >>> suspicion.completed(7)
--- a/pimentowalk/agent/daemon.py
+++ b/pimentowalk/agent/daemon.py
@@ -39,6 +39,7 @@
                 self._identity.server_id,
                 self._identity.incarnation,
                 item.request_id.hex(),
+                item.attempt,
             )
         )
 
@@ -140,6 +141,7 @@
         timers,
         announcement=agent.announcement,
         heartbeat_s=process.heartbeat_s,
+        draining=lambda: agent.gate.draining,
     )
     agent.session = control.session = session
     daemon = Daemon(agent, session, timers, settings.drain_timeout_s)
--- a/pimentowalk/agent/frames.py
+++ b/pimentowalk/agent/frames.py
@@ -111,6 +111,11 @@
         record = agent.records.close(*key, sequences.CLAIM_RECORD_S)
         agent.head.query(*key)
         agent.calls.close(frame)
+        if key in agent.calls.calls:
+            await _reply(
+                connection, envelope, _status(agent, key, STATES.ADMITTED)
+            )
+            return
         never = rules.was_never_admitted(
             record,
             frame.attempt,
@@ -118,9 +123,7 @@
         )
         state = STATES.CANCELLED if never else STATES.FAILED
         code = 'not_run' if never else 'outcome_unknown'
-        status = messages.AttemptStatus(
-            *key, state, code, step='query', peer=agent.identity.server_id
-        )
+        status = _status(agent, key, state, code)
         await _reply(connection, envelope, status)
 
     async def _order(self, connection, envelope):
@@ -135,6 +138,12 @@
         )
 
 
+def _status(agent, key, state, code=''):
+    return messages.AttemptStatus(
+        *key, state, code, step='query', peer=agent.identity.server_id
+    )
+
+
 def _post(connection, envelope, body):
     call_id = envelope.call_id | 1 if envelope.call_id else 0
     connection.post(body, call_id=call_id)
--- a/pimentowalk/agent/head.py
+++ b/pimentowalk/agent/head.py
@@ -165,6 +165,10 @@
             prompt=frame.prompt,
             generated=list(frame.generated),
         )
+        # The predicted cost covers the prompt and all tokens to be made.
+        self.queue.made(
+            attempt.key, max(0, frame.predicted_tokens - frame.max_tokens)
+        )
         self._stage.run(attempt.sequence, len(frame.generated), [])
         self._report(attempt, STATES.ADMITTED)
 
--- a/pimentowalk/agent/node.py
+++ b/pimentowalk/agent/node.py
@@ -296,7 +296,9 @@
 
     def _crashed(self, lost):
         in_flight = [
-            suspicion.InFlight(item.fingerprint, item.account, item.request_id)
+            suspicion.InFlight(
+                item.fingerprint, item.account, item.request_id, item.attempt
+            )
             for item in lost
         ]
         self.suspicion.crashed(in_flight)
--- a/pimentowalk/agent/stage.py
+++ b/pimentowalk/agent/stage.py
@@ -261,10 +261,11 @@
 def token_of(sequence, item, ranges):
     """Return the token that the last stage made."""
     index = item['index']
-    last = bool(item['end']) or index + 1 >= sequence.max_tokens
+    full = index + 1 >= sequence.max_tokens
+    last = full or bool(item['end'])
     reason = ''
     if last:
-        reason = 'stop' if item['end'] else 'length'
+        reason = item.get('finish_reason') or ('length' if full else 'stop')
     return messages.Token(
         sequence.request_id,
         sequence.attempt,
--- a/pimentowalk/agent/tests/test_service_calls.py
+++ b/pimentowalk/agent/tests/test_service_calls.py
@@ -123,3 +123,19 @@
     desk.service.reply = b'x' * 200_000
     reply = await call(desk, fakes.service_call())
     assert (reply.state, len(reply.body)) == ('finished', 200_000)
+
+
+async def test_query_about_a_running_call_says_so(desk):
+    """A resend waits for a call that runs instead of giving it up."""
+    desk.service.gate.clear()
+    frame = fakes.service_call()
+    pending = send(desk, frame)
+    await fakes.reach(lambda: desk.service.calls)
+    own = desk.agent.identity.incarnation
+    query = messages.AttemptQuery(frame.request_id, 1, own)
+    answer = await desk.entry.connection.call(query, fakes.WAIT_S)
+    assert answer.state == 'admitted'
+    desk.service.gate.set()
+    assert (await pending).state == 'finished'
+    answer = await desk.entry.connection.call(query, fakes.WAIT_S)
+    assert answer.state == 'failed'
--- a/pimentowalk/wire/messages.py
+++ b/pimentowalk/wire/messages.py
@@ -301,7 +301,8 @@
     """Fence an attempt and ask whether it was ever admitted.
 
     The receiver answers with an `AttemptStatus`; `cancelled` means that the
-    attempt was never admitted and never will be.
+    attempt was never admitted and never will be, `admitted` that a service
+    call still runs, `failed` that it may have run.
     """
 
     request_id: bytes
