Drain also while the configuration is still awaited

Seen with real processes: an agent that got SIGTERM within ten seconds of its start, before control had sent a configuration, ended at once and cut a running request, because its start counted as unfinished until then. The agent now counts as started once its peer server listens; configuration and fencing number are learned beside that.

--- a/pimentowalk/agent/daemon.py
+++ b/pimentowalk/agent/daemon.py
@@ -74,10 +74,13 @@
     async def run(self):
         """Serve until stopped; return the ids of requests cut."""
         try:
-            if await self._until(self._serve(), self._first.wait()):
-                await self._until(
-                    self._first.wait(), self.agent.lifecycle.draining.wait()
-                )
+            if await self._until(self._start(), self._first.wait()):
+                learning = asyncio.ensure_future(self._learn())
+                async with timer_services.cancelling(learning):
+                    await self._until(
+                        self._first.wait(),
+                        self.agent.lifecycle.draining.wait(),
+                    )
                 await self._drain()
             cut = self.agent.cut()
             if cut:
@@ -96,15 +99,19 @@
                 tasks[0].result()
             return tasks[0].done()
 
-    async def _serve(self):
+    async def _start(self):
         await self.agent.start()
         await self.session.start()
+        LOG.info('serving', extra={'port': self.agent.port})
+
+    async def _learn(self):
+        # Peers send work as soon as they know the server, so this must not
+        # hold up the reaction to a signal.
         try:
             await self.session.ready(READY_TIMEOUT_S)
         except (TimeoutError, errors.PimentowalkError) as error:
             LOG.warning('no configuration from control yet: %r', error)
         await self.agent.load_fence()
-        LOG.info('serving', extra={'port': self.agent.port})
 
     async def _drain(self):
         await self._until(
--- a/pimentowalk/agent/tests/fakes.py
+++ b/pimentowalk/agent/tests/fakes.py
@@ -228,12 +228,15 @@
         self.stopped = False
         self.versions = []
         self.callbacks = []
+        self.has_configuration = asyncio.Event()
+        self.has_configuration.set()
 
     async def start(self):
         """Do nothing."""
 
     async def ready(self, timeout_s):
-        """Be ready at once."""
+        """Wait until the test gives a configuration."""
+        await self.has_configuration.wait()
 
     async def announce_now(self):
         """Count announcements."""
--- a/pimentowalk/agent/tests/test_drain.py
+++ b/pimentowalk/agent/tests/test_drain.py
@@ -119,6 +119,26 @@
     await engine.stop()
 
 
+async def test_signal_before_the_configuration_drains_all_the_same():
+    """Peers send work before control has sent a configuration."""
+    clock = timers.ManualTimerService()
+    engine = fakes.FakeEngine()
+    await engine.start()
+    engine.held = True
+    process = Process(engine, clock)
+    process.session.has_configuration.clear()
+    entry, frame = await process.busy_entry()
+    process.daemon.on_signal()
+    await advance_until(clock, process.agent.lifecycle.draining.is_set)
+    engine.held = False
+    await engine.release()
+    await advance_until(clock, process.task.done)
+    assert process.task.result() == []
+    assert entry.statuses()[-1].state == 'finished'
+    await entry.task
+    await engine.stop()
+
+
 async def test_drain_timeout_ends_the_process():
     """A request that never ends must not keep the process for ever."""
     clock = timers.ManualTimerService()
