--- a/pimentowalk/control/election.py
+++ b/pimentowalk/control/election.py
@@ -1,6 +1,7 @@
 """Elections: pre-vote, votes, check-quorum and the heartbeat."""
 
 import asyncio
+import itertools
 import logging
 
 from pimentowalk.control import consensus as control_consensus
@@ -30,14 +31,15 @@
         consensus = self._consensus
         self._postpone()
         heard_s = consensus.heard_s
-        while True:
+        for tick in itertools.count():
             await consensus.timers.sleep(consensus.timing.heartbeat_s / 2)
             if consensus.heard_s != heard_s:
                 heard_s = consensus.heard_s
                 self._postpone()
             if consensus.role == control_consensus.LEADER:
                 self.check_quorum()
-                consensus.work.notify()
+                if tick % 2 == 0:
+                    consensus.work.notify()
             elif self._is_overdue():
                 await self.campaign()
 
