--- a/pimentowalk/cli/tests/test_cli.py
+++ b/pimentowalk/cli/tests/test_cli.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import json
+import pathlib
+import re
 import threading
 
 import pytest
@@ -334,3 +336,15 @@
     control.failures['IssueFence'] = errors.OutcomeUnknown('no reply')
     assert main.run([*argv, '{}']) == 1
     assert 'no order was sent' in capsys.readouterr().err
+
+
+def test_the_documented_exit_statuses_are_the_real_ones():
+    """Scripts are written by the page and rely on its numbers."""
+    page = pathlib.Path(__file__).parents[3] / 'docs' / 'operators.md'
+    table = page.read_text().split('| status | meaning |')[1]
+    documented = [
+        int(number) for number in re.findall(r'^\| (\d) \|', table, re.M)
+    ]
+    assert documented == [status.value for status in main.ExitStatus]
+    for status in main.ExitStatus:
+        assert f'{status.value} ' in main.DESCRIPTION
