--- a/pimentowalk/control/commands.py
+++ b/pimentowalk/control/commands.py
@@ -224,13 +224,16 @@
 @command('ReportCrash', CrashResult, logged=True)
 @attrs.frozen
 class ReportCrash:
-    """Report that a request was running when its server crashed."""
+    """Report that a request was running when its server crashed.
+
+    `request_id` is hexadecimal.
+    """
 
     fingerprint: int
     account: str
     server_id: str
     incarnation: int
-    request_id: bytes
+    request_id: str
     attempt: int = 1
 
 
--- a/pimentowalk/control/daemon.py
+++ b/pimentowalk/control/daemon.py
@@ -28,12 +28,11 @@
         self.settings = settings
         process = settings.process
         timers = timers or timers_module.TimerService()
-        known = {one.instance_id: one for one in process.control}
         self.state = state_module.ControlState()
         self.replica = replica_module.Replica(
             process.node_id,
             settings.data_folder,
-            [known[voter] for voter in settings.voters],
+            settings.voters,
             self.state,
             timers,
             zone=process.zone,
--- a/pimentowalk/control/quarantine.py
+++ b/pimentowalk/control/quarantine.py
@@ -28,8 +28,9 @@
 
 def crash_key(body):
     """Return what makes two reports tell of the same crash."""
-    request = body.request_id.hex()
-    return f'{body.server_id}/{body.incarnation}/{request}/{body.attempt}'
+    return (
+        f'{body.server_id}/{body.incarnation}/{body.request_id}/{body.attempt}'
+    )
 
 
 @parts.part('quarantine')
--- a/pimentowalk/control/tests/test_parts.py
+++ b/pimentowalk/control/tests/test_parts.py
@@ -226,7 +226,7 @@
     assert all(small.highest(name) >= n for name, n in issued.items())
 
 
-def crash(request_id=b'r1', server_id='server-1', fingerprint=77):
+def crash(request_id='r1', server_id='server-1', fingerprint=77):
     return commands.ReportCrash(fingerprint, 'acc-1', server_id, 3, request_id)
 
 
@@ -236,13 +236,13 @@
     assert log.apply(crash()) == commands.CrashResult(1, False)
     assert log.apply(crash()) == commands.CrashResult(1, False)
     log.restart()
-    second = log.apply(crash(b'r2', server_id))
+    second = log.apply(crash('r2', server_id))
     assert second == commands.CrashResult(2, True)
     part = log.state.part('quarantine')
     assert part.listed(log.time_s)[0].fingerprint == 77
     log.time_s += quarantine.QUARANTINE_S
     assert part.active(log.time_s) == []
-    assert log.apply(crash(b'r3')) == commands.CrashResult(1, False)
+    assert log.apply(crash('r3')) == commands.CrashResult(1, False)
 
 
 def test_cleared_fingerprint_starts_anew_and_table_is_bounded(
@@ -250,14 +250,14 @@
 ):
     """Callers must not fill control with fingerprints."""
     log.apply(crash())
-    log.apply(crash(b'r2'))
+    log.apply(crash('r2'))
     log.apply(commands.ClearQuarantine('q1', 'anna', 77))
-    assert log.apply(crash(b'r3')).crashes == 1
+    assert log.apply(crash('r3')).crashes == 1
     monkeypatch.setattr(quarantine, 'SUSPECTS_KEPT', 2)
     for number in range(5):
         log.apply(crash(fingerprint=number))
-    assert log.apply(crash(b'r2', fingerprint=4)).quarantined
-    assert not log.apply(crash(b'r2', fingerprint=0)).quarantined
+    assert log.apply(crash('r2', fingerprint=4)).quarantined
+    assert not log.apply(crash('r2', fingerprint=0)).quarantined
 
 
 def test_audit_tells_each_applied_change_once(log):
--- a/pimentowalk/control/tests/test_requests.py
+++ b/pimentowalk/control/tests/test_requests.py
@@ -173,7 +173,7 @@
     """A quarantined request must be refused everywhere, for a while."""
     async with harness.control() as found:
         async with harness.session(found, services=[]) as node:
-            for name in (b'r1', b'r2'):
+            for name in ('r1', 'r2'):
                 body = commands.ReportCrash(5, 'acc-1', 's', 1, name)
                 result = await node.request(body)
             assert result.quarantined
