--- a/pimentowalk/control/changes.py
+++ b/pimentowalk/control/changes.py
@@ -1,56 +1,72 @@
-"""The results of accepted changes, by change id."""
+"""Membership changes that a leader checks before it proposes them."""
 
-import collections
-
-from pimentowalk.control import commands
-from pimentowalk.control import parts
+from pimentowalk.control import bootstrap
+from pimentowalk.control import members as control_members
 from pimentowalk.core import errors
-from pimentowalk.core import identifiers
-
-# Three days at 10,000 changes a day; an operator resends within minutes.
-CHANGES_KEPT = 30_000
-
-
-def digest(body):
-    """Return a hash of a command that ignores nothing but its class."""
-    return identifiers.hash64(commands.to_log(body))
-
-
-@parts.part('changes')
-class Changes:
-    """Remember accepted changes so that a resend gets the same result."""
-
-    def __init__(self, limit=CHANGES_KEPT):
-        self._limit = limit
-        self._entries = collections.OrderedDict()
-
-    def earlier(self, body):
-        """Return the earlier result as JSON data, or None.
-
-        Raises Conflict if the id was used for another change.
-        """
-        entry = self._entries.get(body.change_id)
-        if entry is None:
-            return None
-        if entry[0] != digest(body):
-            raise errors.Conflict(
-                f'change id {body.change_id} was used for another change'
-            )
-        return entry[1]
-
-    def remember(self, body, result):
-        """Keep the result of an accepted change."""
-        data = commands.CONVERTER.unstructure(result)
-        self._entries[body.change_id] = [digest(body), data]
-        while len(self._entries) > self._limit:
-            self._entries.popitem(last=False)
-
-    def snapshot(self):
-        """Return the entries as JSON data."""
-        return [[key, *entry] for key, entry in self._entries.items()]
-
-    def restore(self, data):
-        """Replace the entries."""
-        self._entries = collections.OrderedDict(
-            (key, entry) for key, *entry in data
+
+# A learner that is further behind would hold up commits once it votes.
+PROMOTE_LAG_RECORDS = 256
+
+
+async def find_learner(consensus, dial, instance):
+    """Return the member that an instance would be; raise Conflict."""
+    try:
+        reply = await bootstrap.ask_identity(
+            dial,
+            instance,
+            consensus.cluster_id,
+            consensus.timing.call_timeout_s,
+        )
+    except TimeoutError:
+        raise errors.PeerLost(
+            'no answer', step='add learner', peer=instance.instance_id
+        ) from None
+    if reply.cluster_id not in ('', consensus.cluster_id):
+        raise errors.Conflict(
+            'the instance belongs to another cluster',
+            step='add learner',
+            peer=instance.instance_id,
+        )
+    return bootstrap.member_of(instance, reply.identity)
+
+
+def changed_members(consensus, action, node_id, learner):
+    """Return the members after an action; raise Conflict."""
+    _check_settled(consensus)
+    members = consensus.members
+    if action == control_members.ADD_LEARNER:
+        return control_members.with_learner(members, learner)
+    if action == control_members.PROMOTE:
+        changed = control_members.with_promoted(members, node_id)
+        _check_caught_up(consensus, members.get(node_id))
+        return changed
+    if action == control_members.REMOVE:
+        return control_members.without(members, node_id)
+    raise errors.PimentowalkError(
+        f'unknown action {action!r}', code='bad_request'
+    )
+
+
+def _check_settled(consensus):
+    if not consensus.rules.may_change_members(
+        consensus.members_index,
+        consensus.commit_index,
+        consensus.log.term_at(consensus.commit_index),
+        consensus.term,
+    ):
+        raise errors.Conflict(
+            'an earlier change of members is not committed yet',
+            step='change members',
+        )
+
+
+def _check_caught_up(consensus, member):
+    progress = consensus.progress.get((member.node_id, member.identity))
+    match_index = progress.match_index if progress else 0
+    lag = consensus.log.last_index - match_index
+    if lag > PROMOTE_LAG_RECORDS:
+        raise errors.Conflict(
+            f'{member.node_id} is {lag} records behind',
+            step='promote',
+            peer=member.node_id,
         )
--- a/pimentowalk/control/members.py
+++ b/pimentowalk/control/members.py
@@ -1,54 +1,109 @@
-"""Changes of the members of the replicated log.
+"""The members of the control cluster, as the log records them."""
 
-The replica keeps the members in its own log entries. The control state
-remembers the change id and adds the audit record.
-"""
+import json
+
+import attrs
 
-from pimentowalk.control import commands
-from pimentowalk.control import parts
 from pimentowalk.core import errors
+from pimentowalk.core import identifiers
+
+ADD_LEARNER = 'add_learner'
+PROMOTE = 'promote'
+REMOVE = 'remove'
+
+
+@attrs.frozen
+class Member:
+    """A replica: its address, and the identity of its data folder."""
+
+    node_id: str
+    identity: str
+    host: str
+    port: int
+    zone: str = ''
+    voter: bool = False
+
+
+@attrs.frozen
+class MemberSet:
+    """All members under one record of the log."""
+
+    members: tuple[Member, ...] = ()
+
+    def voters(self):
+        """Return the members that vote."""
+        return [member for member in self.members if member.voter]
 
-ACTIONS = ('add_learner', 'promote', 'remove')
+    def get(self, node_id):
+        """Return the member of a node, or None."""
+        for member in self.members:
+            if member.node_id == node_id:
+                return member
+        return None
 
+    def is_voter(self, node_id, identity):
+        """Return whether a node votes under this identity."""
+        member = self.get(node_id)
+        return bool(member and member.voter and member.identity == identity)
 
-def listed(replica):
-    """Return the members as attrs values."""
-    return [
-        commands.Member(member.instance, member.voter)
-        for member in replica.members()
-    ]
+    def encode(self):
+        """Return the set as JSON."""
+        return json.dumps([attrs.asdict(m) for m in self.members]).encode()
 
+    @classmethod
+    def decode(cls, content):
+        """Return the set that JSON describes."""
+        return cls(tuple(Member(**item) for item in json.loads(content)))
 
-def is_in_effect(replica, action, instance_id):
-    """Return whether a change has already been made."""
-    voters = {m.instance.instance_id: m.voter for m in listed(replica)}
-    if action == 'remove':
-        return instance_id not in voters
-    if action == 'promote':
-        return voters.get(instance_id, False)
-    return instance_id in voters
 
+def voters_digest(voters):
+    """Return a hash over the voters of the settings, in any order."""
+    parts = sorted(f'{v.instance_id}@{v.host}:{v.port}' for v in voters)
+    return identifiers.hash64(*parts)
 
-async def change(replica, body):
-    """Make the change at the replica unless it is in effect."""
-    if body.action not in ACTIONS:
-        raise errors.PimentowalkError(
-            f'unknown action {body.action!r}; known: {", ".join(ACTIONS)}',
-            code='bad_request',
+
+def _refused(text):
+    return errors.Conflict(text, step='change members')
+
+
+def with_learner(member_set, learner):
+    """Add a learner; a member of the same node is replaced.
+
+    A node whose disk was lost comes back with a new identity. Its old
+    identity leaves the set in the same record, which removes at most one
+    voter, so that old and new majorities still share a voter.
+    """
+    old = member_set.get(learner.node_id)
+    if old is not None and old.identity == learner.identity:
+        raise _refused(f'{learner.node_id} is a member already')
+    rest = [m for m in member_set.members if m != old]
+    if not any(m.voter for m in rest):
+        raise _refused('the last voter cannot be replaced')
+    learner = attrs.evolve(learner, voter=False)
+    return MemberSet((*rest, learner))
+
+
+def with_promoted(member_set, node_id):
+    """Let a learner vote."""
+    member = member_set.get(node_id)
+    if member is None:
+        raise _refused(f'{node_id} is not a member')
+    if member.voter:
+        raise _refused(f'{node_id} votes already')
+    return MemberSet(
+        tuple(
+            attrs.evolve(m, voter=True) if m == member else m
+            for m in member_set.members
         )
-    instance = body.instance
-    if is_in_effect(replica, body.action, instance.instance_id):
-        return
-    if body.action == 'add_learner':
-        await replica.add_learner(instance)
-    elif body.action == 'promote':
-        await replica.promote(instance.instance_id)
-    else:
-        await replica.remove(instance.instance_id)
-
-
-@parts.handles('ChangeMembers')
-def change_members(state, body, context):
-    """Record a change that the replica has made."""
-    context.detail = f'{body.action} {body.instance.instance_id}'
-    return commands.Done()
+    )
+
+
+def without(member_set, node_id):
+    """Remove a member."""
+    member = member_set.get(node_id)
+    if member is None:
+        raise _refused(f'{node_id} is not a member')
+    rest = tuple(m for m in member_set.members if m != member)
+    if not any(m.voter for m in rest):
+        raise _refused('the last voter cannot be removed')
+    return MemberSet(rest)
--- a/pimentowalk/control/server.py
+++ b/pimentowalk/control/server.py
@@ -32,6 +32,7 @@
     messages.SnapshotRequest,
     messages.SnapshotReply,
     messages.TimeoutNow,
+    messages.IdentityRequest,
 )
 
 
--- a/pimentowalk/control/state.py
+++ b/pimentowalk/control/state.py
@@ -3,14 +3,14 @@
 import json
 
 from pimentowalk.control import audit  # noqa: F401 registers a part
-from pimentowalk.control import changes  # noqa: F401 registers a part
 from pimentowalk.control import claims  # noqa: F401 registers a part
 from pimentowalk.control import commands
 from pimentowalk.control import fences  # noqa: F401 registers a part
-from pimentowalk.control import members  # noqa: F401 registers a handler
+from pimentowalk.control import member_commands  # noqa: F401 a handler
 from pimentowalk.control import parts
 from pimentowalk.control import publishing  # noqa: F401 registers a part
 from pimentowalk.control import quarantine  # noqa: F401 registers a part
+from pimentowalk.control import repeats  # noqa: F401 registers a part
 from pimentowalk.core import errors
 
 SNAPSHOT_FORMAT = 1
@@ -59,7 +59,7 @@
         """Return the result of an earlier use of a change id, or None."""
         if not hasattr(body, 'change_id'):
             return None
-        data = self.part('changes').earlier(body)
+        data = self.part('repeats').earlier(body)
         if data is None:
             return None
         return commands.CONVERTER.structure(
@@ -75,7 +75,7 @@
         context = parts.Context(self.index, self.time_s)
         result = handler(self, body, context)
         if hasattr(body, 'change_id'):
-            self.part('changes').remember(body, result)
+            self.part('repeats').remember(body, result)
         if context.changed:
             self._record(body, context, from_version)
         return result
--- a/pimentowalk/control/tests/fakes.py
+++ b/pimentowalk/control/tests/fakes.py
@@ -1,6 +1,7 @@
 """A replica of one member and a control instance for tests."""
 
 from pimentowalk.control import commands
+from pimentowalk.control import members
 from pimentowalk.control import operators
 from pimentowalk.control import server
 from pimentowalk.control import state
@@ -23,8 +24,8 @@
         self.time_s = 1_000_000.0
         self.failures = []
         self.handled = []
-        own = instances.Instance(node_id, '127.0.0.1', 1)
-        self._members = {node_id: commands.Member(own, True)}
+        own = members.Member(node_id, 'id', '127.0.0.1', 1, voter=True)
+        self._members = members.MemberSet((own,))
         self.actions = []
 
     @property
@@ -52,21 +53,18 @@
             raise errors.NotLeader('a follower')
 
     def members(self):
-        return list(self._members.values())
-
-    async def add_learner(self, instance):
-        self.actions.append('add_learner')
-        member = commands.Member(instance, False)
-        self._members[instance.instance_id] = member
-
-    async def promote(self, instance_id):
-        self.actions.append('promote')
-        member = self._members[instance_id]
-        self._members[instance_id] = commands.Member(member.instance, True)
-
-    async def remove(self, instance_id):
-        self.actions.append('remove')
-        del self._members[instance_id]
+        return list(self._members.members)
+
+    async def change_members(self, action, instance, timeout_s):
+        self.actions.append(action)
+        node_id = instance.instance_id
+        learner = members.Member(node_id, 'new', instance.host, instance.port)
+        change = {
+            members.ADD_LEARNER: lambda m: members.with_learner(m, learner),
+            members.PROMOTE: lambda m: members.with_promoted(m, node_id),
+            members.REMOVE: lambda m: members.without(m, node_id),
+        }
+        self._members = change[action](self._members)
 
     async def handle(self, connection, envelope):
         self.handled.append(envelope.body)
--- a/pimentowalk/control/tests/test_parts.py
+++ b/pimentowalk/control/tests/test_parts.py
@@ -3,12 +3,12 @@
 import attrs
 import pytest
 
-from pimentowalk.control import changes
 from pimentowalk.control import claims
 from pimentowalk.control import commands
 from pimentowalk.control import fences
 from pimentowalk.control import publishing
 from pimentowalk.control import quarantine
+from pimentowalk.control import repeats
 from pimentowalk.control import state
 from pimentowalk.control.tests import builders
 from pimentowalk.core import errors
@@ -112,7 +112,7 @@
 
 def test_change_memory_and_removals_are_bounded(monkeypatch):
     """Years of changes must not fill the memory of control."""
-    memory = changes.Changes(limit=2)
+    memory = repeats.Repeats(limit=2)
     for number in range(3):
         body = builders.publish(f'c{number}', number)
         memory.remember(body, commands.PublishResult(number + 1))
--- a/pimentowalk/wire/messages.py
+++ b/pimentowalk/wire/messages.py
@@ -125,7 +125,12 @@
 @message('openAttempt')
 @attrs.frozen
 class OpenAttempt:
-    """Ask a head agent to run an attempt of a model request."""
+    """Ask a head agent to run an attempt of a model request.
+
+    `generated` are the tokens already passed on; the first new token has
+    the index `len(generated)`, and `max_tokens` counts them too.
+    `deadline_ms` is the time left when the frame is sent, 0 without limit.
+    """
 
     request_id: bytes
     attempt: int
@@ -153,7 +158,10 @@
 class PrepareAttempt:
     """Tell a later stage of an admitted attempt about its chain.
 
-    `position` is the place of the receiver in the chain.
+    `position` is the place of the receiver in the chain and `first_index`
+    the token index of the first step. `account` and `fingerprint` serve
+    the record of requests in flight at an engine crash. The receiver
+    answers with `Empty`, or a `Failure` that proves that nothing ran.
     """
 
     request_id: bytes
@@ -166,6 +174,10 @@
     position: int
     max_tokens: int
     chain: list[StageAddress]
+    first_index: int = 0
+    account: str = ''
+    fingerprint: int = 0
+    isolate: bool = False
 
 
 @message('attemptStatus')
@@ -443,7 +455,10 @@
 @message('voteRequest')
 @attrs.frozen
 class VoteRequest:
-    """Ask for a vote; with `pre_vote` set, only whether it would be given."""
+    """Ask for a vote; with `pre_vote` set, only whether it would be given.
+
+    `voter_identity` is the identity under which the vote will be counted.
+    """
 
     term: int
     candidate_id: str
@@ -451,6 +466,8 @@
     last_term: int
     pre_vote: bool = False
     transfer: bool = False
+    cluster_id: str = ''
+    voter_identity: str = ''
 
 
 @message('voteReply')
@@ -473,6 +490,8 @@
     previous_term: int
     commit_index: int
     records: list[LogRecord]
+    cluster_id: str = ''
+    receiver_identity: str = ''
 
 
 @message('appendReply')
@@ -501,6 +520,8 @@
     offset_bytes: int
     content: bytes
     done: bool
+    cluster_id: str = ''
+    receiver_identity: str = ''
 
 
 @message('snapshotReply')
@@ -518,9 +539,48 @@
     """Ask a follower to start an election at once."""
 
     term: int
+    cluster_id: str = ''
+    receiver_identity: str = ''
 
 
 @message('empty')
 @attrs.frozen
 class Empty:
     """Answer a call that has no other result."""
+
+
+@message('renewAttempts')
+@attrs.frozen
+class RenewAttempts:
+    """Renew the lease of running attempts at a later stage.
+
+    Both lists have one element for each attempt.
+    """
+
+    request_ids: list[bytes]
+    attempts: list[int]
+
+
+@message('identityRequest')
+@attrs.frozen
+class IdentityRequest:
+    """Ask a control replica who it is and whether its folder is empty."""
+
+    cluster_id: str = ''
+
+
+@message('identityReply')
+@attrs.frozen
+class IdentityReply:
+    """Tell who a control replica is.
+
+    `empty` is set where the replica has neither records nor a vote.
+    `voters_digest` is a hash over the voters of its settings.
+    """
+
+    node_id: str
+    identity: str
+    cluster_id: str
+    empty: bool
+    voters_digest: int
+    last_index: int
