Run whole control instances in tests and fix the client's retries

Cause: eight publishes raced through two clients ended with "no quorum" for some of them after 20 s, although all instances worked.

Ruled out: the replica; a single client with one request at a time got its answers.

Change: concurrent requests of one client dialled an instance several times and dropped all connections but the last, and they moved a shared target under each other. Dialling is now under a lock and each request has its own target. Tests run three control instances in one process and as processes: racing publishes, a killed leader, SIGTERM, a learner.

Conclusion: exactly one of eight racing publishes wins, three times over. The test of the learner fails: an instance with an empty list of voters ends at its start in the replica's first start.

--- a/pimentowalk/control/calls.py
+++ b/pimentowalk/control/calls.py
@@ -22,6 +22,7 @@
 class _Progress:
     """What is known of a request that is being retried."""
 
+    target: str
     may_have_run: bool = False
     last: str = 'no control instance answers'
 
@@ -38,7 +39,7 @@
         self._connect = connect
         self._timers = timers
         self._token = token
-        self._target = self._instance_ids[0]
+        self._leader_id = self._instance_ids[0]
 
     async def request(self, body, timeout_s=10.0):
         """Return the result of a command or query.
@@ -50,7 +51,7 @@
             body.NAME, commands.encode(body), self._token
         )
         deadline_s = self._timers.now_s() + timeout_s
-        progress = _Progress()
+        progress = _Progress(self._leader_id)
         while True:
             remaining_s = deadline_s - self._timers.now_s()
             if remaining_s <= 0:
@@ -62,10 +63,10 @@
 
     async def _attempt(self, request, remaining_s, progress):
         try:
-            connection = await self._connect(self._target)
+            connection = await self._connect(progress.target)
         except errors.PimentowalkError as error:
             progress.last = str(error)
-            self._next_target()
+            self._next_target(progress)
             return None
         try:
             return await connection.call(
@@ -73,28 +74,30 @@
             )
         except (errors.PeerLost, TimeoutError) as error:
             progress.may_have_run = True
-            progress.last = f'{self._target}: {error or "timeout"}'
-            self._next_target()
+            progress.last = f'{progress.target}: {error or "timeout"}'
+            self._next_target(progress)
             return None
 
-    def _next_target(self):
-        position = self._instance_ids.index(self._target) + 1
-        self._target = self._instance_ids[position % len(self._instance_ids)]
+    def _next_target(self, progress):
+        ids = self._instance_ids
+        progress.target = ids[(ids.index(progress.target) + 1) % len(ids)]
 
     def _must_retry(self, reply, progress):
         if reply.code == 'outcome_unknown':
             progress.may_have_run = True
         elif reply.code not in NOT_APPENDED:
             return False
-        progress.last = f'{self._target}: {reply.code}: {reply.text}'
+        progress.last = f'{progress.target}: {reply.code}: {reply.text}'
         known = reply.leader_id in self._instance_ids
-        if known and reply.leader_id != self._target:
-            self._target = reply.leader_id
+        if known and reply.leader_id != progress.target:
+            progress.target = reply.leader_id
         elif reply.code != 'overloaded':
-            self._next_target()
+            self._next_target(progress)
         return True
 
     def _result(self, body, reply, progress):
+        if not body.LOCAL:
+            self._leader_id = progress.target
         if not reply.code:
             return commands.decode(reply.content, body.RESULT)
         code = reply.code if reply.code in errors.CODES else 'internal'
@@ -103,10 +106,10 @@
                 f'an earlier try may have been applied; the last one was '
                 f'refused: {reply.text}',
                 step=body.NAME,
-                peer=self._target,
+                peer=progress.target,
             )
         raise errors.PimentowalkError(
-            reply.text, code=code, step=body.NAME, peer=self._target
+            reply.text, code=code, step=body.NAME, peer=progress.target
         )
 
     def _given_up(self, body, progress):
--- a/pimentowalk/control/client.py
+++ b/pimentowalk/control/client.py
@@ -38,6 +38,8 @@
             'client', 'client', identifiers.new_incarnation()
         )
         self._connections = {}
+        # Concurrent requests share one connection to each instance.
+        self._dialling = asyncio.Lock()
         self._caller = calls.Caller(
             self._addresses,
             self._connect,
@@ -46,14 +48,15 @@
         )
 
     async def _connect(self, instance_id):
-        known = self._connections.get(instance_id)
-        if known is not None and not known[0].closed:
-            return known[0]
-        address = self._addresses[instance_id]
-        peer = await wire.dial(address.host, address.port, self._hello)
-        task = asyncio.ensure_future(peer.run())
-        self._connections[instance_id] = (peer, task)
-        return peer
+        async with self._dialling:
+            known = self._connections.get(instance_id)
+            if known is not None and not known[0].closed:
+                return known[0]
+            address = self._addresses[instance_id]
+            peer = await wire.dial(address.host, address.port, self._hello)
+            task = asyncio.ensure_future(peer.run())
+            self._connections[instance_id] = (peer, task)
+            return peer
 
     async def request(self, command, timeout_s=10.0):
         """Return the result; OutcomeUnknown if it may have been applied."""
--- /dev/null
+++ b/pimentowalk/control/tests/test_daemon.py
@@ -0,0 +1,217 @@
+"""Guard whole control instances: real replicas, processes, signals."""
+
+import asyncio
+import contextlib
+import signal
+
+import attrs
+import pytest
+
+from pimentowalk.control import client
+from pimentowalk.control import commands
+from pimentowalk.control import daemon
+from pimentowalk.control import operators
+from pimentowalk.control.tests import builders
+from pimentowalk.control.tests import fakes
+from pimentowalk.control.tests import harness
+from pimentowalk.core import errors
+from pimentowalk.core import timers
+from pimentowalk.settings import daemon as settings_module
+from pimentowalk.topology import instances
+from tools import deployment
+
+PATIENCE_S = 20
+
+
+def write_operators(folder):
+    """Return the path of an operators file with the token of anna."""
+    path = folder / 'operators.ini'
+    path.write_text(
+        f'[operators]\nanna = {operators.hash_token(fakes.TOKEN)}\n'
+    )
+    path.chmod(0o600)
+    return path
+
+
+def write_settings(folder, count, voters):
+    """Return the settings of some control instances."""
+    control = [
+        instances.Instance(f'control-{n}', '127.0.0.1', deployment.free_port())
+        for n in range(1, count + 1)
+    ]
+    ids = [one.instance_id for one in control[:voters]]
+    operators_file = write_operators(folder)
+    return [
+        settings_module.ControlSettings(
+            settings_module.ProcessSettings(
+                one.instance_id,
+                'zone-1',
+                '',
+                one.host,
+                one.port,
+                'INFO',
+                control,
+                0.1,
+            ),
+            str(folder / one.instance_id),
+            ids if one.instance_id in ids else [],
+            str(operators_file),
+        )
+        for one in control
+    ]
+
+
+@contextlib.asynccontextmanager
+async def running(settings):
+    """Run control instances in this process, and a client for them."""
+    daemons = [daemon.ControlDaemon(one) for one in settings]
+    for one in daemons:
+        await one.start()
+    caller = client.ControlClient(
+        settings[0].process.control, token=fakes.TOKEN
+    )
+    try:
+        yield daemons, caller
+    finally:
+        await caller.close()
+        for one in daemons:
+            await one.stop()
+
+
+async def outcome(caller, body):
+    """Return the version that a publish created, or its error code."""
+    try:
+        result = await caller.request(body, PATIENCE_S)
+    except errors.PimentowalkError as error:
+        return error.code
+    return getattr(result, 'version', result)
+
+
+async def test_one_of_racing_publishes_wins(tmp_path):
+    """Two operators with one expected version must not both succeed."""
+    settings = write_settings(tmp_path, 3, 3)
+    async with running(settings) as (daemons, caller):
+        second = client.ControlClient(
+            settings[0].process.control[::-1], token=fakes.TOKEN
+        )
+        for version in range(3):
+            bodies = [
+                builders.publish(
+                    f'c{version}-{n}', version, one=builders.source(1, n + 1.0)
+                )
+                for n in range(8)
+            ]
+            outcomes = await asyncio.gather(
+                *(
+                    outcome((caller, second)[n % 2], body)
+                    for n, body in enumerate(bodies)
+                )
+            )
+            assert (
+                sorted(map(str, outcomes))
+                == [str(version + 1)] + ['conflict'] * 7
+            )
+            winner = bodies[outcomes.index(version + 1)]
+            await harness.until(
+                lambda expected=version + 1: all(
+                    d.state.version == expected for d in daemons
+                )
+            )
+            accounts = daemons[2].state.part('publishing').configuration
+            assert (
+                accounts.accounts['acc-1']
+                == (winner.sources['one'].accounts[0])
+            )
+        await second.close()
+
+
+async def leader_of(caller):
+    """Return the id of the leader."""
+    listed = await caller.request(commands.ListMembers(), PATIENCE_S)
+    return listed.leader_id
+
+
+@pytest.mark.processes
+async def test_publish_survives_the_kill_of_the_leader(tmp_path):
+    """A repeated publish at the new leader must get the first result."""
+    operators_file = write_operators(tmp_path)
+    with deployment.Deployment(tmp_path) as run:
+        run.start_controls(['zone-1', 'zone-2', 'zone-3'], operators_file)
+        caller = client.ControlClient(
+            [
+                instances.Instance(node_id, '127.0.0.1', port)
+                for node_id, port in run.control
+            ],
+            token=fakes.TOKEN,
+        )
+        body = builders.publish('c1', 0)
+        assert not (await caller.request(body, PATIENCE_S)).repeated
+        run.processes[await leader_of(caller)].kill()
+        result = await caller.request(body, PATIENCE_S)
+        assert (result.version, result.repeated) == (1, True)
+        leader = run.processes[await leader_of(caller)]
+        leader.signal(signal.SIGTERM)
+        assert await asyncio.to_thread(leader.wait_stopped) == 0
+        await caller.close()
+
+
+@pytest.mark.processes
+async def test_learner_joins_is_promoted_and_removed(tmp_path):
+    """Operators replace a lost instance without a restart of the others."""
+    control = [
+        instances.Instance(f'control-{n}', '127.0.0.1', port)
+        for n, port in (
+            (1, deployment.free_port()),
+            (2, deployment.free_port()),
+        )
+    ]
+    operators_file = write_operators(tmp_path)
+    caller = client.ControlClient(control, token=fakes.TOKEN)
+    with deployment.Deployment(tmp_path) as run:
+        run.control = [(one.instance_id, one.port) for one in control]
+        start_control(run, control[0], operators_file, 'control-1')
+        await caller.request(builders.publish('c1', 0), PATIENCE_S)
+        start_control(run, control[1], operators_file, '')
+        add = commands.ChangeMembers('m1', 'anna', 'add_learner', control[1])
+        await request_until_accepted(caller, add)
+        assert (await caller.request(add, PATIENCE_S)).repeated
+        promote = attrs.evolve(add, change_id='m2', action='promote')
+        await request_until_accepted(caller, promote)
+        listed = await caller.request(commands.ListMembers(), PATIENCE_S)
+        assert [m.voter for m in listed.members] == [True, True]
+        remove = attrs.evolve(add, change_id='m3', action='remove')
+        await caller.request(remove, PATIENCE_S)
+        audit = await caller.request(commands.ReadAudit(), PATIENCE_S)
+        told = [record.change_id for record in audit.records]
+        assert told == ['c1', 'm1', 'm2', 'm3']
+        await caller.close()
+
+
+def start_control(run, instance, operators_file, voters):
+    """Start one control instance with its own list of first voters."""
+    name = instance.instance_id
+    sections = {
+        'process': run.process_section(name, instance.port, 'zone-1'),
+        'control': {
+            'data_folder': run.folder / f'{name}-data',
+            'voters': voters,
+            'operators_file': operators_file,
+        },
+    }
+    settings = run.write_settings(name, sections)
+    run.run(name, 'pimentowalk.control', settings)
+
+
+async def request_until_accepted(caller, body):
+    """Repeat a change while the learner starts or is behind."""
+    code = 'conflict'
+    async with asyncio.timeout(PATIENCE_S):
+        while code in ('conflict', 'peer_lost'):
+            code = await outcome(caller, body)
+            await timers.TimerService().sleep(0.1)
+
+
+async def test_wrong_settings_are_told_in_one_line(tmp_path, capsys):
+    """An operator should see the fault, not a traceback."""
+    assert daemon.start(str(tmp_path / 'missing.ini')) == 2
+    assert 'bad_settings' in capsys.readouterr().err
