--- a/pimentowalk/control/repeats.py
+++ b/pimentowalk/control/change_results.py
@@ -16,8 +16,8 @@
     return identifiers.hash64(commands.to_log(body))
 
 
-@parts.part('repeats')
-class Repeats:
+@parts.part('changes')
+class Changes:
     """Remember accepted changes so that a resend gets the same result."""
 
     def __init__(self, limit=CHANGES_KEPT):
--- a/pimentowalk/control/member_commands.py
+++ b/pimentowalk/control/member_changes.py
@@ -11,11 +11,12 @@
 from pimentowalk.topology import instances
 
 ACTIONS = (members.ADD_LEARNER, members.PROMOTE, members.REMOVE)
+# A change commits in two round trips; adding also asks the new instance.
 CHANGE_TIMEOUT_S = 5.0
 
 
 def listed(replica):
-    """Return the members as attrs values."""
+    """Return the members as operators see them."""
     return [
         commands.Member(
             instances.Instance(
--- a/pimentowalk/control/requests.py
+++ b/pimentowalk/control/requests.py
@@ -5,7 +5,7 @@
 import attrs
 
 from pimentowalk.control import commands
-from pimentowalk.control import member_commands
+from pimentowalk.control import member_changes
 from pimentowalk.control import publishing
 from pimentowalk.core import errors
 from pimentowalk.core import logs
@@ -80,7 +80,7 @@
         earlier = self.state.earlier_result(body)
         if earlier is not None:
             return earlier
-        await member_commands.change(self.replica, body)
+        await member_changes.change(self.replica, body)
         return await self.replica.propose(
             commands.to_log(body), PROPOSE_TIMEOUT_S
         )
@@ -128,8 +128,7 @@
 def list_members(handler, body):
     """Return the members of the replicated log."""
     return commands.MembersResult(
-        member_commands.listed(handler.replica),
-        handler.replica.leader_id or '',
+        member_changes.listed(handler.replica), handler.replica.leader_id or ''
     )
 
 
--- a/pimentowalk/control/tests/fakes.py
+++ b/pimentowalk/control/tests/fakes.py
@@ -13,6 +13,18 @@
 TOKEN = 'token-of-anna'
 
 
+def member_of(instance, voter):
+    """Return a member as the replica lists it."""
+    return members.Member(
+        instance.instance_id,
+        'identity',
+        instance.host,
+        instance.port,
+        instance.zone,
+        voter,
+    )
+
+
 class FakeReplica:
     """Apply each command at once; faults are switched on by attributes."""
 
@@ -24,8 +36,8 @@
         self.time_s = 1_000_000.0
         self.failures = []
         self.handled = []
-        own = members.Member(node_id, 'id', '127.0.0.1', 1, voter=True)
-        self._members = members.MemberSet((own,))
+        own = instances.Instance(node_id, '127.0.0.1', 1)
+        self._members = {node_id: member_of(own, True)}
         self.actions = []
 
     @property
@@ -53,18 +65,16 @@
             raise errors.NotLeader('a follower')
 
     def members(self):
-        return list(self._members.members)
+        return list(self._members.values())
 
     async def change_members(self, action, instance, timeout_s):
         self.actions.append(action)
-        node_id = instance.instance_id
-        learner = members.Member(node_id, 'new', instance.host, instance.port)
-        change = {
-            members.ADD_LEARNER: lambda m: members.with_learner(m, learner),
-            members.PROMOTE: lambda m: members.with_promoted(m, node_id),
-            members.REMOVE: lambda m: members.without(m, node_id),
-        }
-        self._members = change[action](self._members)
+        self._members.pop(instance.instance_id, None)
+        if action != members.REMOVE:
+            self._members[instance.instance_id] = member_of(
+                instance, action == members.PROMOTE
+            )
+        return self.members()
 
     async def handle(self, connection, envelope):
         self.handled.append(envelope.body)
--- a/pimentowalk/control/tests/test_proofs.py
+++ b/pimentowalk/control/tests/test_proofs.py
@@ -3,13 +3,13 @@
 import hypothesis
 import pytest
 
+from pimentowalk.control import change_results
 from pimentowalk.control import claims
 from pimentowalk.control import commands
 from pimentowalk.control import deltas
 from pimentowalk.control import fences
 from pimentowalk.control import publishing
 from pimentowalk.control import quarantine
-from pimentowalk.control import repeats
 from pimentowalk.control.tests import deliveries
 from pimentowalk.control.tests import differential
 from pimentowalk.core import errors
@@ -59,11 +59,11 @@
 
 
 def _without_memory(monkeypatch):
-    monkeypatch.setattr(repeats.Repeats, 'remember', lambda *a: None)
+    monkeypatch.setattr(change_results.Changes, 'remember', lambda *a: None)
 
 
 def _memory_lost_on_restart(monkeypatch):
-    monkeypatch.setattr(repeats.Repeats, 'restore', lambda *a: None)
+    monkeypatch.setattr(change_results.Changes, 'restore', lambda *a: None)
 
 
 def _lower_version_applied(monkeypatch):
