--- a/pimentowalk/control/change_results.py
+++ b/pimentowalk/control/change_results.py
@@ -11,9 +11,9 @@
 CHANGES_KEPT = 30_000
 
 
-def digest(body):
-    """Return a hash of a command that ignores nothing but its class."""
-    return identifiers.hash64(commands.to_log(body))
+def digest(content):
+    """Return a hash of a command in the form of its log record."""
+    return identifiers.hash64(content)
 
 
 @parts.part('changes')
@@ -24,7 +24,7 @@
         self._limit = limit
         self._entries = collections.OrderedDict()
 
-    def earlier(self, body):
+    def earlier(self, body, content):
         """Return the earlier result as JSON data, or None.
 
         Raises Conflict if the id was used for another change.
@@ -32,16 +32,16 @@
         entry = self._entries.get(body.change_id)
         if entry is None:
             return None
-        if entry[0] != digest(body):
+        if entry[0] != digest(content):
             raise errors.Conflict(
                 f'change id {body.change_id} was used for another change'
             )
         return entry[1]
 
-    def remember(self, body, result):
+    def remember(self, body, content, result):
         """Keep the result of an accepted change."""
         data = commands.CONVERTER.unstructure(result)
-        self._entries[body.change_id] = [digest(body), data]
+        self._entries[body.change_id] = [digest(content), data]
         while len(self._entries) > self._limit:
             self._entries.popitem(last=False)
 
--- a/pimentowalk/control/client.py
+++ b/pimentowalk/control/client.py
@@ -150,6 +150,10 @@
         """Return the result; OutcomeUnknown if it may have been applied."""
         return await self._caller.request(command, timeout_s)
 
+    def links(self):
+        """Return the links to all control instances."""
+        return list(self._links.values())
+
     def on_configuration(self, callback):
         """Call `callback(configuration)` after each change."""
         self._configuration_callbacks.append(callback)
--- a/pimentowalk/control/commands.py
+++ b/pimentowalk/control/commands.py
@@ -1,13 +1,10 @@
 """Commands and queries for control, and their JSON form."""
 
-import collections.abc
-import json
-import zlib
-
 import attrs
 import cattrs
 from cattrs.preconf import json as json_converter
 
+from pimentowalk.control import packing
 from pimentowalk.core import errors
 from pimentowalk.core import registry
 from pimentowalk.topology import contracts
@@ -17,11 +14,6 @@
 COMMANDS = registry.Registry('control command')
 CONVERTER = json_converter.make_converter()
 
-# A frame holds 1 MiB; 11,000 accounts need about 3 MB of JSON, which
-# compresses below that limit.
-COMPRESS_ABOVE_BYTES = 1 << 16
-MAX_CONTENT_BYTES = 16 << 20
-
 
 def command(name, result, *, logged=False, operator=False, local=False):
     """Register a command class.
@@ -66,23 +58,12 @@
 
 
 def as_sources(values):
-    """Return sources, also from mappings or objects with the same names."""
-    return {name: _as_source(value) for name, value in values.items()}
-
-
-def _as_source(value):
-    if isinstance(value, Source):
-        return value
-    fields = {}
-    for field in attrs.fields(Source):
-        if isinstance(value, collections.abc.Mapping):
-            found = value.get(field.name, [])
-        else:
-            found = getattr(value, field.name)
-        if isinstance(found, collections.abc.Mapping):
-            found = found.values()
-        fields[field.name] = list(found)
-    return Source(**fields)
+    """Return sources, also from objects of the same fields."""
+    names = [field.name for field in attrs.fields(Source)]
+    return {
+        key: Source(*(list(getattr(value, name)) for name in names))
+        for key, value in values.items()
+    }
 
 
 @attrs.frozen
@@ -384,35 +365,9 @@
     server_id: str
 
 
-def pack(value):
-    """Return JSON bytes, compressed if they are long."""
-    content = json.dumps(value, separators=(',', ':')).encode()
-    if len(content) > COMPRESS_ABOVE_BYTES:
-        return zlib.compress(content, 1)
-    return content
-
-
-def unpack(content):
-    """Return the value of packed JSON; raise PimentowalkError."""
-    try:
-        if content[:1] == b'\x78':
-            unzip = zlib.decompressobj()
-            content = unzip.decompress(content, MAX_CONTENT_BYTES)
-            if unzip.unconsumed_tail:
-                raise errors.PimentowalkError(
-                    f'the content exceeds {MAX_CONTENT_BYTES} bytes',
-                    code='too_large',
-                )
-        return json.loads(content)
-    except (ValueError, zlib.error, RecursionError) as error:
-        raise errors.PimentowalkError(
-            f'malformed content: {error}', code='bad_request'
-        ) from None
-
-
 def encode(value):
     """Return an attrs value as packed JSON."""
-    return pack(CONVERTER.unstructure(value))
+    return packing.pack(CONVERTER.unstructure(value))
 
 
 def _structure(value, cls):
@@ -426,17 +381,19 @@
 
 def decode(content, cls):
     """Return an attrs value from packed JSON; raise PimentowalkError."""
-    return _structure(unpack(content), cls)
+    return _structure(packing.unpack(content), cls)
 
 
 def to_log(body):
     """Return a command as the content of a log record."""
-    return pack({'name': body.NAME, 'body': CONVERTER.unstructure(body)})
+    return packing.pack(
+        {'name': body.NAME, 'body': CONVERTER.unstructure(body)}
+    )
 
 
 def from_log(content):
     """Return the command in a log record; raise PimentowalkError."""
-    value = unpack(content)
+    value = packing.unpack(content)
     if not isinstance(value, dict) or set(value) != {'name', 'body'}:
         raise errors.PimentowalkError('not a command', code='bad_request')
     return _structure(value['body'], COMMANDS.get(value['name']))
--- a/pimentowalk/control/daemon.py
+++ b/pimentowalk/control/daemon.py
@@ -107,7 +107,7 @@
         settings = settings_module.load_control(settings_path)
         logs.configure('control', settings.process.log_level)
         return asyncio.run(run(settings))
-    except errors.PimentowalkError as error:
+    except (errors.PimentowalkError, OSError) as error:
         print(error, file=sys.stderr)
         return 2
 
--- a/pimentowalk/control/directory.py
+++ b/pimentowalk/control/directory.py
@@ -136,15 +136,22 @@
             node.closed_s = now_s
 
     def expire(self, now_s):
-        """Remove the nodes that are silent or whose connection ended."""
+        """Remove the nodes that are silent or whose connection ended.
+
+        Returns the connections of the silent ones.
+        """
+        silent_connections = []
         for node in list(self._nodes.values()):
             silent = now_s - node.heard_s > self._expiry_s
             gone = (
                 node.closed_s is not None
                 and now_s - node.closed_s >= CLOSED_GRACE_S
             )
+            if silent:
+                silent_connections.append(node.connection)
             if silent or gone:
                 self._remove(node)
+        return silent_connections
 
     def _remove(self, node):
         del self._nodes[node.node_id]
--- a/pimentowalk/control/links.py
+++ b/pimentowalk/control/links.py
@@ -5,6 +5,7 @@
 
 from pimentowalk.control import deltas
 from pimentowalk.core import errors
+from pimentowalk.core import identifiers
 from pimentowalk.core import registry
 from pimentowalk.core import timers
 from pimentowalk.wire import connection as wire
@@ -30,6 +31,10 @@
         self.assembler = deltas.Assembler()
         self._announced = None
         self._reader = None
+        # Nodes that lost the same instance must not dial it all at once.
+        name = session.hello.node_id
+        part = identifiers.hash64(name, address.instance_id) % 1000
+        self._spread = 0.5 + part / 2000
 
     @property
     def is_open(self):
@@ -54,7 +59,7 @@
             except TimeoutError:
                 self.peer.abort()
             await self._close()
-            await self.session.timers.sleep(delay_s)
+            await self.session.timers.sleep(delay_s * self._spread)
             delay_s = min(delay_s * 2, LONGEST_RETRY_S)
 
     async def _open(self):
--- a/pimentowalk/control/requests.py
+++ b/pimentowalk/control/requests.py
@@ -77,13 +77,12 @@
 
     async def _change_members(self, body):
         await self.replica.read_barrier()
-        earlier = self.state.earlier_result(body)
+        content = commands.to_log(body)
+        earlier = self.state.earlier_result(body, content)
         if earlier is not None:
             return earlier
         await member_changes.change(self.replica, body)
-        return await self.replica.propose(
-            commands.to_log(body), PROPOSE_TIMEOUT_S
-        )
+        return await self.replica.propose(content, PROPOSE_TIMEOUT_S)
 
 
 def name_of_query(body):
--- a/pimentowalk/control/server.py
+++ b/pimentowalk/control/server.py
@@ -104,7 +104,10 @@
         await self.peers.stop()
 
     def _expire(self):
-        self.directory.expire(self.timers.now_s())
+        # A frozen node would let the pushes pile up in its send buffer. It
+        # dials again when it goes on.
+        for peer in self.directory.expire(self.timers.now_s()):
+            peer.abort()
 
     def _accept(self, peer):
         peer.on_frame = self._on_frame
--- a/pimentowalk/control/state.py
+++ b/pimentowalk/control/state.py
@@ -48,34 +48,37 @@
         # Clocks of successive leaders differ; time must not run backwards.
         self.time_s = max(self.time_s, time_s)
         try:
-            result = self._dispatch(commands.from_log(command))
+            result = self._dispatch(commands.from_log(command), command)
         except errors.PimentowalkError as error:
             return commands.Refusal(error.code, error.message)
         for callback in self._callbacks:
             callback()
         return result
 
-    def earlier_result(self, body):
-        """Return the result of an earlier use of a change id, or None."""
+    def earlier_result(self, body, content):
+        """Return the result of an earlier use of a change id, or None.
+
+        `content` is the command in the form of its log record.
+        """
         if not hasattr(body, 'change_id'):
             return None
-        data = self.part('changes').earlier(body)
+        data = self.part('changes').earlier(body, content)
         if data is None:
             return None
         return commands.CONVERTER.structure(
             {**data, 'repeated': True}, body.RESULT
         )
 
-    def _dispatch(self, body):
+    def _dispatch(self, body, content):
         handler = parts.HANDLERS.get(body.NAME)
-        earlier = self.earlier_result(body)
+        earlier = self.earlier_result(body, content)
         if earlier is not None:
             return earlier
         from_version = self.version
         context = parts.Context(self.index, self.time_s)
         result = handler(self, body, context)
         if hasattr(body, 'change_id'):
-            self.part('changes').remember(body, result)
+            self.part('changes').remember(body, content, result)
         if context.changed:
             self._record(body, context, from_version)
         return result
