Refuse unsafe paths, bound claims by the deadline, count running work

Cause: a path with dot segments matched one route and would have been resolved by the service into another, whose methods are not to be repeated. A claim that was granted after the deadline was followed by a call for nobody. Agents report queued work for heads only, so other stages looked idle.

Ruled out: normalizing the path, since the service might still read it in another way than the entry.

Change: paths with dot segments, also encoded once or twice, are refused; OpenClaim gets the time left and is given back if none is left; running sequences count as 32 queued tokens each; loads of servers outside the view are dropped; the Bearer scheme is read without regard to case.

Conclusion: the entry keeps a route's rules for every call that it sends.

--- a/pimentowalk/entry/claims.py
+++ b/pimentowalk/entry/claims.py
@@ -27,6 +27,7 @@
 # A resend waits this long for the result of a call that still runs.
 IN_PROGRESS_WAIT_S = 2.0
 IN_PROGRESS_POLL_S = 0.25
+MAX_OPEN_S = 5.0
 
 
 @attrs.frozen
@@ -74,7 +75,7 @@
         self._timers = timers
         self._tasks = set()
 
-    async def open(self, spec, server, attempt):
+    async def open(self, spec, server, attempt, timeout_s):
         """Return `Held`, or `Recorded` if the call has run before.
 
         Raises RequestFailed if the call must not be sent.
@@ -93,8 +94,9 @@
             attempt=attempt,
         )
         give_up_s = self._timers.now_s() + IN_PROGRESS_WAIT_S
+        timeout_s = min(timeout_s, MAX_OPEN_S)
         while True:
-            result = await self._request_open(command, held)
+            result = await self._request_open(command, held, timeout_s)
             if result.state == 'new':
                 return held
             claim = result.claim
@@ -104,9 +106,9 @@
                 return _ended(result)
             await self._resolve(held, claim, give_up_s)
 
-    async def _request_open(self, command, held):
+    async def _request_open(self, command, held, timeout_s):
         try:
-            return await self._session.request(command)
+            return await self._session.request(command, timeout_s)
         except errors.PimentowalkError as error:
             # The claim may have been accepted although its reply was lost.
             # The call has not left, so releasing it is right.
--- a/pimentowalk/entry/context.py
+++ b/pimentowalk/entry/context.py
@@ -107,7 +107,9 @@
 
     def refresh_view(self, *_):
         """Take over a changed view."""
-        self.routing.index.update(self.session.view.servers())
+        servers = self.session.view.servers()
+        self.routing.index.update(servers)
+        self.routing.loads.keep_only({s.server_id for s in servers})
 
     def refresh_configuration(self, *_):
         """Drop what belongs to accounts that no longer exist."""
--- a/pimentowalk/entry/front.py
+++ b/pimentowalk/entry/front.py
@@ -19,7 +19,7 @@
 # A body has to fit into one frame, with room for the other fields and the
 # tokens that a retry carries.
 MAX_BODY_BYTES = 512 * 1024
-BEARER = 'Bearer '
+BEARER = 'bearer'
 
 
 class Front:
@@ -129,10 +129,10 @@
         if not self._context.ready:
             raise errors.NotRun('no configuration yet', step='authenticate')
         header = http.headers.get('Authorization', '')
+        scheme, _, key = header.partition(' ')
         account = None
-        if header.startswith(BEARER):
-            key = header.removeprefix(BEARER).strip()
-            account = self._context.accounts.find(configuration, key)
+        if scheme.lower() == BEARER:
+            account = self._context.accounts.find(configuration, key.strip())
         if account is None:
             raise errors.PimentowalkError(
                 'the key belongs to no client account',
--- a/pimentowalk/entry/service_call.py
+++ b/pimentowalk/entry/service_call.py
@@ -73,9 +73,7 @@
             server = self._choose()
             held = None
             if self.spec.non_idempotent and self.spec.key:
-                held = await self._claims.open(
-                    self.spec, server, len(self.records) + 1
-                )
+                held = await self._claim(server)
                 if isinstance(held, entry_claims.Recorded):
                     return _replayed(held)
             try:
@@ -85,6 +83,15 @@
                 continue
             return await self._finished(server, held, reply)
 
+    async def _claim(self, server):
+        held = await self._claims.open(
+            self.spec, server, len(self.records) + 1, self.remaining_s()
+        )
+        if self.remaining_s() > 0 or isinstance(held, entry_claims.Recorded):
+            return held
+        await self._claims.release(held)
+        raise self._failure('the deadline passed', 'deadline')
+
     def _choose(self):
         server = plain.choose(
             self._context.routing, self.spec.service.name, self._avoid
--- a/pimentowalk/entry/service_front.py
+++ b/pimentowalk/entry/service_front.py
@@ -1,6 +1,7 @@
 """HTTP routes of the configuration to plain services."""
 
 import asyncio
+from urllib import parse
 
 from aiohttp import web
 
@@ -97,9 +98,9 @@
     async def _spec(self, request, account):
         http = request.http
         configuration = self._context.configuration
+        path = _safe_path(http)
         route, service = self._find(configuration, account, http.path)
         body = await http.read()
-        path = http.raw_path
         fingerprint = identifiers.hash64(
             account.name, service.name, http.method, path, body
         )
@@ -144,6 +145,25 @@
         return route, service
 
 
+def _safe_path(http):
+    """Return the path with its query; raise PimentowalkError.
+
+    A service would resolve dot segments, and so run a call under a route
+    whose methods and limits were not applied.
+    """
+    paths = [http.raw_path, http.path, parse.unquote(http.path)]
+    paths = [path.partition('?')[0] for path in paths]
+    if not all(path.startswith('/') for path in paths) or any(
+        segment in ('.', '..')
+        for path in paths
+        for segment in path.replace('\\', '/').split('/')
+    ):
+        raise errors.PimentowalkError(
+            'the path has dot segments', code='bad_request', step='parse'
+        )
+    return http.raw_path
+
+
 def _key(http):
     key = http.headers.get(KEY_HEADER, '')
     if len(key) > MAX_KEY_CHARACTERS or not key.isprintable():
--- a/pimentowalk/entry/tests/test_services.py
+++ b/pimentowalk/entry/tests/test_services.py
@@ -301,3 +301,68 @@
         assert harness.error_of(body)['not_run'] is True
         assert agent.calls == []
         assert not entry.session.claims
+
+
+async def raw_status(entry, target):
+    """POST to a target that no client library would send; get the status."""
+    reader, writer = await asyncio.open_connection(*entry.daemon.address)
+    head = (
+        f'POST {target} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n'
+        f'Authorization: Bearer {harness.KEY}\r\nContent-Length: 0\r\n\r\n'
+    )
+    writer.write(head.encode())
+    answer = await reader.read()
+    writer.close()
+    return int(answer.split()[1])
+
+
+async def test_paths_that_a_service_would_resolve_are_refused():
+    """A call under another route's rules could run more than once."""
+    async with harness.running() as entry:
+        agent = await entry.agent('s1', kind='plain')
+        entry.show()
+        routes = entry.session.configuration.routes
+        routes['open'] = attrs.evolve(
+            routes['bookings'],
+            name='open',
+            path_prefix='/open',
+            non_idempotent_methods=[],
+        )
+        for target in (
+            '/open/../bookings/new',
+            '/open/%2e%2e/bookings/new',
+            '/open/%252e%252e/bookings/new',
+            '/open/..%2fbookings/new',
+            '/open/..\\bookings/new',
+            '/open/./new',
+        ):
+            assert await raw_status(entry, target) in (400, 404), target
+        for target in ('@127.0.0.1/open', 'http://127.0.0.1:1/open/new'):
+            await raw_status(entry, target)
+        assert [c.path for c in agent.calls if c.path[0] != '/'] == []
+        assert await raw_status(entry, '/open/new..x') == 200
+        assert not agent.calls[-1].non_idempotent
+
+
+async def test_claim_that_took_until_the_deadline_is_given_back():
+    """A call sent after its deadline would run for nobody."""
+    timers = core_timers.ManualTimerService()
+    async with harness.running(timers) as entry:
+        agent = await entry.agent('s1', kind='plain')
+        entry.show()
+        request = entry.session.request
+
+        async def slow(command, timeout_s=5.0):
+            if isinstance(command, fake_control.OpenClaim):
+                assert timeout_s <= 0.4
+                await timers.advance(0.5)
+            return await request(command)
+
+        entry.session.request = slow
+        headers = {'X-Deadline-Ms': '400'}
+        status, _, body = await entry.book(key='k1', headers=headers)
+        error = harness.error_of(body)
+        assert (status, error['code']) == (504, 'deadline')
+        assert error['not_run'] is True
+        assert agent.calls == []
+        assert not entry.session.claims
--- a/pimentowalk/routing/loads.py
+++ b/pimentowalk/routing/loads.py
@@ -13,6 +13,9 @@
 # Work whose end was never reported stops counting after this time.
 SENT_EXPIRY_S = 30.0
 DEFAULT_TOKENS_PER_S = 100.0
+# Requests queue at heads only, so the load of other stages shows in their
+# running sequences. Each counts as this much queued work.
+RUNNING_TOKENS = 32
 
 
 @attrs.define(eq=False)
@@ -45,7 +48,9 @@
         now_s = self._timers.now_s()
         for load in loads:
             known = self._known.setdefault(load.server_id, _Known())
-            known.queued_tokens = load.queued_tokens
+            known.queued_tokens = (
+                load.queued_tokens + load.running * RUNNING_TOKENS
+            )
             known.reported_s = now_s
             if load.tokens_per_s > 0:
                 known.tokens_per_s = load.tokens_per_s
@@ -67,10 +72,10 @@
             if known is not None and known.sent.pop(id(charge), None):
                 known.sent_tokens -= charge.tokens
 
-    def forget(self, server_ids):
-        """Drop what is known of servers that left the view."""
-        for server_id in server_ids:
-            self._known.pop(server_id, None)
+    def keep_only(self, server_ids):
+        """Drop what is known of servers outside the view."""
+        for server_id in self._known.keys() - server_ids:
+            del self._known[server_id]
 
     def _forget_sent(self, known, before_s):
         while known.sent:
@@ -81,7 +86,7 @@
             known.sent_tokens -= charge.tokens
 
     def queued_tokens(self, server_id):
-        """Return the estimated queue of a server in tokens."""
+        """Return the estimated work ahead of a new request in tokens."""
         known = self._known.get(server_id)
         if known is None:
             return 0.0
