--- a/pimentowalk/wire/frames.capnp
+++ b/pimentowalk/wire/frames.capnp
@@ -58,6 +58,10 @@
   position @7 :UInt64;
   maxTokens @8 :UInt64;
   chain @9 :List(StageAddress);
+  firstIndex @10 :UInt64;
+  account @11 :Text;
+  fingerprint @12 :UInt64;
+  isolate @13 :Bool;
 }
 
 struct StageLoad {
@@ -132,8 +136,15 @@
   engineCrashed @6 :Bool;
 }
 
+struct LinkDelay {
+  sourceId @0 :Text;
+  targetId @1 :Text;
+  roundTripS @2 :Float64;
+}
+
 struct LoadReport {
   loads @0 :List(StageLoad);
+  links @1 :List(LinkDelay);
 }
 
 struct Header {
@@ -218,20 +229,25 @@
   changed @1 :List(BackendServer);
   removed @2 :List(Text);
   liveEntries @3 :UInt64;
+  more @4 :Bool;
 }
 
 struct ConfigurationPull {
   afterVersion @0 :UInt64;
+  subscription @1 :Text;
 }
 
 struct ConfigurationPush {
   fromVersion @0 :UInt64;
   toVersion @1 :UInt64;
   content @2 :Data;
+  piece @3 :UInt64;
+  pieces @4 :UInt64;
 }
 
 struct QuarantineUpdate {
   fingerprints @0 :List(UInt64);
+  appliedIndex @1 :UInt64;
 }
 
 struct Order {
@@ -267,6 +283,8 @@
   lastTerm @3 :UInt64;
   preVote @4 :Bool;
   transfer @5 :Bool;
+  clusterId @6 :Text;
+  voterIdentity @7 :Text;
 }
 
 struct VoteReply {
@@ -288,6 +306,8 @@
   previousTerm @3 :UInt64;
   commitIndex @4 :UInt64;
   records @5 :List(LogRecord);
+  clusterId @6 :Text;
+  receiverIdentity @7 :Text;
 }
 
 struct AppendReply {
@@ -304,6 +324,8 @@
   offsetBytes @4 :UInt64;
   content @5 :Data;
   done @6 :Bool;
+  clusterId @7 :Text;
+  receiverIdentity @8 :Text;
 }
 
 struct SnapshotReply {
@@ -313,11 +335,31 @@
 
 struct TimeoutNow {
   term @0 :UInt64;
+  clusterId @1 :Text;
+  receiverIdentity @2 :Text;
 }
 
 struct Empty {
 }
 
+struct RenewAttempts {
+  requestIds @0 :List(Data);
+  attempts @1 :List(UInt64);
+}
+
+struct IdentityRequest {
+  clusterId @0 :Text;
+}
+
+struct IdentityReply {
+  nodeId @0 :Text;
+  identity @1 :Text;
+  clusterId @2 :Text;
+  empty @3 :Bool;
+  votersDigest @4 :UInt64;
+  lastIndex @5 :UInt64;
+}
+
 struct Frame {
   configVersion @0 :UInt64;
   callId @1 :UInt64;
@@ -354,5 +396,8 @@
     snapshotReply @31 :SnapshotReply;
     timeoutNow @32 :TimeoutNow;
     empty @33 :Empty;
+    renewAttempts @34 :RenewAttempts;
+    identityRequest @35 :IdentityRequest;
+    identityReply @36 :IdentityReply;
   }
 }
--- a/pimentowalk/wire/messages.py
+++ b/pimentowalk/wire/messages.py
@@ -125,7 +125,12 @@
 @message('openAttempt')
 @attrs.frozen
 class OpenAttempt:
-    """Ask a head agent to run an attempt of a model request."""
+    """Ask a head agent to run an attempt of a model request.
+
+    `generated` are the tokens already passed on; the first new token has
+    the index `len(generated)`, and `max_tokens` counts them too.
+    `deadline_ms` is the time left when the frame is sent, 0 without limit.
+    """
 
     request_id: bytes
     attempt: int
@@ -153,7 +158,10 @@
 class PrepareAttempt:
     """Tell a later stage of an admitted attempt about its chain.
 
-    `position` is the place of the receiver in the chain.
+    `position` is the place of the receiver in the chain and `first_index`
+    the token index of the first step. `account` and `fingerprint` serve
+    the record of requests in flight at an engine crash. The receiver
+    answers with `Empty`, or a `Failure` that proves that nothing ran.
     """
 
     request_id: bytes
@@ -166,6 +174,10 @@
     position: int
     max_tokens: int
     chain: list[StageAddress]
+    first_index: int = 0
+    account: str = ''
+    fingerprint: int = 0
+    isolate: bool = False
 
 
 @message('attemptStatus')
@@ -227,12 +239,26 @@
     engine_crashed: bool = False
 
 
+@attrs.frozen
+class LinkDelay:
+    """A measured round trip from one agent to another."""
+
+    source_id: str
+    target_id: str
+    round_trip_s: float
+
+
 @message('loadReport')
 @attrs.frozen
 class LoadReport:
-    """Report loads to the entries that recently sent work."""
+    """Report loads to the entries that recently sent work.
+
+    `links` holds the round trips that the sender measured to the agents of
+    next stages, or that reached it from later stages.
+    """
 
     loads: list[StageLoad]
+    links: list[LinkDelay] = attrs.field(factory=list)
 
 
 @attrs.frozen
@@ -289,7 +315,8 @@
     """Fence an attempt and ask whether it was ever admitted.
 
     The receiver answers with an `AttemptStatus`; `cancelled` means that the
-    attempt was never admitted and never will be.
+    attempt was never admitted and never will be, `admitted` that a service
+    call still runs, `failed` that it may have run.
     """
 
     request_id: bytes
@@ -322,7 +349,7 @@
     """Ask a control instance for a view of these services.
 
     An empty list means all services. At most `servers_per_range` servers
-    of each layer range are sent, chosen for this node.
+    of each layer range are sent, chosen for this node; 0 ends the watch.
     """
 
     services: list[str]
@@ -332,20 +359,29 @@
 @message('viewUpdate')
 @attrs.frozen
 class ViewUpdate:
-    """Change a watched view; with `whole` set, replace it."""
+    """Change a watched view; with `whole` set, replace it.
+
+    A whole view may come in pieces, of which all but the last set `more`.
+    """
 
     whole: bool
     changed: list[instances.BackendServer]
     removed: list[str]
     live_entries: int
+    more: bool = False
 
 
 @message('configurationPull')
 @attrs.frozen
 class ConfigurationPull:
-    """Ask for the changes after a version."""
+    """Ask for the changes after a version.
+
+    `subscription` is `start` to get later changes pushed, `stop` to end
+    that, or empty to leave it as it is.
+    """
 
     after_version: int
+    subscription: str = ''
 
 
 @message('configurationPush')
@@ -353,20 +389,27 @@
 class ConfigurationPush:
     """Carry changes from one version to another as JSON.
 
-    `from_version` 0 carries the whole configuration.
+    `from_version` 0 carries the whole configuration. Long content comes in
+    `pieces` frames; no content only tells that `to_version` is accepted.
     """
 
     from_version: int
     to_version: int
     content: bytes
+    piece: int = 0
+    pieces: int = 1
 
 
 @message('quarantineUpdate')
 @attrs.frozen
 class QuarantineUpdate:
-    """Replace the list of quarantined fingerprints."""
+    """Replace the list of quarantined fingerprints.
+
+    `applied_index` is the log index at which the list was read.
+    """
 
     fingerprints: list[int]
+    applied_index: int = 0
 
 
 @message('order')
@@ -400,7 +443,7 @@
 
     name: str
     content: bytes
-    token: str = ''
+    token: str = attrs.field(default='', repr=False)
 
 
 @message('controlReply')
@@ -427,7 +470,10 @@
 @message('voteRequest')
 @attrs.frozen
 class VoteRequest:
-    """Ask for a vote; with `pre_vote` set, only whether it would be given."""
+    """Ask for a vote; with `pre_vote` set, only whether it would be given.
+
+    `voter_identity` is the identity under which the vote will be counted.
+    """
 
     term: int
     candidate_id: str
@@ -435,6 +481,8 @@
     last_term: int
     pre_vote: bool = False
     transfer: bool = False
+    cluster_id: str = ''
+    voter_identity: str = ''
 
 
 @message('voteReply')
@@ -457,6 +505,8 @@
     previous_term: int
     commit_index: int
     records: list[LogRecord]
+    cluster_id: str = ''
+    receiver_identity: str = ''
 
 
 @message('appendReply')
@@ -485,6 +535,8 @@
     offset_bytes: int
     content: bytes
     done: bool
+    cluster_id: str = ''
+    receiver_identity: str = ''
 
 
 @message('snapshotReply')
@@ -502,9 +554,48 @@
     """Ask a follower to start an election at once."""
 
     term: int
+    cluster_id: str = ''
+    receiver_identity: str = ''
 
 
 @message('empty')
 @attrs.frozen
 class Empty:
     """Answer a call that has no other result."""
+
+
+@message('renewAttempts')
+@attrs.frozen
+class RenewAttempts:
+    """Renew the lease of running attempts at a later stage.
+
+    Both lists have one element for each attempt.
+    """
+
+    request_ids: list[bytes]
+    attempts: list[int]
+
+
+@message('identityRequest')
+@attrs.frozen
+class IdentityRequest:
+    """Ask a control replica who it is and whether its folder is empty."""
+
+    cluster_id: str = ''
+
+
+@message('identityReply')
+@attrs.frozen
+class IdentityReply:
+    """Tell who a control replica is.
+
+    `empty` is set where the replica has neither records nor a vote.
+    `voters_digest` is a hash over the voters of its settings.
+    """
+
+    node_id: str
+    identity: str
+    cluster_id: str
+    empty: bool
+    voters_digest: int
+    last_index: int
