--- a/pimentowalk/agent/rules.py
+++ b/pimentowalk/agent/rules.py
@@ -23,9 +23,14 @@
     admitted: set[int] = attrs.field(factory=set)
 
 
+def is_fenced(record, attempt):
+    """Return whether an attempt must not begin or go on."""
+    return attempt <= record.closed or attempt < record.highest
+
+
 def accepts_attempt(record, attempt):
     """Return whether a new attempt may be queued or prepared."""
-    return attempt > record.highest and attempt > record.closed
+    return not is_fenced(record, attempt) and attempt > record.highest
 
 
 def accepts_step(record, attempt, next_index, running_index, index):
@@ -33,8 +38,8 @@
 
     `running_index` is the step that the engine still has, or -1.
     """
-    current = attempt > record.closed and attempt >= record.highest
-    return current and running_index < 0 and index == next_index
+    in_sequence = running_index < 0 and index == next_index
+    return in_sequence and not is_fenced(record, attempt)
 
 
 def accepts_token(next_index, running_index, index):
@@ -48,8 +53,7 @@
 
 def may_admit(record, attempt, *, draining, ready):
     """Return whether a queued attempt may still be admitted."""
-    current = attempt > record.closed and attempt >= record.highest
-    return current and ready and not draining
+    return ready and not draining and not is_fenced(record, attempt)
 
 
 def refusal_code(*, draining, ready, stale, quarantined):
--- /dev/null
+++ b/pimentowalk/agent/tests/proofs.py
@@ -0,0 +1,104 @@
+"""Proofs that fail with an AssertionError if a decision is wrong."""
+
+import asyncio
+
+import hypothesis
+from hypothesis import strategies
+
+from pimentowalk.admission import fair_queue
+from pimentowalk.agent import orders
+from pimentowalk.agent import rules
+from pimentowalk.agent.tests import fakes
+from pimentowalk.agent.tests import world
+from pimentowalk.wire import messages
+from specs import attempts
+from specs import service_calls
+from specs.tests import test_attempts
+
+CHOICES = strategies.lists(
+    strategies.integers(0, 10_000), min_size=10, max_size=60
+)
+
+
+def attempts_specification():
+    """Explore the specification of attempts."""
+    wrong, _ = test_attempts.explore(attempts)
+    assert wrong == ''
+
+
+def calls_specification():
+    """Explore the specification of non-idempotent calls."""
+    wrong, _ = test_attempts.explore(service_calls)
+    assert wrong == ''
+
+
+@hypothesis.settings(
+    max_examples=400,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    phases=[hypothesis.Phase.generate],
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+@hypothesis.given(CHOICES)
+def real_roles(choices):
+    """Drive the real roles through repeated and reordered frames."""
+    asyncio.run(world.walk(choices))
+
+
+def orders_in_sequence():
+    """Send old and repeated orders to the real order handling."""
+
+    class Recorder:
+        sent = []
+
+        async def post_order(self, order):
+            self.sent.append(order['fence'])
+            return 200, ''
+
+    async def run():
+        engine = Recorder()
+        engine.sent = []
+        control = fakes.FakeControl()
+        own = world.World()._own(0)
+        subject = orders.Orders(
+            own, engine, '', control.highest_fence, lambda: None
+        )
+        for fence in (2, 1, 2, 3):
+            await subject.handle(messages.Order(fence, 'load', b'{}'))
+        assert engine.sent == [2, 3]
+
+    asyncio.run(run())
+
+
+def lease_times():
+    """Check the limits of leases and of older versions."""
+    assert not rules.clock_jumped(0.0, 10.0)
+    assert rules.clock_jumped(0.0, 10.5)
+    assert not rules.lease_passed(0.0, 10.0)
+    assert rules.lease_passed(0.0, 10.5)
+    assert not rules.is_stale(3, 4, 1.9)
+    assert rules.is_stale(3, 4, 2.0)
+    assert not rules.is_stale(4, 4, 9.0)
+
+
+def queue_shares():
+    """Check reserved places and shares under wrong predictions."""
+    limits = fair_queue.QueueLimits(max_running=4, short_cost_tokens=10)
+    queue = fair_queue.FairQueue(limits)
+    for number in range(6):
+        queue.push(fair_queue.Work(number, 'a', 1.0, 50, 0.0))
+    while queue.pop(0.0) is not None:
+        pass
+    assert len(queue.running) == 3
+    served = {'a': 0, 'b': 0}
+    queue = fair_queue.FairQueue(fair_queue.QueueLimits(max_running=1))
+    for number in range(200):
+        queue.push(fair_queue.Work(('a', number), 'a', 1.0, 1, 0.0))
+        queue.push(fair_queue.Work(('b', number), 'b', 1.0, 10, 0.0))
+    for _ in range(100):
+        work = queue.pop(0.0)
+        queue.made(work.key, 10)
+        queue.finish(work.key)
+        served[work.account] += 10
+    assert abs(served['a'] - served['b']) <= 20
