--- a/pimentowalk/control/member_changes.py
+++ b/pimentowalk/control/member_changes.py
@@ -29,13 +29,15 @@
 
 
 def is_in_effect(replica, action, instance_id):
-    """Return whether a change has already been made."""
-    voters = {m.instance.instance_id: m.voter for m in listed(replica)}
+    """Return whether a change has already been made.
+
+    A voter is no learner yet: one that lost its disk is added again.
+    """
+    votes = {m.node_id: m.voter for m in replica.members()}
     if action == members.REMOVE:
-        return instance_id not in voters
-    if action == members.PROMOTE:
-        return voters.get(instance_id, False)
-    return instance_id in voters
+        return instance_id not in votes
+    wanted = action == members.PROMOTE
+    return votes.get(instance_id) is wanted
 
 
 async def change(replica, body):
