Let answers survive lost servers, and quarantine crashing requests

Cause: tests with real processes showed four faults. With 24 answers in flight, the loss of a stage used up the retry budget (10 saved retries) and cut the rest. A frozen agent was noticed only by the stall of each request, which is charged to the budget as well. After a crash every request in flight was a suspect that ran alone, so that a chain served one answer at a time and refused the others at its later stage. A request crashed a third engine before the news of its quarantine arrived.

Ruled out: a larger retry budget, which would multiply load in an overload; probes on all connections, which would cost an entry with 400 idle connections about 90 KB a second by estimate.

Change: two failovers of a request after a lost connection are free, since the loss of a server costs each of its requests one attempt. Connections in use are probed when silent, and four unanswered probes end them. An engine runs one suspect at a time in ordinary company, and a suspect is acquitted four tokens beyond the place of the crash. Control shares suspects with all nodes. Two crashes end a request. A learner without voters in its settings no longer ends at its start.

--- a/pimentowalk/admission/fair_queue.py
+++ b/pimentowalk/admission/fair_queue.py
@@ -10,8 +10,7 @@
 POLICIES = registry.Registry('queue policy')
 
 # Work that has waited for this share of the longest wait goes before
-# younger short work of its account, so that long work cannot starve. A
-# suspect that has waited as long keeps others back until it can run alone.
+# younger short work of its account, so that long work cannot starve.
 AGEING_SHARE = 0.25
 # Idle accounts whose virtual cost is ahead are kept; beyond this many more
 # accounts than waiting ones, those that have become irrelevant are dropped.
@@ -43,7 +42,8 @@
 
     `cost` is the predicted cost in tokens, `made` what was made so far,
     `due_s` the time at which it is refused if still waiting. `isolate`
-    lets it run only while nothing else does.
+    marks a suspect of a crash: only one of them runs at a time, so that a
+    second crash has one possible cause.
     """
 
     key: object
@@ -110,7 +110,10 @@
 
 
 class BaseQueue:
-    """Count places, bounds and isolation; a policy chooses the order."""
+    """Count places, bounds and suspects; a policy chooses the order.
+
+    Suspects go first: they have been admitted before.
+    """
 
     def __init__(self, limits):
         self.limits = limits
@@ -142,8 +145,6 @@
         """Return the next work, now counted as running, or None."""
         if len(self.running) >= self.limits.max_running:
             return None
-        if any(work.isolate for work in self.running.values()):
-            return None
         work = self._next(now_s)
         if work is None:
             return None
@@ -157,11 +158,18 @@
     def _next(self, now_s):
         aged_before_s = now_s - AGEING_SHARE * self.limits.max_queue_s
         suspect = next(iter(self.suspects.values()), None)
-        if suspect is not None and not self.running:
-            return suspect
-        if suspect is not None and suspect.arrived_s <= aged_before_s:
-            return None
-        return self.choose(aged_before_s)
+        if suspect is None or self._runs_suspect():
+            return self.choose(aged_before_s)
+        return suspect
+
+    def _runs_suspect(self):
+        return any(work.isolate for work in self.running.values())
+
+    def acquit(self, key):
+        """Let the next suspect run beside running work."""
+        work = self.running.get(key)
+        if work is not None:
+            work.isolate = False
 
     def remove(self, key):
         """Remove waiting work; return it, or None if it does not wait."""
@@ -228,7 +236,7 @@
         return newest
 
     def choose(self, aged_before_s):
-        """Return the oldest work that need not run alone."""
+        """Return the oldest work that is no suspect."""
         ordinary = (w for w in self.waiting.values() if not w.isolate)
         return next(ordinary, None)
 
--- a/pimentowalk/admission/suspicion.py
+++ b/pimentowalk/admission/suspicion.py
@@ -21,9 +21,9 @@
 class Suspicion:
     """Remember the fingerprints of requests in flight at a crash.
 
-    A suspect runs alone, so that a second crash has one possible cause and
-    harms no other request. Completion clears a suspect. Fingerprint 0
-    means that the sender gave none.
+    An engine runs one suspect at a time, so that a second crash has one
+    possible cause. Completion clears a suspect. Fingerprint 0 means that
+    the sender gave none.
 
     >>> suspicion = Suspicion()
     >>> suspicion.crashed([InFlight(7, 'account-1', b'', 1)])
@@ -51,5 +51,5 @@
         self.crashes.pop(fingerprint, None)
 
     def is_suspect(self, fingerprint):
-        """Return whether requests with this fingerprint run alone."""
+        """Return whether this fingerprint was in flight at a crash."""
         return fingerprint in self.crashes
--- a/pimentowalk/agent/gate.py
+++ b/pimentowalk/agent/gate.py
@@ -16,7 +16,9 @@
         self.draining = False
 
     def is_suspect(self, fingerprint):
-        """Return whether requests with this fingerprint run alone."""
+        """Return whether a request was in flight at a crash, anywhere."""
+        if fingerprint in self._agent.session.suspects:
+            return True
         return self._agent.suspicion.is_suspect(fingerprint)
 
     def suspect(self, frame):
--- a/pimentowalk/agent/head.py
+++ b/pimentowalk/agent/head.py
@@ -193,6 +193,10 @@
         self._stage.run(
             attempt.sequence, token.token_index + 1, [], token=token.token_id
         )
+        if attempt.sequence.isolate and not attempt.sequence.on_probation:
+            attempt.sequence.isolate = False
+            self.queue.acquit(attempt.key)
+            self.admit()
 
     def _finish(self, attempt):
         self._report(attempt, STATES.FINISHED)
--- a/pimentowalk/agent/node.py
+++ b/pimentowalk/agent/node.py
@@ -72,7 +72,9 @@
             own.server_id, 'agent', own.incarnation, own.zone
         )
         self.load_table = loads.Loads(own, timers, self.own_load)
-        self.peers = peers.Peers(hello, self.load_table.current, self.version)
+        self.peers = peers.Peers(
+            hello, self.load_table.current, self.version, timers, self.in_use
+        )
         self.engine = engine_client.EngineClient(own.backend_url, timers, self)
         self.gate = gate.Gate(self, timers)
         self.stage = stage.StageRole(
@@ -108,6 +110,10 @@
         self.peers.on_unsent = self.stage.on_unsent
         self.peers.on_lost = self._link_lost
 
+    def in_use(self):
+        """Return whether answers of other stages may be outstanding."""
+        return bool(self.stage.sequences or self.head.attempts)
+
     def version(self):
         """Return the configuration version in force."""
         return self.session.configuration.version
--- a/pimentowalk/agent/peers.py
+++ b/pimentowalk/agent/peers.py
@@ -4,8 +4,9 @@
 
 from pimentowalk.agent import outbox
 from pimentowalk.core import errors
-from pimentowalk.core import timers
+from pimentowalk.core import timers as core_timers
 from pimentowalk.wire import connection as wire
+from pimentowalk.wire import keepalive
 
 
 class Peers:
@@ -14,12 +15,15 @@
     `on_frame` handles frames of dialled connections, `on_unsent(items,
     error, address)` gets what could not be sent to a later stage, and
     `on_lost(address, connection)` is called when a dialled connection ends.
+    While `in_use` holds, silent stages are probed.
     """
 
-    def __init__(self, hello, loads, version):
+    def __init__(self, hello, loads, version, timers, in_use):
         self._hello = hello
         self._loads = loads
         self._version = version
+        self._timers = timers
+        self._in_use = in_use
         self._connections = {}
         self._dials = {}
         self._tasks = set()
@@ -52,6 +56,7 @@
         peer.on_frame = self.on_frame
         peer.on_close = lambda ended: self._closed(address, ended)
         self._connections[address] = peer
+        keepalive.Keepalive(peer, self._timers, self._in_use)
         task = asyncio.ensure_future(peer.run())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -105,7 +110,7 @@
         """Close all dialled connections and outboxes."""
         boxes = [*self._boxes.values(), *self._link_boxes.values()]
         await asyncio.gather(*(box.stop() for box in boxes))
-        await timers.cancel_all([*self._dials.values(), *self._tasks])
+        await core_timers.cancel_all([*self._dials.values(), *self._tasks])
 
 
 def _drop(items, error):
--- a/pimentowalk/agent/preparation.py
+++ b/pimentowalk/agent/preparation.py
@@ -10,9 +10,8 @@
 from pimentowalk.wire import connection as wire
 from pimentowalk.wire import messages
 
-# A suspect waits this long for the sequences that run beside it to end.
+# A suspect waits this long for the suspects before it.
 ISOLATE_WAIT_S = 10.0
-IDLE_CHECK_S = 0.02
 
 
 class Preparation:
@@ -25,7 +24,7 @@
         self._records = records
         self._timers = timers
         self._gate = gate
-        self._waiting_alone = False
+        self._suspect_lock = asyncio.Lock()
         self._tasks = set()
 
     def handle(self, connection, envelope):
@@ -58,18 +57,14 @@
 
     async def _prepare(self, connection, frame):
         self._check(connection, frame)
-        self._check_alone()
-        if not self._is_alone(frame):
+        if not self._is_suspect(frame):
             await self._open(connection, frame)
             return
-        self._waiting_alone = True
-        try:
-            await self._until_idle()
+        async with self._suspect_lock:
+            await self._until_no_probation()
             await self._open(connection, frame)
-        finally:
-            self._waiting_alone = False
 
-    def _is_alone(self, frame):
+    def _is_suspect(self, frame):
         return frame.isolate or self._gate.is_suspect(frame.fingerprint)
 
     def _check(self, connection, frame):
@@ -78,26 +73,24 @@
             raise self._error('not_run', 'the attempt is fenced')
         self._stage.check_prepare(frame, self._gate.refusal(frame))
 
-    def _check_alone(self):
-        running = self._stage.sequences.values()
-        if self._waiting_alone or any(s.isolate for s in running):
-            raise self._error('overloaded', 'a suspect runs alone')
-
-    async def _until_idle(self):
+    async def _until_no_probation(self):
         deadline_s = self._timers.now_s() + ISOLATE_WAIT_S
-        while self._stage.sequences:
-            if self._timers.now_s() >= deadline_s:
-                raise self._error('overloaded', 'no idle time for a suspect')
-            await self._timers.sleep(IDLE_CHECK_S)
+        moved = self._stage.suspect_moved
+        timeout = self._timers.after(ISOLATE_WAIT_S, moved.set)
+        try:
+            while any(s.on_probation for s in self._stage.sequences.values()):
+                if self._timers.now_s() >= deadline_s:
+                    raise self._error('overloaded', 'another suspect runs')
+                moved.clear()
+                await moved.wait()
+        finally:
+            timeout.cancel()
 
     async def _open(self, connection, frame):
         if frame.position + 1 < len(frame.chain):
             # A broken link is found while nothing has run yet.
             await self._peers.connection(frame.chain[frame.position + 1])
         self._check(connection, frame)
-        alone = self._is_alone(frame)
-        if not alone:
-            self._check_alone()
         sequence = sequences.Sequence(
             frame.request_id,
             frame.attempt,
@@ -107,7 +100,7 @@
             frame.max_tokens,
             frame.account,
             frame.fingerprint,
-            alone,
+            self._is_suspect(frame),
             connection,
         )
         self._stage.open(sequence, frame)
--- a/pimentowalk/agent/rules.py
+++ b/pimentowalk/agent/rules.py
@@ -8,6 +8,10 @@
 # this long; before that, pushes to the entries may still be under way.
 STALE_AFTER_S = 2.0
 ATTEMPT_LEASE_S = 10.0
+# A request that crashes engines does so again near the token at which it
+# did before. A suspect that gets this far beyond it is acquitted, which
+# frees the way for the next one long before its answer is complete.
+PROBATION_TOKENS = 4
 
 
 @attrs.define
@@ -42,6 +46,11 @@
     return in_sequence and not is_fenced(record, attempt)
 
 
+def on_probation(isolate, first_index, next_index):
+    """Return whether a suspect may still crash the engine."""
+    return isolate and next_index <= first_index + PROBATION_TOKENS
+
+
 def accepts_token(next_index, running_index, index):
     """Return whether a token is the one that its head waits for.
 
--- a/pimentowalk/agent/sequences.py
+++ b/pimentowalk/agent/sequences.py
@@ -34,6 +34,17 @@
     running_index: int = -1
     ranges: list = attrs.field(factory=list)
     renewed_s: float = 0.0
+    first_index: int = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self.first_index = self.next_index
+
+    @property
+    def on_probation(self):
+        """Return whether this is a suspect that may crash the engine."""
+        return rules.on_probation(
+            self.isolate, self.first_index, self.next_index
+        )
 
     @property
     def key(self):
--- a/pimentowalk/agent/stage.py
+++ b/pimentowalk/agent/stage.py
@@ -1,5 +1,6 @@
 """The stage role: sequences of one engine and the steps they run."""
 
+import asyncio
 import logging
 
 from pimentowalk.agent import rules
@@ -29,6 +30,7 @@
         self._timers = timers
         self._events = events
         self.sequences = {}
+        self.suspect_moved = asyncio.Event()
         self._names = {}
 
     def check_prepare(self, frame, refusal):
@@ -87,6 +89,8 @@
         if not accepted:
             return False
         sequence.next_index = index + 1
+        if sequence.isolate:
+            self.suspect_moved.set()
         sequence.running_index = index
         sequence.ranges = ranges
         sequence.renewed_s = self._timers.now_s()
@@ -222,6 +226,7 @@
         if sequence is not None:
             del self._names[sequence.name]
             self._engine.close(sequence.name)
+            self.suspect_moved.set()
         return sequence
 
     def close(self, request_id, attempt):
--- a/pimentowalk/agent/tests/fakes.py
+++ b/pimentowalk/agent/tests/fakes.py
@@ -224,6 +224,7 @@
     def __init__(self, configuration=None):
         self.configuration = configuration or contracts.Configuration()
         self.quarantined = set()
+        self.suspects = set()
         self.announced = 0
         self.stopped = False
         self.versions = []
--- a/pimentowalk/control/bootstrap.py
+++ b/pimentowalk/control/bootstrap.py
@@ -73,7 +73,8 @@
 
     def _may_begin(self):
         consensus = self._consensus
-        if consensus.node_id != min(v.instance_id for v in self._voters):
+        first = min((v.instance_id for v in self._voters), default='')
+        if consensus.node_id != first:
             return False
         if consensus.is_empty:
             return True
--- a/pimentowalk/control/client.py
+++ b/pimentowalk/control/client.py
@@ -99,6 +99,7 @@
         self.configuration = contracts.Configuration()
         self.view = view.View()
         self.quarantined = set()
+        self.suspects = set()
         self._quarantine_index = -1
         self._watch = None
         if services is not None:
@@ -264,3 +265,4 @@
         if update.applied_index >= self._quarantine_index:
             self._quarantine_index = update.applied_index
             self.quarantined = set(update.fingerprints)
+            self.suspects = set(update.suspects)
--- a/pimentowalk/control/pushes.py
+++ b/pimentowalk/control/pushes.py
@@ -25,7 +25,7 @@
     view: object = None
     configured: bool = False
     pulling: bool = False
-    fingerprints: frozenset | None = None
+    quarantine_lists: tuple | None = None
 
 
 class Pushes:
@@ -60,11 +60,11 @@
 
     def _push_state(self):
         self._scheduled = False
-        fingerprints = self._quarantined()
+        lists = self._quarantine_lists()
         for subscriber in self._subscribers.values():
             if subscriber.configured:
                 self._push_configuration(subscriber)
-                self._push_quarantine(subscriber, fingerprints)
+                self._push_quarantine(subscriber, lists)
 
     def _push_configuration(self, subscriber):
         version = self._state.version
@@ -110,18 +110,22 @@
             subscriber.version = version
         if subscriber.configured:
             self._push_configuration(subscriber)
-            self._push_quarantine(subscriber, self._quarantined())
+            self._push_quarantine(subscriber, self._quarantine_lists())
 
-    def _quarantined(self):
+    def _quarantine_lists(self):
         part = self._state.part('quarantine')
-        return frozenset(part.active(self._clock()))
+        now_s = self._clock()
+        return sorted(part.active(now_s)), part.suspects(now_s)
 
-    def _push_quarantine(self, subscriber, fingerprints):
-        if subscriber.fingerprints == fingerprints:
+    def _push_quarantine(self, subscriber, lists):
+        if subscriber.quarantine_lists == lists:
             return
-        subscriber.fingerprints = fingerprints
+        subscriber.quarantine_lists = lists
+        fingerprints, suspects = lists
         subscriber.connection.post(
-            messages.QuarantineUpdate(sorted(fingerprints), self._state.index)
+            messages.QuarantineUpdate(
+                fingerprints, self._state.index, suspects
+            )
         )
 
     @property
--- a/pimentowalk/control/quarantine.py
+++ b/pimentowalk/control/quarantine.py
@@ -14,6 +14,10 @@
 # The list of quarantined fingerprints is pushed as a whole: 8 KB at most.
 QUARANTINED_KEPT = 1_000
 SUSPECTS_KEPT = 10_000
+# A caller sends a failed request again within minutes. Everybody in flight
+# at a crash is a suspect, so the list that is pushed is bounded as well.
+SUSPECT_S = 600.0
+SUSPECTS_PUSHED = 1_000
 CRASHES_KEPT = 16
 
 
@@ -49,6 +53,15 @@
             if suspect.until_s > time_s
         ]
 
+    def suspects(self, time_s):
+        """Return the fingerprints with one recent crash, newest first."""
+        recent = [
+            fingerprint
+            for fingerprint, suspect in self._suspects.items()
+            if max(suspect.crashes.values()) + SUSPECT_S > time_s
+        ]
+        return recent[: -SUSPECTS_PUSHED - 1 : -1]
+
     def listed(self, time_s):
         """Return the quarantined requests for display."""
         return [
--- a/pimentowalk/entry/model_call.py
+++ b/pimentowalk/entry/model_call.py
@@ -21,6 +21,13 @@
 # are not charged to the budget.
 PLANNED_CODES = frozenset({'draining', 'stale_configuration'})
 MAX_PLANNED_RETRIES = 3
+# The end of a server costs each of its requests one attempt, however many
+# there are, so it cannot multiply load; a budget would fail those beyond
+# its share. Overload shows as refusals and stalls, which are charged.
+MAX_FAILOVERS = 2
+# After this many crashes control quarantines a request; running it once
+# more before the news arrives would cost another engine.
+MAX_CRASHES = 2
 
 
 @attrs.frozen
@@ -61,6 +68,8 @@
         self._runs = []
         self._avoid = set()
         self._planned_retries = 0
+        self._failovers = 0
+        self._crashes = 0
         self.spec = spec
         self.records = []
         self.recomputed_tokens = 0
@@ -191,6 +200,7 @@
     def _learn(self, run, error):
         """Blame the link to the peer that failed, and avoid the peer."""
         if error.engine_crashed:
+            self._crashes += 1
             self._context.suspects.add(self.spec.fingerprint)
         # A stall or a wrong token tells nothing about which stage failed.
         anywhere = error.step in ('stall', 'assemble')
@@ -210,12 +220,18 @@
             return False
         if len(self.records) >= MAX_ATTEMPTS:
             return False
+        if self._crashes >= MAX_CRASHES:
+            return False
         if self.spec.fingerprint in self._context.session.quarantined:
             return False
         if error.never_admitted and error.code in PLANNED_CODES:
             self._planned_retries += 1
             if self._planned_retries <= MAX_PLANNED_RETRIES:
                 return True
+        if error.code == 'peer_lost':
+            self._failovers += 1
+            if self._failovers <= MAX_FAILOVERS:
+                return True
         budget = self._context.budgets.of(self.spec.route)
         if budget.take():
             return True
--- a/pimentowalk/entry/pool.py
+++ b/pimentowalk/entry/pool.py
@@ -9,6 +9,7 @@
 from pimentowalk.core import logs
 from pimentowalk.core import timers as core_timers
 from pimentowalk.wire import connection
+from pimentowalk.wire import keepalive
 from pimentowalk.wire import messages
 
 LOG = logging.getLogger(__name__)
@@ -157,6 +158,7 @@
     async def _dial(self, key):
         peer = await connection.dial(*key, self._hello, version=self._version)
         link = AgentLink(peer, self)
+        keepalive.Keepalive(peer, self.timers, lambda: not link.idle)
         self._links[key] = link
         task = asyncio.ensure_future(peer.run())
         self._tasks.add(task)
--- a/pimentowalk/entry/tests/fake_agent.py
+++ b/pimentowalk/entry/tests/fake_agent.py
@@ -93,6 +93,17 @@
     return run
 
 
+def fail_after(count):
+    """Return a script that fails the attempt after some tokens."""
+
+    async def run(agent, peer, frame):
+        for body in frames_of(frame)[: count + 2]:
+            await peer.send(body)
+        await peer.send(status(frame, STATES.FAILED, 'internal'))
+
+    return run
+
+
 def stall_after(count):
     """Return a script that sends some tokens and then nothing."""
 
--- a/pimentowalk/entry/tests/test_failures.py
+++ b/pimentowalk/entry/tests/test_failures.py
@@ -5,6 +5,7 @@
 import attrs
 
 from pimentowalk.core import timers as core_timers
+from pimentowalk.entry import model_call
 from pimentowalk.entry.tests import fake_agent
 from pimentowalk.entry.tests import harness
 from pimentowalk.wire import messages
@@ -91,10 +92,35 @@
         assert error['peer'] in ('a', 'b')
 
 
+async def test_lost_servers_are_replaced_without_budget():
+    """A failure of many servers must not fail what the rest can serve."""
+    async with harness.running() as entry:
+        _, asked = await pair(entry, fake_agent.cut_after(3))
+        harness.set_budget(entry, 0)
+        events = await entry.stream()
+        assert len(asked) == 2
+        assert events[-1] == ('', '[DONE]')
+
+
+async def test_a_request_leaves_few_lost_servers():
+    """A request that loses every server must not be tried for ever."""
+    async with harness.running() as entry:
+        agents = [await entry.agent(name) for name in 'abcd']
+        for agent in agents:
+            agent.script = fake_agent.cut_after(0)
+        entry.show()
+        harness.set_budget(entry, 0)
+        status, body = await entry.complete()
+        assert status == 502
+        assert body['error']['code'] == 'outcome_unknown'
+        opened = sum(len(agent.opened) for agent in agents)
+        assert opened == 1 + model_call.MAX_FAILOVERS
+
+
 async def test_without_budget_a_cut_stream_ends_with_an_error_event():
     """A cut answer must not look complete, nor be called not run."""
     async with harness.running() as entry:
-        _, asked = await pair(entry, fake_agent.cut_after(3))
+        _, asked = await pair(entry, fake_agent.fail_after(3))
         harness.set_budget(entry, 0)
         events = await entry.stream()
         assert len(asked) == 1
--- a/pimentowalk/wire/connection.py
+++ b/pimentowalk/wire/connection.py
@@ -140,7 +140,9 @@
         try:
             while True:
                 envelope = await self._read()
-                if envelope.call_id & 1:
+                if isinstance(envelope.body, messages.Probe):
+                    self._on_probe(envelope.body)
+                elif envelope.call_id & 1:
                     self._finish_call(envelope)
                 else:
                     await self._handle(envelope)
@@ -177,6 +179,10 @@
                     envelope, messages.Failure('internal', repr(error))
                 )
 
+    def _on_probe(self, probe):
+        if not probe.answer:
+            self.post(messages.Probe(answer=True))
+
     def _finish_call(self, envelope):
         future = self._calls.get(envelope.call_id & ~1)
         if future is not None and not future.done():
--- a/pimentowalk/wire/frames.capnp
+++ b/pimentowalk/wire/frames.capnp
@@ -248,6 +248,7 @@
 struct QuarantineUpdate {
   fingerprints @0 :List(UInt64);
   appliedIndex @1 :UInt64;
+  suspects @2 :List(UInt64);
 }
 
 struct Order {
@@ -360,6 +361,10 @@
   lastIndex @5 :UInt64;
 }
 
+struct Probe {
+  answer @0 :Bool;
+}
+
 struct Frame {
   configVersion @0 :UInt64;
   callId @1 :UInt64;
@@ -399,5 +404,6 @@
     renewAttempts @34 :RenewAttempts;
     identityRequest @35 :IdentityRequest;
     identityReply @36 :IdentityReply;
+    probe @37 :Probe;
   }
 }
--- a/pimentowalk/wire/messages.py
+++ b/pimentowalk/wire/messages.py
@@ -403,13 +403,14 @@
 @message('quarantineUpdate')
 @attrs.frozen
 class QuarantineUpdate:
-    """Replace the list of quarantined fingerprints.
+    """Replace the lists of quarantined and suspected fingerprints.
 
-    `applied_index` is the log index at which the list was read.
+    `applied_index` is the log index at which the lists were read.
     """
 
     fingerprints: list[int]
     applied_index: int = 0
+    suspects: list[int] = attrs.field(factory=list)
 
 
 @message('order')
@@ -599,3 +600,11 @@
     empty: bool
     voters_digest: int
     last_index: int
+
+
+@message('probe')
+@attrs.frozen
+class Probe:
+    """Ask a silent peer for a sign of life; `answer` marks the reply."""
+
+    answer: bool = False
