--- a/pimentowalk/control/bootstrap.py
+++ b/pimentowalk/control/bootstrap.py
@@ -52,6 +52,7 @@
         self._consensus = consensus
         self._voters = voters
         self._dial = dial
+        self._noted = ''
 
     async def run(self):
         """Try until this replica takes part in a cluster."""
@@ -60,17 +61,18 @@
             try:
                 found = await self._ask_voters()
             except (errors.PimentowalkError, TimeoutError) as error:
-                LOG.info(
-                    'waiting for the voters: %s',
-                    error,
-                    extra=logs.fields(step='first start'),
-                )
+                self._note(f'waiting for the voters: {error}')
             else:
-                if found is not None and self._may_begin():
+                if self._may_begin():
                     await self._begin(found)
                     return
             await consensus.timers.sleep(RETRY_S)
 
+    def _note(self, text):
+        if text != self._noted:
+            self._noted = text
+            LOG.info(text, extra=logs.fields(step='first start'))
+
     def _may_begin(self):
         consensus = self._consensus
         if consensus.node_id != min(v.instance_id for v in self._voters):
@@ -86,7 +88,7 @@
         )
 
     async def _ask_voters(self):
-        """Return all voters as members, or None if one is not empty."""
+        """Return all voters as members; raise Conflict if one differs."""
         consensus = self._consensus
         digest = control_members.voters_digest(self._voters)
         found = []
@@ -97,12 +99,12 @@
                     self._dial, voter, '', consensus.timing.call_timeout_s
                 )
                 if not reply.empty or reply.voters_digest != digest:
-                    LOG.warning(
-                        'no first start: a voter is not empty or has other '
-                        'voters in its settings',
-                        extra=logs.fields(peer=voter.instance_id),
+                    raise errors.Conflict(
+                        'a voter is not empty, or its settings name other '
+                        'voters',
+                        step='first start',
+                        peer=voter.instance_id,
                     )
-                    return None
                 identity = reply.identity
             found.append(member_of(voter, identity, voter=True))
         return control_members.MemberSet(tuple(found))
--- a/pimentowalk/control/election.py
+++ b/pimentowalk/control/election.py
@@ -80,8 +80,10 @@
             if consensus.term + 1 != term or not consensus.is_voter:
                 return
             consensus.follow()
-            consensus.role = control_consensus.CANDIDATE
             await consensus.log.save_vote(term, consensus.candidate_id)
+            # Set after the save, during which an append of the old leader
+            # may still make this replica its follower.
+            consensus.role = control_consensus.CANDIDATE
         if not await self._collect(term, transfer=transfer):
             return
         if (consensus.role, consensus.term) == (
--- a/pimentowalk/control/peer.py
+++ b/pimentowalk/control/peer.py
@@ -65,21 +65,26 @@
         reader = asyncio.ensure_future(connection.run())
         try:
             async with core_timers.cancelling(reader):
-                await self._serve(connection)
+                await self._serve(reader)
         finally:
             self._connection = None
             connection.abort()
 
-    async def _serve(self, connection):
-        while not connection.closed:
+    async def _serve(self, reader):
+        """Send what is due until the connection ends."""
+        while not reader.done():
             # Taken before the work, so that a change during it is noticed.
-            changed = self._consensus.work.wait()
-            waiting = asyncio.ensure_future(changed)
+            waiting = asyncio.ensure_future(self._consensus.work.wait())
             try:
                 if self._consensus.role == control_consensus.LEADER:
                     if await self._replicate():
                         continue
-                await waiting
+                # A follower dials again too: it needs the connection to
+                # ask for a vote.
+                await asyncio.wait(
+                    [waiting, reader],
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
             finally:
                 waiting.cancel()
 
