--- a/pimentowalk/control/directory.py
+++ b/pimentowalk/control/directory.py
@@ -123,10 +123,10 @@
         server = node.server or self._announced.get(connection)
         if server is None:
             return
-        draining = server.draining or heartbeat.draining
-        self.announce(
-            connection, attrs.evolve(server, draining=draining), now_s
-        )
+        if heartbeat.draining and not server.draining:
+            server = attrs.evolve(server, draining=True)
+        if server is not node.server:
+            self.announce(connection, server, now_s)
 
     def closed(self, connection, now_s):
         """Note that a connection has ended."""
