--- a/pimentowalk/control/publishing.py
+++ b/pimentowalk/control/publishing.py
@@ -84,7 +84,15 @@
 
     def check(self, body):
         """Return changed and removed scopes; raise if not acceptable."""
-        if body.expected_version != self.version:
+        if body.expected_version > self.version:
+            # Unlike a conflict, this would not stay refused: the version
+            # may be reached before a delayed repeat arrives.
+            raise errors.PimentowalkError(
+                f'version {body.expected_version} does not exist; '
+                f'version {self.version} is accepted',
+                code='bad_request',
+            )
+        if body.expected_version < self.version:
             raise errors.Conflict(self._difference(body.expected_version))
         changed, removed = self._compare(body.sources)
         self._check_references(changed, removed)
--- a/pimentowalk/control/tests/naive.py
+++ b/pimentowalk/control/tests/naive.py
@@ -53,7 +53,9 @@
         ]
 
     def _publish(self, body):
-        if body.expected_version != self.version:
+        if body.expected_version > self.version:
+            raise Refused('bad_request')
+        if body.expected_version < self.version:
             raise Refused('conflict')
         new = {**self.sources, **body.sources}
         scopes = [scope for scope, _, _ in self.contracts(new)]
--- a/pimentowalk/control/tests/test_requests.py
+++ b/pimentowalk/control/tests/test_requests.py
@@ -72,12 +72,17 @@
         async with harness.operator(found) as anna:
             body = attrs.evolve(builders.publish('c1', 0), dry_run=True)
             result = await anna.request(body)
-            late = attrs.evolve(body, expected_version=4)
-            with pytest.raises(errors.PimentowalkError) as caught:
-                await anna.request(late)
-        assert (result.version, result.change_count) == (0, 3)
-        assert caught.value.code == 'conflict'
-        assert found[0].state.index == 0
+            assert (result.version, result.change_count) == (0, 3)
+            assert found[0].state.index == 0
+            await anna.request(builders.publish('c2', 0))
+            codes = []
+            for expected in (0, 4):
+                query = attrs.evolve(body, expected_version=expected)
+                with pytest.raises(errors.PimentowalkError) as caught:
+                    await anna.request(query)
+                codes.append(caught.value.code)
+        assert codes == ['conflict', 'bad_request']
+        assert found[0].state.index == 1
 
 
 @pytest.mark.parametrize('applied', [True, False])
