Let sequences beyond max_running take turns in the engine

The stand-in gave its slots to the earliest open sequences, also while these had no step to run, so a later stage that serves several heads starved the latest ones. An iteration now takes the steps that wait, by priority and then by arrival. Ruled out: holding steps back for resident sequences only, as admission is the task of the agent.

A test shows the turns and fails on the old order.

--- a/tools/standin_batcher.py
+++ b/tools/standin_batcher.py
@@ -67,7 +67,8 @@
     """Run the steps of many sequences in iterations.
 
     An iteration takes `base_s` plus its tokens divided by `tokens_per_s`;
-    0 tokens a second stands for no limit. A higher priority runs first.
+    0 tokens a second stands for no limit. An iteration has one step each
+    of up to `max_running` sequences; a higher priority runs first.
     `on_done(sequence, work)` is called for each finished step.
     """
 
@@ -99,7 +100,6 @@
 
     def open(self, sequence):
         """Admit a sequence."""
-        sequence.arrival = next(self._arrivals)
         self.sequences[sequence.name] = sequence
 
     def close(self, name):
@@ -116,6 +116,7 @@
 
     def submit(self, sequence, work):
         """Queue a step."""
+        work.arrival = next(self._arrivals)
         sequence.work.append(work)
         self._wake.set()
 
@@ -128,10 +129,19 @@
         )
 
     def running(self):
-        """Return the sequences that hold a running slot."""
-        active = [s for s in self.sequences.values() if not s.paused]
-        active.sort(key=_urgency)
-        return active[: self._max_running]
+        """Return the number of sequences that are open and not paused."""
+        return sum(not one.paused for one in self.sequences.values())
+
+    def _ready(self):
+        ready = [
+            one
+            for one in self.sequences.values()
+            if one.work and not one.paused
+        ]
+        # In the order of the steps, not of the sequences: otherwise the
+        # latest sequences would starve beyond `max_running`.
+        ready.sort(key=lambda one: (-one.priority, one.work[0].arrival))
+        return ready[: self._max_running]
 
     async def run(self):
         """Run iterations until cancelled."""
@@ -155,9 +165,9 @@
     def _batch(self):
         batch = []
         room = BATCH_TOKENS
-        for sequence in self.running():
-            if not sequence.work or room <= 0:
-                continue
+        for sequence in self._ready():
+            if room <= 0:
+                break
             work = sequence.work[0]
             if not sequence.prefilled and not work.outputs:
                 self._cache.load(sequence, work)
@@ -199,10 +209,6 @@
             self._on_done(sequence, work)
 
 
-def _urgency(sequence):
-    return (-sequence.priority, sequence.arrival)
-
-
 def _embed(sequence, token):
     return sequence.weights.embed(token)
 
--- a/tools/standin_engine.py
+++ b/tools/standin_engine.py
@@ -44,7 +44,7 @@
     :param total_layers: number of layers of the whole model
     :param tokens_per_s: input tokens a second; 0 is unlimited
     :param base_s: time of an iteration beside its tokens
-    :param max_running: sequences that run at once
+    :param max_running: sequences in one iteration
     :param cache_tokens: size of the prefix cache; 0 turns it off
     :param accelerator: kind of the accelerator
     :param checks_fencing: refuse orders with an old fencing number
@@ -220,7 +220,7 @@
                 {
                     'type': 'load',
                     'queued': self.batcher.queued_tokens(),
-                    'running': len(self.batcher.running()),
+                    'running': self.batcher.running(),
                 }
             )
             if len(samples) > lag:
--- a/tools/standin_sequences.py
+++ b/tools/standin_sequences.py
@@ -22,6 +22,7 @@
     inputs: list
     outputs: list[bytes] = attrs.field(factory=list)
     cached_tokens: int = 0
+    arrival: int = 0
     block_keys: list[bytes] = attrs.field(factory=list)
 
     @property
@@ -46,7 +47,6 @@
     max_tokens: int = 16
     prompt: str = ''
     generated: list[int] = attrs.field(factory=list)
-    arrival: int = 0
     paused: bool = False
     prefilled: bool = False
     session: object = None
--- a/tools/tests/test_standin_engine.py
+++ b/tools/tests/test_standin_engine.py
@@ -214,6 +214,26 @@
     assert (await bench.record(engine))['largest_batch'] == 1
 
 
+async def test_sequences_beyond_max_running_take_turns(bench):
+    """Sequences that starve would look like a stall of the router."""
+    engine = await bench.engine(base_s=0.001, max_running=2)
+    client = await bench.client(engine)
+    names = [f'{number:02x}-1' for number in range(6)]
+    for name in names:
+        await client.open(name, 'hei', max_tokens=10)
+    items = [{'sequence': name, 'index': 0} for name in names]
+    await client.send('steps', items=items)
+    order = []
+    while len(order) < 4 * len(names):
+        item = await client.done()
+        order.append(item['sequence'])
+        await client.step(
+            item['sequence'], item['index'] + 1, token=item['token']
+        )
+    turns = [order[at : at + 6] for at in range(0, len(order), 6)]
+    assert [sorted(turn) for turn in turns] == [names] * 4
+
+
 async def test_pause_holds_and_resume_continues(bench):
     """A paused sequence must free its slot and lose nothing."""
     engine = await bench.engine(max_running=1)
