Report outstanding work and round trips to entries

queued_tokens left out what running sequences still need, so an entry saw later stages, which have no queue, as idle. It now counts the tokens that running work may still make. Agents measure round trips to next stages and pass them on in LoadReport, also from later stages to their heads. A refusal as overloaded carries a time to retry after. After one stage has refused a preparation, those still under way to other stages are cancelled; they could have left a sequence open until its lease passed.

--- a/bench/fairness.py
+++ b/bench/fairness.py
@@ -60,6 +60,7 @@
         self.hello = engine_client.EngineHello(
             'model', '1', [], 0, LAYERS, LAYERS, PLACES, CAPACITY_TOKENS_PER_S
         )
+        self.last_hello = self.hello
         self.pending = []
         self.lengths = {}
         self.prefill_tokens = 0
--- a/pimentowalk/agent/frames.py
+++ b/pimentowalk/agent/frames.py
@@ -26,6 +26,8 @@
             messages.TokenBatch: self._token_batch,
             messages.StepFailed: self._step_failed,
             messages.RenewAttempts: self._renew_attempts,
+            messages.LoadReport: self._load_report,
+            messages.Empty: self._empty,
             messages.ServiceCall: self._service_call,
             messages.AttemptQuery: self._attempt_query,
             messages.Order: self._order,
@@ -83,6 +85,14 @@
         for key in zip(frame.request_ids, frame.attempts, strict=False):
             self._agent.stage.renew(*key)
 
+    async def _load_report(self, connection, envelope):
+        self._agent.load_table.hear(envelope.body.loads)
+        self._agent.links.hear(envelope.body.links)
+
+    async def _empty(self, connection, envelope):
+        if envelope.call_id:
+            await connection.reply(envelope, messages.Empty())
+
     async def _service_call(self, connection, envelope):
         frame = envelope.body
         if not self._agent.is_plain:
--- a/pimentowalk/agent/head.py
+++ b/pimentowalk/agent/head.py
@@ -114,13 +114,19 @@
 
     async def _prepare(self, attempt, work):
         stages = list(enumerate(attempt.frame.chain))[1:]
-        if not work.isolate:
-            await asyncio.gather(
-                *(self._prepare_at(attempt, n, s, work) for n, s in stages)
-            )
+        if work.isolate:
+            # One after the other, so that two suspects that wait for the
+            # same stages cannot block each other.
+            for position, stage in stages:
+                await self._prepare_at(attempt, position, stage, work)
             return
-        for position, stage in stages:
-            await self._prepare_at(attempt, position, stage, work)
+        tasks = [
+            asyncio.ensure_future(self._prepare_at(attempt, n, stage, work))
+            for n, stage in stages
+        ]
+        # After a refusal nothing more is sent to the other stages.
+        async with timer_services.cancelling(*tasks):
+            await asyncio.gather(*tasks)
 
     async def _prepare_at(self, attempt, position, stage, work):
         peer = await self._peers.connection(stage)
@@ -292,6 +298,8 @@
 
     def _report(self, attempt, state, code='', text='', **fields):
         fields.setdefault('peer', self._own.server_id if code else '')
+        if code == 'overloaded':
+            fields['retry_after_ms'] = self._retry_after_ms()
         status = messages.AttemptStatus(
             *attempt.key, state, code, text, loads=self.loads(), **fields
         )
@@ -304,6 +312,10 @@
         )
         self._peers.to_peer(attempt.entry, status)
 
+    def _retry_after_ms(self):
+        seconds = self.queue.waiting_cost / self._stage.tokens_per_s
+        return int(1000 * min(seconds, self.queue.limits.max_queue_s))
+
     def expire(self):
         """Refuse queued attempts that have waited too long."""
         now_s = self._timers.now_s()
--- a/pimentowalk/agent/lifecycle.py
+++ b/pimentowalk/agent/lifecycle.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 
+from pimentowalk.agent import links
 from pimentowalk.agent import loads
 from pimentowalk.agent import rules
 
@@ -35,6 +36,7 @@
         self._subscriptions = [
             every(TICK_S, self.tick),
             every(loads.REPORT_PERIOD_S, self._agent.load_table.report),
+            every(links.MEASURE_PERIOD_S, self._agent.links.measure),
         ]
 
     def stop(self):
--- a/pimentowalk/agent/loads.py
+++ b/pimentowalk/agent/loads.py
@@ -11,12 +11,18 @@
 
 
 class Loads:
-    """Collect loads and report them to the entries that sent work."""
+    """Collect loads and report them to the peers that sent work.
 
-    def __init__(self, own, timers, read):
+    `read` returns the own load, `links` the known delays, and `heads` the
+    connections of the heads that have sequences here.
+    """
+
+    def __init__(self, own, timers, read, links, heads):
         self._own = own
         self._timers = timers
         self._read = read
+        self._links = links
+        self._heads = heads
         self._heard = {}
         self._entries = {}
 
@@ -43,13 +49,19 @@
         self._entries[connection] = self._timers.now_s()
 
     def report(self):
-        """Send loads to the entries that sent work lately."""
+        """Send loads and delays to those that sent work lately."""
         now_s = self._timers.now_s()
         for connection, seen_s in list(self._entries.items()):
             if connection.closed or now_s - seen_s > INTEREST_S:
                 del self._entries[connection]
             else:
-                connection.post(messages.LoadReport(self.current()))
+                self._post(connection)
+        for head in self._heads():
+            self._post(head)
         for server_id, (_, heard_s) in list(self._heard.items()):
             if now_s - heard_s > FRESH_S:
                 del self._heard[server_id]
+
+    def _post(self, connection):
+        links = self._links.current()
+        connection.post(messages.LoadReport(self.current(), links))
--- a/pimentowalk/agent/node.py
+++ b/pimentowalk/agent/node.py
@@ -12,6 +12,7 @@
 from pimentowalk.agent import gate
 from pimentowalk.agent import head
 from pimentowalk.agent import lifecycle
+from pimentowalk.agent import links
 from pimentowalk.agent import loads
 from pimentowalk.agent import orders
 from pimentowalk.agent import peers
@@ -71,13 +72,16 @@
         hello = messages.Hello(
             own.server_id, 'agent', own.incarnation, own.zone
         )
-        self.load_table = loads.Loads(own, timers, self.own_load)
-        self.peers = peers.Peers(hello, self.load_table.current, self.version)
+        self.peers = peers.Peers(hello, self._current_loads, self.version)
+        self.links = links.LinkDelays(own, self.peers, timers)
         self.engine = engine_client.EngineClient(own.backend_url, timers, self)
         self.gate = gate.Gate(self, timers)
         self.stage = stage.StageRole(
             own, self.engine, self.peers, self.records, timers, self
         )
+        self.load_table = loads.Loads(
+            own, timers, self.own_load, self.links, self.stage.heads
+        )
         self.preparation = preparation.Preparation(
             own, self.stage, self.peers, self.records, timers, self.gate
         )
@@ -101,13 +105,16 @@
         )
 
     def _connect_roles(self):
-        self.head.loads = self.calls.loads = self.load_table.current
+        self.head.loads = self.calls.loads = self._current_loads
         self.head.on_finished = self.calls.on_finished = self._finished
         self.calls.on_crash = self._crashed
         self.peers.on_frame = self.frames.on_frame
         self.peers.on_unsent = self.stage.on_unsent
         self.peers.on_lost = self._link_lost
 
+    def _current_loads(self):
+        return self.load_table.current()
+
     def version(self):
         """Return the configuration version in force."""
         return self.session.configuration.version
@@ -164,6 +171,7 @@
         """Close everything at once."""
         self.lifecycle.stop()
         await self.server.stop()
+        await self.links.stop()
         await self.preparation.stop()
         await self.head.stop()
         await self.calls.stop()
@@ -195,16 +203,21 @@
 
     def own_load(self):
         """Return the load of this backend server."""
-        queue = self.calls.queue if self.is_plain else self.head.queue
-        hello = self.engine.last_hello
-        running = (
-            len(queue.running) if self.is_plain else len(self.stage.sequences)
-        )
+        if self.is_plain:
+            queue = self.calls.queue
+            running = len(queue.running)
+            return messages.StageLoad(
+                self.identity.server_id,
+                int(queue.waiting_cost) + running,
+                running,
+                0.0,
+            )
+        waiting = int(self.head.queue.waiting_cost)
         return messages.StageLoad(
             self.identity.server_id,
-            int(queue.waiting_cost),
-            running,
-            hello.capacity_tokens_per_s if hello else 0.0,
+            waiting + self.stage.remaining_tokens,
+            len(self.stage.sequences),
+            self.stage.tokens_per_s,
         )
 
     def configure(self, *_):
--- a/pimentowalk/agent/peers.py
+++ b/pimentowalk/agent/peers.py
@@ -60,9 +60,17 @@
     def _closed(self, address, ended):
         if self._connections.get(address) is ended:
             del self._connections[address]
+            box = self._link_boxes.get(address)
+            if box is not None and not box.busy:
+                del self._link_boxes[address]
+                box.cancel()
         self.forget(ended)
         self.on_lost(address, ended)
 
+    def open_connections(self):
+        """Return the dialled connections that are open."""
+        return [one for one in self._connections.values() if not one.closed]
+
     def to_stage(self, stage, item):
         """Queue a step or frame for a later stage, dialling if needed."""
         address = (stage.host, stage.port)
--- a/pimentowalk/agent/stage.py
+++ b/pimentowalk/agent/stage.py
@@ -31,6 +31,25 @@
         self.sequences = {}
         self._names = {}
 
+    @property
+    def tokens_per_s(self):
+        """Return the speed of the engine as it announced it."""
+        hello = self._engine.last_hello
+        return max(1.0, hello.capacity_tokens_per_s) if hello else 1.0
+
+    @property
+    def remaining_tokens(self):
+        """Return how many tokens the open sequences may still need."""
+        return sum(
+            max(0, sequence.max_tokens - sequence.next_index)
+            for sequence in self.sequences.values()
+        )
+
+    def heads(self):
+        """Return the connections of the heads of the open sequences."""
+        heads = {sequence.head for sequence in self.sequences.values()}
+        return heads - {None}
+
     def check_prepare(self, frame, refusal):
         """Raise PimentowalkError if a sequence cannot be opened here."""
         if refusal:
--- a/pimentowalk/agent/tests/test_failures.py
+++ b/pimentowalk/agent/tests/test_failures.py
@@ -183,6 +183,7 @@
         await fakes.reach(lambda: pair.last_engine.waiting)
         await pair.last_engine.release()
         await fakes.reach(lambda count=count: len(received) == count)
+    assert all(isinstance(body, messages.TokenBatch) for body in received)
     assert [index for _, index in pair.last_engine.record] == [0, 1]
     connection.close()
     await task
@@ -211,9 +212,11 @@
         renew = messages.RenewAttempts([kept.request_id], [kept.attempt])
         await connection.send(renew)
         await connection.call(messages.AttemptQuery(b'x' * 16, 1, 1), 5)
-    await fakes.reach(lambda: received)
-    assert received[0].request_id == dropped.request_id
-    assert received[0].step == 'lease'
+    failed = messages.StepFailed
+    await fakes.reach(lambda: any(isinstance(b, failed) for b in received))
+    failures = [body for body in received if isinstance(body, failed)]
+    assert [f.request_id for f in failures] == [dropped.request_id]
+    assert failures[0].step == 'lease'
     assert list(pair.last.stage.sequences) == [(kept.request_id, 3)]
     connection.close()
     await task
--- a/pimentowalk/agent/tests/test_path.py
+++ b/pimentowalk/agent/tests/test_path.py
@@ -86,3 +86,41 @@
     assert reply.body == b'booked'
     assert messages.Header('X-Row', '1') in reply.headers
     assert desk.service.calls == [('POST', '/jobs?day=2', b'{"tyre": 26}')]
+
+
+async def test_loads_and_delays_of_all_stages_reach_the_entry(pair):
+    """Without them the entry would choose chains blindly."""
+    pair.last_engine.held = True
+    frame = fakes.open_attempt(pair.chain, max_tokens=50)
+    await pair.entry.connection.send(frame)
+    await fakes.reach(lambda: pair.last_engine.waiting)
+    reports = []
+    for _ in range(8):
+        await pair.timers.advance(0.5)
+        await fakes.reach(lambda: not pair.head.peers.has_unsent())
+        await pair.entry.connection.call(messages.Empty(), fakes.WAIT_S)
+        peer = await pair.head.peers.connection(pair.chain[1])
+        await peer.call(messages.Empty(), fakes.WAIT_S)
+    reports = [
+        body
+        for body in pair.entry.received
+        if isinstance(body, messages.LoadReport)
+    ]
+    loads = {load.server_id: load for load in reports[-1].loads}
+    assert loads['agent-0'].running == loads['agent-1'].running == 1
+    assert loads['agent-1'].queued_tokens == 49
+    links = {(link.source_id, link.target_id) for link in reports[-1].links}
+    assert links == {('agent-0', 'agent-1')}
+
+
+async def test_entry_that_sends_no_more_work_gets_no_reports(pair):
+    """Reports to every entry that ever sent work would cost too much."""
+    frame = fakes.open_attempt(pair.chain)
+    await pair.entry.connection.send(frame)
+    await pair.entry.ended(frame.request_id)
+    await pair.timers.advance(11)
+    await pair.entry.connection.call(messages.Empty(), fakes.WAIT_S)
+    count = len(pair.entry.received)
+    await pair.timers.advance(2)
+    await pair.entry.connection.call(messages.Empty(), fakes.WAIT_S)
+    assert len(pair.entry.received) == count
--- a/pimentowalk/agent/tests/world.py
+++ b/pimentowalk/agent/tests/world.py
@@ -36,6 +36,7 @@
         self.hello = engine_client.EngineHello(
             fakes.MODEL, fakes.VERSION, [], *layers, 4, 2, 100.0
         )
+        self.last_hello = self.hello
         self.ready = True
         self.pending = []
 
--- a/pimentowalk/wire/messages.py
+++ b/pimentowalk/wire/messages.py
@@ -50,7 +50,10 @@
 
 @attrs.frozen
 class StageLoad:
-    """The load of one backend server."""
+    """The load of one backend server.
+
+    `queued_tokens` counts what waits and what running work may still need.
+    """
 
     server_id: str
     queued_tokens: int
