Test later stages, suspects between heads and outboxes

Seen in the test of a batch beyond a frame: after the batch was split, the failure of its largest step reported all steps as unsent, although the others had been sent, so three attempts would have failed for one. Only the step that does not fit is reported now.

--- a/pimentowalk/agent/outbox.py
+++ b/pimentowalk/agent/outbox.py
@@ -69,9 +69,10 @@
             connection.abort()
         try:
             await connection.send(body_of(group, self._loads()))
-        except errors.FrameError:
+        except errors.FrameError as error:
             if len(group) == 1:
-                raise
+                self._on_lost(group, error)
+                return
             middle = len(group) // 2
             await self._send_group(connection, group[:middle])
             await self._send_group(connection, group[middle:])
--- /dev/null
+++ b/pimentowalk/agent/tests/test_stages.py
@@ -0,0 +1,246 @@
+"""Guard what later stages do beyond the plain path."""
+
+import asyncio
+import contextlib
+
+import attrs
+import pytest
+
+from pimentowalk.agent import outbox
+from pimentowalk.agent import preparation
+from pimentowalk.agent.tests import fakes
+from pimentowalk.core import errors
+from pimentowalk.core import timers
+from pimentowalk.wire import codec
+from pimentowalk.wire import messages
+
+LAYERS = [(0, 2), (2, 3), (3, 6)]
+
+
+@attrs.define
+class Three:
+    """Three agents in a row and an entry at the first."""
+
+    agents: list
+    engines: list
+    entry: object
+    timers: object
+
+    @property
+    def chain(self):
+        """Return the chain over all three."""
+        return [
+            fakes.address(agent, *layers)
+            for agent, layers in zip(self.agents, LAYERS, strict=True)
+        ]
+
+    async def open(self, **fields):
+        """Open an attempt whose first step the last engine keeps."""
+        self.engines[2].held = True
+        frame = fakes.open_attempt(self.chain, **fields)
+        await self.entry.connection.send(frame)
+        await fakes.reach(lambda: self.engines[2].waiting)
+        return frame
+
+
+@pytest.fixture
+async def three():
+    """Run three agents with fake engines on a manual clock."""
+    clock = timers.ManualTimerService()
+    async with contextlib.AsyncExitStack() as stack:
+        engines = []
+        agents = []
+        for number, layers in enumerate(LAYERS):
+            engine = fakes.FakeEngine(*layers, 6)
+            await engine.start()
+            stack.push_async_callback(engine.stop)
+            engines.append(engine)
+            agents.append(
+                await stack.enter_async_context(
+                    fakes.running_agent(engine, clock, f'agent-{number}')
+                )
+            )
+        entry = fakes.FakeEntry()
+        await entry.connect(agents[0])
+        stack.push_async_callback(entry.close)
+        yield Three(agents, engines, entry, clock)
+
+
+async def test_cut_link_between_later_stages_names_the_next_stage(three):
+    """The link must be blamed, and the entry must not wait for a stall."""
+    frame = await three.open()
+    link = await three.agents[1].peers.connection(three.chain[2])
+    link.abort()
+    status = await three.entry.ended(frame.request_id)
+    assert (status.state, status.code) == ('failed', 'peer_lost')
+    assert (status.step, status.peer) == ('forward', 'agent-2')
+    for agent in three.agents:
+        await fakes.reach(lambda a=agent: not a.stage.sequences)
+
+
+async def test_stage_that_cannot_be_reached_refuses_the_attempt(three):
+    """A link that is found broken before any step proves 'not run'."""
+    await three.agents[2].server.stop()
+    frame = fakes.open_attempt(three.chain)
+    await three.entry.connection.send(frame)
+    status = await three.entry.ended(frame.request_id)
+    assert (status.state, status.code) == ('refused', 'peer_lost')
+    assert not three.engines[0].record
+
+
+async def test_failure_that_an_engine_reports_ends_the_attempt(three):
+    """An engine that gave a sequence up will send no result."""
+    frame = await three.open()
+    socket = next(iter(three.engines[1].sockets))
+    name = f'{frame.request_id.hex()}-1'
+    await socket.send_json(
+        {
+            'type': 'failed',
+            'sequence': name,
+            'code': 'overloaded',
+            'text': 'no memory',
+        }
+    )
+    status = await three.entry.ended(frame.request_id)
+    assert (status.state, status.code) == ('failed', 'overloaded')
+    assert (status.text, status.peer) == ('no memory', 'agent-1')
+
+
+async def test_restarted_stage_is_not_taken_for_the_old_one(three):
+    """Another incarnation has lost the sequences of the earlier one."""
+    chain = three.chain
+    chain[2] = attrs.evolve(chain[2], incarnation=1)
+    frame = fakes.open_attempt(chain)
+    await three.entry.connection.send(frame)
+    status = await three.entry.ended(frame.request_id)
+    assert (status.state, status.code) == ('refused', 'no_chain')
+    assert status.peer == 'agent-2'
+
+
+async def test_suspect_waits_until_a_later_stage_is_idle(three):
+    """A suspect beside other requests could take them along again."""
+    first = await three.open()
+    three.agents[1].suspicion.crashed(
+        [attrs.evolve(first, fingerprint=9)],
+    )
+    suspect = fakes.open_attempt(three.chain, fingerprint=9, isolate=True)
+    await three.entry.connection.send(suspect)
+    await fakes.reach(lambda: three.agents[0].head.queue.suspects)
+    third = fakes.open_attempt(three.chain)
+    await three.entry.connection.send(third)
+    three.engines[2].held = False
+    await three.engines[2].release()
+    for frame in (first, suspect, third):
+        status = await three.entry.ended(frame.request_id)
+        assert status.state == 'finished'
+
+
+async def prepare_at(three, frame):
+    """Prepare an attempt at the last agent from another head."""
+    hello = messages.Hello('head-x', 'agent', 9)
+    entry = fakes.FakeEntry()
+    entry.hello = hello
+    await entry.connect(three.agents[2])
+    call = entry.connection.call(frame, fakes.WAIT_S)
+    return entry, asyncio.ensure_future(call)
+
+
+def prepare(three, **fields):
+    """Return a PrepareAttempt for the last agent."""
+    frame = messages.PrepareAttempt(
+        b'p' * 16, 1, fakes.MODEL, fakes.VERSION, '', 0, 0.0, 2, 9, three.chain
+    )
+    return attrs.evolve(frame, **fields)
+
+
+async def test_suspect_of_another_head_waits_and_keeps_others_out(three):
+    """Work that joins a suspect would be at risk."""
+    first = await three.open()
+    entry, suspect = await prepare_at(three, prepare(three, isolate=True))
+    await fakes.reach(lambda: three.agents[2].preparation._waiting_alone)
+    other = fakes.open_attempt(three.chain)
+    await three.entry.connection.send(other)
+    status = await three.entry.ended(other.request_id)
+    assert (status.state, status.code) == ('refused', 'overloaded')
+    three.engines[2].held = False
+    await three.engines[2].release()
+    await three.entry.ended(first.request_id)
+    await fakes.reach(lambda: not three.agents[2].stage.sequences)
+    await three.timers.advance(preparation.IDLE_CHECK_S)
+    assert isinstance(await suspect, messages.Empty)
+    await entry.close()
+
+
+async def test_suspect_does_not_wait_for_ever(three):
+    """A stage that is always busy must refuse, so the entry can go on."""
+    await three.open()
+    entry, suspect = await prepare_at(three, prepare(three, isolate=True))
+    await fakes.reach(lambda: three.agents[2].preparation._waiting_alone)
+    # Short advances let the head renew the lease of what runs.
+    for _ in range(12):
+        await three.timers.advance(1)
+        await asyncio.sleep(0.01)
+    with pytest.raises(errors.PimentowalkError) as caught:
+        await suspect
+    assert caught.value.code == 'overloaded'
+    assert not three.agents[2].preparation._waiting_alone
+    await entry.close()
+
+
+class Link:
+    """A connection that encodes what it sends."""
+
+    def __init__(self):
+        self.sent = []
+        self.gate = asyncio.Event()
+
+    async def send(self, body):
+        await self.gate.wait()
+        codec.encode(body)
+        self.sent.append(body)
+
+
+async def test_outbox_splits_what_exceeds_a_frame():
+    """A batch of long prefills must not end its connection."""
+    link = Link()
+    link.gate.set()
+    lost = []
+
+    async def connect():
+        return link
+
+    box = outbox.Outbox(connect, lambda *a: lost.append(a), lambda: [])
+    steps = [
+        messages.Step(bytes([n]) * 16, 1, 0, b'h' * size, [])
+        for n, size in enumerate((400_000, 400_000, 400_000, 1_200_000))
+    ]
+    for step in steps:
+        box.put(step)
+    await fakes.reach(lambda: lost)
+    sent = [step for body in link.sent for step in body.steps]
+    assert sent == steps[:3]
+    items, error = lost[0]
+    assert (items, error.code) == ([steps[3]], 'too_large')
+    await box.stop()
+
+
+async def test_outbox_batches_what_waits_for_a_slow_peer():
+    """Order must hold across steps, tokens and other frames."""
+    link = Link()
+
+    async def connect():
+        return link
+
+    box = outbox.Outbox(connect, lambda *a: None, lambda: [])
+    step = messages.Step(b'r' * 16, 1, 0, b'', [])
+    close = messages.CloseAttempt(b'r' * 16, 1)
+    box.put(step)
+    await asyncio.sleep(0)
+    for item in (step, step, close, step):
+        box.put(item)
+    assert box.busy
+    link.gate.set()
+    await fakes.reach(lambda: not box.busy)
+    kinds = [len(b.steps) if b is not close else 'close' for b in link.sent]
+    assert kinds == [1, 2, 'close', 1]
+    await box.stop()
