Test the agent as a process and ask for the fencing number first

An agent without a file asked control for the highest issued number only after it had waited up to ten seconds for a configuration. An order issued meanwhile was refused as stale, which the process test showed. The number is asked for right after the start now.

Processes on loopback: two crashes quarantine a request, a restarted agent has a new incarnation and refuses the orders of its earlier life, a terminated agent finishes its answer and ends with status 0.

--- a/pimentowalk/agent/daemon.py
+++ b/pimentowalk/agent/daemon.py
@@ -106,12 +106,13 @@
 
     async def _learn(self):
         # Peers send work as soon as they know the server, so this must not
-        # hold up the reaction to a signal.
+        # hold up the reaction to a signal. The fencing number is asked for
+        # first: an order issued before the answer is refused.
+        await self.agent.load_fence()
         try:
             await self.session.ready(READY_TIMEOUT_S)
         except (TimeoutError, errors.PimentowalkError) as error:
             LOG.warning('no configuration from control yet: %r', error)
-        await self.agent.load_fence()
 
     async def _drain(self):
         await self._until(
--- /dev/null
+++ b/pimentowalk/agent/tests/test_processes.py
@@ -0,0 +1,178 @@
+"""Guard the agent as a process beside a real engine and control."""
+
+import asyncio
+import hashlib
+import signal
+
+import pytest
+
+from pimentowalk.agent.tests import fakes
+from pimentowalk.control import client
+from pimentowalk.control import commands
+from pimentowalk.core import errors
+from pimentowalk.topology import instances
+from pimentowalk.wire import messages
+from tools import deployment
+
+pytestmark = pytest.mark.processes
+TOKEN = 'operator-token'
+MARKER = 'crashes-engines'
+
+
+class Run:
+    """Control, one engine and one agent as processes."""
+
+    def __init__(self, processes, folder):
+        self.processes = processes
+        self.folder = folder
+        self.engine_port = deployment.free_port()
+        self.control = None
+
+    async def start(self):
+        """Start all processes; return the record of the agent."""
+        operators = self.folder / 'operators.ini'
+        digest = hashlib.sha256(TOKEN.encode()).hexdigest()
+        operators.write_text(f'[operators]\nann = {digest}\n')
+        operators.chmod(0o600)
+        self.processes.start_controls(['zone-1'], operators)
+        self.start_engine()
+        addresses = [
+            instances.Instance(node, '127.0.0.1', port)
+            for node, port in self.processes.control
+        ]
+        self.control = client.ControlClient(addresses, token=TOKEN)
+        return await self.start_agent()
+
+    def start_engine(self):
+        """Start the engine, again under the same port."""
+        self.processes.run(
+            'engine',
+            'tools.standin_engine',
+            '--port',
+            self.engine_port,
+            '--crash-marker',
+            MARKER,
+        )
+
+    async def start_agent(self):
+        """Start the agent; return its record once it is announced."""
+        self.processes.start_agent(
+            'agent-1', 'zone-1', 'skrivar', 'stage', self.engine_port
+        )
+        return await self.announced()
+
+    async def announced(self, draining=False):
+        """Wait until the agent is announced in this state."""
+
+        async def find():
+            try:
+                found = await self.control.request(
+                    commands.FindServer('agent-1')
+                )
+            except errors.PimentowalkError:
+                return None
+            return found if found.draining == draining else None
+
+        return await deployment.wait_until(find, what='the announcement')
+
+
+@pytest.fixture
+async def run(tmp_path):
+    with deployment.Deployment(tmp_path) as processes:
+        yield Run(processes, tmp_path)
+
+
+async def connect(server):
+    """Return an entry that is connected to an agent."""
+    entry = fakes.FakeEntry()
+    await entry.connect(server)
+    return entry
+
+
+def attempt(server, **fields):
+    """Return an attempt at the only stage."""
+    place = messages.StageAddress(
+        server.server_id, server.incarnation, server.host, server.port, 0, 8
+    )
+    values = {'model': 'standin', 'service': 'skrivar', **fields}
+    return fakes.open_attempt([place], **values)
+
+
+async def ended(entry, frame):
+    """Wait for the end of an attempt in a real process."""
+    await deployment.wait_until(
+        lambda: any(
+            status.state in messages.ENDED
+            for status in entry.statuses(frame.request_id)
+        ),
+        what='the end of the attempt',
+    )
+    return entry.statuses(frame.request_id)[-1]
+
+
+async def test_second_crash_quarantines_the_request(run):
+    """A request must not crash one backend server after the other."""
+    server = await run.start()
+    entry = await connect(server)
+    for _ in range(2):
+        frame = attempt(server, prompt=MARKER, fingerprint=31)
+        await entry.connection.send(frame)
+        status = await ended(entry, frame)
+        assert (status.state, status.engine_crashed) == ('failed', True)
+        await run.announced(draining=True)
+        run.start_engine()
+        await run.announced()
+
+    async def refused():
+        frame = attempt(server, prompt='harmless', fingerprint=31)
+        await entry.connection.send(frame)
+        return (await ended(entry, frame)).code == 'quarantined'
+
+    await deployment.wait_until(refused, what='the quarantine')
+    innocent = attempt(server, fingerprint=32)
+    await entry.connection.send(innocent)
+    assert (await ended(entry, innocent)).state == 'finished'
+    await entry.close()
+
+
+async def test_restart_keeps_the_fence_and_changes_the_incarnation(run):
+    """Orders of an earlier life must not run again in a later one."""
+    server = await run.start()
+    entry = await connect(server)
+    refused = await entry.connection.call(messages.Order(0, 'drain', b''), 10)
+    assert refused.code == 'stale_fence'
+    fences = []
+    for change in ('one', 'two'):
+        issued = await run.control.request(
+            commands.IssueFence(change, 'ann', 'agent-1', 'load_adapter')
+        )
+        fences.append(issued.fence)
+    arguments = b'{"adapter": "nynorsk"}'
+    orders = [messages.Order(f, 'load_adapter', arguments) for f in fences]
+    reply = await entry.connection.call(orders[1], 10)
+    assert reply.done, reply
+    run.processes.processes['agent-1'].kill()
+    await entry.task
+    again = await run.start_agent()
+    while again.incarnation == server.incarnation:
+        await asyncio.sleep(0.05)
+        again = await run.announced()
+    entry = await connect(again)
+    for order in orders:
+        reply = await entry.connection.call(order, 10)
+        assert (reply.done, reply.code) == (False, 'stale_fence')
+    await entry.close()
+
+
+async def test_terminated_agent_finishes_its_answer_and_ends(run):
+    """A planned stop must not be noticed by a caller."""
+    server = await run.start()
+    entry = await connect(server)
+    frame = attempt(server, max_tokens=200, prompt='a long answer')
+    await entry.connection.send(frame)
+    await deployment.wait_until(entry.tokens, what='the first token')
+    process = run.processes.processes['agent-1']
+    process.signal(signal.SIGTERM)
+    assert (await ended(entry, frame)).state == 'finished'
+    assert process.wait_stopped() == 0
+    await entry.task
