Divide account rates among entries by their demand

Cause: a share of rate divided by live entries leaves a caller that reaches one of 390 entries 1/390 of its rate, and the entry had no sign by which it knew that it was cut off.

Ruled out: a larger saved burst, which helps for seconds only; reports to any control instance, because several tables would each hand out the whole rate; float sums in the table, because a hypothesis test showed shares that add up to 1.2 once small demands follow large ones.

Change: entries report the demand of their accounts to the leader about every 2 s (`ReportUse`) and get shares: a fifth of each rate evenly, the rest by demand. An entry that got no shares for 10 s takes itself to be cut off and keeps to half of an even share. A new leader divides evenly for 5 s. The command and its query are appended to control.

Conclusion: shares follow the callers and add up to the rate.

--- a/pimentowalk/admission/tests/test_rates.py
+++ b/pimentowalk/admission/tests/test_rates.py
@@ -4,7 +4,9 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
+from pimentowalk.admission import account_use
 from pimentowalk.admission import rate_limits
 from pimentowalk.admission import retry_budget
 from pimentowalk.core import timers as core_timers
@@ -31,6 +33,8 @@
 
     def __init__(self, rate):
         self.rate = fractions.Fraction(rate)
+        # One entry lets an opening burst of one second through at least,
+        # which is below the depth for a saved share.
         self.depth = max(self.rate * int(rate_limits.BURST_S), 1)
         self.history = []
 
@@ -51,6 +55,13 @@
         self.history.append((fractions.Fraction(now_s), cost))
 
 
+def limits_with(timers, name='a', *, share=1.0, entries=1):
+    """Return limits to which control has granted a share."""
+    limits = rate_limits.AccountLimits(timers, lambda: entries)
+    limits.grant({name: share})
+    return limits
+
+
 @SETTINGS
 @hypothesis.given(
     RATES,
@@ -63,12 +74,13 @@
 def test_limits_match_the_naive_version(requests, tokens, calls):
     """A limit that drifts lets too much through or starves an account."""
     timers = SetTimers()
-    limits = rate_limits.AccountLimits(timers, lambda: 1)
+    limits = limits_with(timers)
     account = contracts.ClientAccount('a', '', 1.0, requests, tokens * 8)
     naive = NaiveBucket(requests), NaiveBucket(tokens * 8)
     for pause_s, cost, correction in calls:
         timers.pass_s(pause_s)
         now_s = timers.now_s()
+        limits.grant({'a': 1.0})
         expected = max(naive[0].wait_s(1, now_s), naive[1].wait_s(cost, now_s))
         assert limits.charge(account, cost) == float(expected)
         if expected == 0:
@@ -78,41 +90,122 @@
             naive[1].take(correction, now_s)
 
 
+DEMANDS = strategies.dictionaries(
+    strategies.sampled_from(['a', 'b']), strategies.floats(0, 50)
+)
+
+
 @SETTINGS
 @hypothesis.given(
-    strategies.integers(1, 5),
+    strategies.integers(1, 6),
     strategies.lists(
-        strategies.tuples(PAUSES_S, strategies.integers(0, 4)), max_size=60
+        strategies.tuples(PAUSES_S, strategies.integers(0, 5), DEMANDS),
+        max_size=40,
     ),
 )
-def test_entries_together_keep_to_the_rate(entries, calls):
+def test_shares_match_the_naive_version(entries, reports):
+    """A share worked out from stale demands would break the rate."""
+    table = account_use.UseTable()
+    history = []
+    now_s = 0.0
+    started_s = None
+    for pause_s, place, demands in reports:
+        now_s += pause_s
+        fresh = {
+            entry: known
+            for at_s, entry, known in history
+            if now_s - at_s <= account_use.EXPIRY_S
+        }
+        if not fresh:
+            started_s = now_s
+        history = [h for h in history if h[1] != place % entries]
+        history.append((now_s, place % entries, demands))
+        fresh[place % entries] = demands
+        got = table.report(place % entries, demands, entries, now_s)
+        for name, demand in demands.items():
+            demand = round(demand, 6)
+            total = sum(
+                round(known.get(name, 0), 6) for known in fresh.values()
+            )
+            expected = 1 / entries
+            if now_s - started_s >= account_use.WARM_UP_S and demand:
+                expected = 0.2 / entries + 0.8 * demand / total
+            assert got.get(name, expected) == pytest.approx(expected)
+            assert (name in got) == (demand > 0)
+
+
+@SETTINGS
+@hypothesis.given(
+    strategies.lists(strategies.floats(0, 9), min_size=1, max_size=8)
+)
+def test_shares_of_all_entries_add_up_to_the_rate(demands):
     """Shares that add up to more than the rate would be no limit."""
+    table = account_use.UseTable()
+    for now_s in (0.0, 3.0, 6.0, 9.0):
+        shares = [
+            table.report(place, {'a': demand}, len(demands), now_s).get('a', 0)
+            for place, demand in enumerate(demands)
+        ]
+    assert sum(shares) <= 1 + 1e-7
+    if any(demand > 1e-3 for demand in demands):
+        assert sum(shares) >= 0.8 - 1e-7
+
+
+def run_entries(pattern, *, entries, rate):
+    """Send one call each 50 ms for a minute to an entry by a pattern.
+
+    Returns how many pass in the last 40 s; shares are divided every 2 s.
+    """
     timers = SetTimers()
-    account = contracts.ClientAccount('a', '', 1.0, 8.0, 1e9)
-    limits = [
+    account = contracts.ClientAccount('a', '', 1.0, rate, 1e9)
+    table = account_use.UseTable()
+    all_limits = [
         rate_limits.AccountLimits(timers, lambda: entries)
         for _ in range(entries)
     ]
-    allowed = 0
-    for pause_s, place in calls:
-        timers.pass_s(pause_s)
-        if limits[place % entries].charge(account, 1) == 0:
-            allowed += 1
-    burst = entries * max(8.0 / entries * rate_limits.BURST_S, 1)
-    assert allowed <= 8.0 * timers.now_s() + burst
+    passed = 0
+    for number in range(1200):
+        for place, limits in enumerate(all_limits):
+            if limits.is_report_due():
+                demands = limits.demands({'a': account})
+                now_s = timers.now_s()
+                limits.grant(table.report(place, demands, entries, now_s))
+        allowed = all_limits[pattern(number)].charge(account, 1) == 0
+        passed += allowed and number >= 400
+        timers.pass_s(0.05)
+    return passed
+
+
+def test_rate_follows_the_callers_of_an_account():
+    """A caller at one entry must get the rate that others do not use."""
+    fair = 40 * 10.0
+    at_one = run_entries(lambda number: 0, entries=20, rate=10.0)
+    spread = run_entries(lambda number: number % 20, entries=20, rate=10.0)
+    assert 0.75 * fair <= at_one <= 1.05 * fair
+    assert 0.75 * fair <= spread <= 1.05 * fair
+
+
+def test_rate_holds_when_callers_move_between_entries():
+    """Callers must not gain a rate by moving on every ten seconds."""
+    passed = run_entries(
+        lambda number: number // 200 % 20, entries=20, rate=10.0
+    )
+    assert passed <= 1.25 * 40 * 10.0
 
 
 def test_wait_that_was_told_is_enough():
     """A caller that comes back after `Retry-After` must be served."""
     timers = SetTimers()
-    limits = rate_limits.AccountLimits(timers, lambda: 3)
+    limits = limits_with(timers, share=1 / 3, entries=3)
     account = contracts.ClientAccount('a', '', 1.0, 0.7, 100.0)
     waits = 0
     for _ in range(50):
+        limits.grant({'a': 1 / 3})
         wait_s = limits.charge(account, 37)
         if wait_s:
             waits += 1
             timers.pass_s(wait_s)
+            limits.grant({'a': 1 / 3})
             assert limits.charge(account, 37) == 0
     assert waits > 20
 
@@ -120,21 +213,42 @@
 def test_share_falls_back_while_cut_off():
     """A cut-off entry must not use the share of entries it cannot see."""
     timers = SetTimers()
-    cut_off = [False]
     live = [4]
-    limits = rate_limits.AccountLimits(
-        timers, lambda: live[0], lambda: cut_off[0]
-    )
-    assert limits.share() == 0.25
-    cut_off[0], live[0] = True, 1
-    assert limits.share() == 0.125
-    cut_off[0], live[0] = False, 2
-    assert limits.share() == 0.5
+    limits = rate_limits.AccountLimits(timers, lambda: live[0])
+    assert limits.cut_off
+    limits.grant({'a': 0.9})
+    assert limits.share('a') == 0.9
+    assert limits.share('b') == 0.05
+    timers.pass_s(rate_limits.CUT_OFF_AFTER_S)
+    assert limits.share('a') == 0.9
+    timers.pass_s(0.5)
+    live[0] = 1
+    assert limits.cut_off
+    assert limits.share('a') == limits.share('b') == 0.125
+    limits.grant({'a': 0.4})
+    assert limits.share('a') == 0.4
+
+
+def test_account_without_a_share_is_reported_promptly():
+    """The first callers of an account must not wait for a whole period."""
+    timers = SetTimers()
+    limits = rate_limits.AccountLimits(timers, lambda: 100)
+    account = contracts.ClientAccount('a', '', 1.0, 1.0, 1e9)
+    limits.demands({'a': account})
+    limits.grant({})
+    assert limits.charge(account, 1) == 0
+    timers.pass_s(0.25)
+    assert not limits.is_report_due()
+    wait_s = limits.charge(account, 1)
+    assert 0 < wait_s <= rate_limits.REPORT_PERIOD_S
+    assert limits.is_report_due()
+    assert limits.demands({'a': account}) == {'a': 2.0}
+    assert limits.demands({}) == {}
 
 
 def test_rate_of_zero_refuses_all_but_the_first():
     """An account with rate 0 must not divide by zero."""
-    limits = rate_limits.AccountLimits(SetTimers(), lambda: 1)
+    limits = limits_with(SetTimers())
     account = contracts.ClientAccount('a', '', 1.0, 0.0, 0.0)
     assert limits.charge(account, 1) == 0
     assert limits.charge(account, 1) == float('inf')
--- a/pimentowalk/control/commands.py
+++ b/pimentowalk/control/commands.py
@@ -381,6 +381,22 @@
     server_id: str
 
 
+@attrs.frozen
+class UseShares:
+    """The shares of account rates that an entry may enforce."""
+
+    shares: dict[str, float]
+
+
+@command('ReportUse', UseShares)
+@attrs.frozen
+class ReportUse:
+    """Report an entry's recent demand, as parts of account rates."""
+
+    entry_id: str
+    demands: dict[str, float]
+
+
 def pack(value):
     """Return JSON bytes, compressed if they are long."""
     content = json.dumps(value, separators=(',', ':')).encode()
--- a/pimentowalk/control/requests.py
+++ b/pimentowalk/control/requests.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from pimentowalk.admission import account_use
 from pimentowalk.control import commands
 from pimentowalk.control import member_changes
 from pimentowalk.control import publishing
@@ -33,6 +34,7 @@
         self.timers = timers
         self.clock = clock
         self._operators = operators
+        self.use = account_use.UseTable()
 
     async def answer(self, request, peer):
         """Return the `ControlReply` to a request; never raise."""
@@ -173,3 +175,15 @@
     """Return audit records."""
     records = handler.state.part('audit').after(body.after_index, body.limit)
     return commands.AuditResult(records)
+
+
+@QUERIES.register('ReportUse')
+def report_use(handler, body):
+    """Return the shares of an entry; only the leader divides rates."""
+    shares = handler.use.report(
+        body.entry_id,
+        body.demands,
+        handler.directory.live_entries,
+        handler.timers.now_s(),
+    )
+    return commands.UseShares(shares)
--- a/pimentowalk/entry/__main__.py
+++ b/pimentowalk/entry/__main__.py
@@ -2,4 +2,5 @@
 
 from pimentowalk.entry import daemon
 
-daemon.main()
+if __name__ == '__main__':
+    daemon.main()
--- a/pimentowalk/entry/context.py
+++ b/pimentowalk/entry/context.py
@@ -111,10 +111,6 @@
         self.routing.index.update(servers)
         self.routing.loads.keep_only({s.server_id for s in servers})
 
-    def refresh_configuration(self, *_):
-        """Drop what belongs to accounts that no longer exist."""
-        self.limits.forget_except(self.configuration.accounts)
-
 
 def route_of(configuration, service, path):
     """Return the route by which a caller reaches a model service."""
@@ -150,10 +146,7 @@
         on_links=routing.measured_links,
     )
     limits = rate_limits.AccountLimits(
-        timers,
-        lambda: session.view.live_entries,
-        # The session has no such attribute in every version of control.
-        lambda: getattr(session, 'cut_off', False),
+        timers, lambda: session.view.live_entries
     )
     context = EntryContext(
         timers,
@@ -166,5 +159,5 @@
     )
     context.metrics.gauge('agent_connections', lambda: pool.open_count)
     session.on_view(context.refresh_view)
-    session.on_configuration(context.refresh_configuration)
+    context.metrics.gauge('cut_off', lambda: int(limits.cut_off))
     return context
--- a/pimentowalk/entry/daemon.py
+++ b/pimentowalk/entry/daemon.py
@@ -14,6 +14,7 @@
 from pimentowalk.entry import context as entry_context
 from pimentowalk.entry import drain as entry_drain
 from pimentowalk.entry import front
+from pimentowalk.entry import use_reports
 from pimentowalk.wire import messages
 
 LOG = logging.getLogger(__name__)
@@ -42,6 +43,9 @@
         self.claims = entry_claims.Claims(
             session, commands, self.context.pool, timers
         )
+        self.reports = use_reports.UseReporter(
+            hello.node_id, self.context, commands
+        )
         self.front = front.Front(self.context, self.drain, self.claims)
         self._runner = None
         self._site = None
@@ -50,6 +54,7 @@
     async def start(self):
         """Listen for callers; ready once control has been heard."""
         self.context.pool.start()
+        self.reports.start()
         await self._session.start()
         # Without cancellation the entry would generate to the end for
         # callers that have left.
@@ -107,6 +112,7 @@
 
     async def close(self):
         """Close all connections."""
+        self.reports.stop()
         if self._ready is not None:
             await core_timers.cancel_all([self._ready])
         if self._runner is not None:
--- a/pimentowalk/entry/tests/fake_control.py
+++ b/pimentowalk/entry/tests/fake_control.py
@@ -64,6 +64,17 @@
     claim_id: str
 
 
+@attrs.frozen
+class ReportUse:
+    entry_id: str
+    demands: dict
+
+
+@attrs.frozen
+class UseShares:
+    shares: dict
+
+
 COMMANDS = sys.modules[__name__]
 
 
@@ -87,6 +98,7 @@
         self.quarantined = set()
         self.has_quorum = True
         self.lose_replies = 0
+        self.use_share = 1.0
         self.claims = {}
         self.commands = []
         self.noted = set()
@@ -128,6 +140,9 @@
             raise errors.OutcomeUnknown('the reply was lost')
         return result
 
+    def _ReportUse(self, command):  # noqa: N802
+        return UseShares(dict.fromkeys(command.demands, self.use_share))
+
     def _OpenClaim(self, command):  # noqa: N802
         key = (command.account, command.key)
         known = self.claims.get(key)
--- a/pimentowalk/entry/tests/test_front.py
+++ b/pimentowalk/entry/tests/test_front.py
@@ -225,6 +225,9 @@
         entry.show()
         entry.session.configuration = harness.configuration(requests_per_s=0.2)
         assert (await entry.complete())[0] == 200
+        # The use is reported, and control grants the whole rate.
+        await timers.advance(0.25)
+        assert entry.context.limits.share('north') == 1.0
         async with entry.client.post(
             '/v1/completions',
             json={'model': 'm1', 'prompt': 'Hi'},
