--- a/pimentowalk/cli/tests/test_cli.py
+++ b/pimentowalk/cli/tests/test_cli.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import json
+import pathlib
+import re
 import threading
 
 import pytest
@@ -156,6 +158,17 @@
     assert (repeated.change_id, repeated.expected_version) == (change_id, 4)
 
 
+def test_a_change_without_an_answer_has_an_unknown_outcome(
+    control, files, capsys
+):
+    """A change reported as failed would be sent again as a new one."""
+    control.silent = {'Publish', 'ReadStatus'}
+    options = ['--timeout-s', '0.01']
+    assert main.run(['publish', str(files), *options]) == 3
+    assert '--change-id' in capsys.readouterr().err
+    assert main.run(['status', *options]) == 1
+
+
 @pytest.mark.parametrize(
     ('change', 'reason'),
     [
@@ -334,3 +347,15 @@
     control.failures['IssueFence'] = errors.OutcomeUnknown('no reply')
     assert main.run([*argv, '{}']) == 1
     assert 'no order was sent' in capsys.readouterr().err
+
+
+def test_the_documented_exit_statuses_are_the_real_ones():
+    """Scripts are written by the page and rely on its numbers."""
+    page = pathlib.Path(__file__).parents[3] / 'docs' / 'operators.md'
+    table = page.read_text().split('| status | meaning |')[1]
+    documented = [
+        int(number) for number in re.findall(r'^\| (\d) \|', table, re.M)
+    ]
+    assert documented == [status.value for status in main.ExitStatus]
+    for status in main.ExitStatus:
+        assert f'{status.value} ' in main.DESCRIPTION
--- a/pimentowalk/entry/tests/test_services.py
+++ b/pimentowalk/entry/tests/test_services.py
@@ -4,10 +4,10 @@
 
 import attrs
 
+from pimentowalk.control import commands
 from pimentowalk.core import timers as core_timers
 from pimentowalk.entry import claims
 from pimentowalk.entry.tests import fake_agent
-from pimentowalk.entry.tests import fake_control
 from pimentowalk.entry.tests import harness
 from pimentowalk.wire import messages
 
@@ -95,7 +95,7 @@
         agent.service_script = look
         entry.show()
         await entry.book(key='k1')
-        address = fake_control.ServerAddress(
+        address = commands.ServerAddress(
             's1', agent.incarnation, '127.0.0.1', agent.server.port
         )
         assert seen == [('open', address, agent.calls[0].request_id)]
@@ -181,14 +181,14 @@
 def leave_open_claim(entry, agent):
     """Put the claim of an entry that died into control."""
     body_hash = claims.body_hash('POST', '/bookings/new', b'slot 3')
-    address = fake_control.ServerAddress(
+    address = commands.ServerAddress(
         agent.server_id,
         agent.incarnation,
         '127.0.0.1',
         agent.server.port,
     )
-    entry.session.claims['north', 'k1'] = fake_control.Claim(
-        'other', body_hash, b'r' * 16, 1, address
+    entry.session.claims['north', 'k1'] = commands.Claim(
+        'other', body_hash, b'r' * 16, 1, address, 'open', 0.0
     )
 
 
@@ -353,7 +353,7 @@
         request = entry.session.request
 
         async def slow(command, timeout_s=5.0):
-            if isinstance(command, fake_control.OpenClaim):
+            if isinstance(command, commands.OpenClaim):
                 assert timeout_s <= 0.4
                 await timers.advance(0.5)
             return await request(command)
