Tell slow callers from stalled agents, and replays of large replies

Cause: a caller that reads slowly holds up the task of its request, so that the watchdog saw no progress and the attempt was retried. A replayed reply that was recorded by its status only was called `replayed`.

Ruled out: progress noted when frames arrive, because the watchdog would then need a call for each frame of requests that are not held up.

Change: on an overdue limit the run looks at its queue and at progress since then, and goes on waiting if there was any; status-only records carry the header that the page for callers describes.

Conclusion: only silence of the agent counts as a stall.

--- a/pimentowalk/entry/claims.py
+++ b/pimentowalk/entry/claims.py
@@ -14,6 +14,10 @@
 
 LOG = logging.getLogger(__name__)
 
+# Tells the caller what a resend with the same key gets.
+RECORD_HEADER = 'X-Idempotency-Record'
+STATUS_ONLY = 'status-only'
+REPLAYED = 'replayed'
 # A claim is an entry of the replicated log; a larger reply is recorded by
 # its status only.
 MAX_RECORDED_BYTES = 64 * 1024
@@ -164,21 +168,23 @@
         )
         return status.state if same else ''
 
-    async def settle(self, held, outcome, status=0, headers=(), body=b''):
+    async def settle(self, held, outcome, reply=None):
         """Record how a call ended, before its caller learns it.
 
-        Without a quorum the caller gets the reply after a short wait, and
-        the record is tried again in the background.
+        Of a reply that no claim can hold, only the status is recorded, with
+        a header that says so. Without a quorum the caller gets the reply
+        after a short wait, and the record is tried again in the background.
         """
-        if not is_recordable(body):
-            body = b''
+        status, headers, body = 0, [], b''
+        if reply is not None:
+            status, headers, body = _recorded(reply)
         command = self._commands.SettleClaim(
             account=held.account,
             key=held.key,
             claim_id=held.claim_id,
             outcome=outcome,
             status=status,
-            headers=list(headers)[:MAX_RECORDED_HEADERS],
+            headers=headers,
             body=body,
         )
         await self._within_wait(self._insist(command))
@@ -227,6 +233,13 @@
             await asyncio.wait(list(self._tasks), timeout=timeout_s)
 
 
+def _recorded(reply):
+    if is_recordable(reply.body):
+        headers = list(reply.headers)[:MAX_RECORDED_HEADERS]
+        return reply.status, headers, reply.body
+    return reply.status, [messages.Header(RECORD_HEADER, STATUS_ONLY)], b''
+
+
 def _ended(result):
     """Return the recorded reply of a claim, or raise RequestFailed."""
     if result.state == 'settled':
--- a/pimentowalk/entry/model_run.py
+++ b/pimentowalk/entry/model_run.py
@@ -162,6 +162,11 @@
             raise failures.AttemptFailed(
                 'the deadline passed', code='deadline', peer=head_id
             )
+        # A caller that reads slowly holds this task up; what arrived in the
+        # meantime is progress, although the watchdog did not see it.
+        if not (self._inbox.empty() and self._watchdog.is_overdue):
+            self._restart_watchdog(limit_s)
+            return
         if self._record.state == messages.AttemptState.QUEUED:
             silent_s = self._context.timers.now_s() - self._link.heard_s
             if silent_s < QUEUED_SILENCE_S:
--- a/pimentowalk/entry/service_call.py
+++ b/pimentowalk/entry/service_call.py
@@ -159,9 +159,7 @@
         status_only = False
         if held is not None:
             status_only = not entry_claims.is_recordable(reply.body)
-            await self._claims.settle(
-                held, 'done', reply.status, reply.headers, reply.body
-            )
+            await self._claims.settle(held, 'done', reply)
         return ServiceResult(
             reply.status, reply.headers, reply.body, False, status_only
         )
--- a/pimentowalk/entry/service_front.py
+++ b/pimentowalk/entry/service_front.py
@@ -7,6 +7,7 @@
 
 from pimentowalk.core import errors
 from pimentowalk.core import identifiers
+from pimentowalk.entry import claims as entry_claims
 from pimentowalk.entry import completions
 from pimentowalk.entry import replies
 from pimentowalk.entry import service_call
@@ -15,8 +16,6 @@
 
 KEY_HEADER = 'Idempotency-Key'
 MAX_KEY_CHARACTERS = 200
-# Tells the caller that a resend with this key gets the status only.
-RECORD_HEADER = 'X-Idempotency-Record'
 ACCOUNT_HEADER = 'X-Client-Account'
 # RFC 9110, section 7.6.1, and what the entry itself adds or consumes.
 HOP_HEADERS = frozenset(
@@ -195,8 +194,10 @@
             response.headers[name] = value
         else:
             response.headers.add(name, value)
-    if result.replayed:
-        response.headers[RECORD_HEADER] = 'replayed'
-    elif result.status_only:
-        response.headers[RECORD_HEADER] = 'status-only'
+    if result.status_only:
+        response.headers[entry_claims.RECORD_HEADER] = entry_claims.STATUS_ONLY
+    elif result.replayed:
+        response.headers.setdefault(
+            entry_claims.RECORD_HEADER, entry_claims.REPLAYED
+        )
     return response
--- a/pimentowalk/entry/tests/test_failures.py
+++ b/pimentowalk/entry/tests/test_failures.py
@@ -5,6 +5,7 @@
 import attrs
 
 from pimentowalk.core import timers as core_timers
+from pimentowalk.entry import model_call
 from pimentowalk.entry.tests import fake_agent
 from pimentowalk.entry.tests import harness
 from pimentowalk.wire import messages
@@ -322,3 +323,48 @@
         assert entry.context.metrics.counters['attempts'] <= 21
         links = entry.context.routing.links
         assert links.penalty_s('entry-1', 'b') == 0
+
+
+async def test_slow_caller_is_not_taken_for_a_stall():
+    """Tokens that wait for a slow caller must not cause a retry."""
+    timers = core_timers.ManualTimerService()
+    async with harness.running(timers) as entry:
+        agent = await entry.agent('a')
+        go_on = asyncio.Event()
+
+        async def pause(agent, peer, frame):
+            frames = fake_agent.frames_of(frame)
+            for body in frames[:5]:
+                await peer.send(body)
+            agent.stalled.set()
+            await go_on.wait()
+            for body in frames[5:]:
+                await peer.send(body)
+
+        agent.script = pause
+        entry.show()
+        configuration = entry.session.configuration
+        spec = model_call.ModelSpec(
+            request_id=b'r' * 16,
+            account=configuration.accounts['north'],
+            service=configuration.services['assist'],
+            route=configuration.routes['assist'],
+            adapter='',
+            prompt='Hi',
+            max_tokens=6,
+            seed=1,
+            temperature=0.0,
+            fingerprint=1,
+            scope_version=0,
+            deadline_s=30.0,
+        )
+        call = model_call.ModelCall(entry.context, spec)
+        tokens = await call.next_tokens()
+        await agent.stalled.wait()
+        for _ in range(3):
+            await timers.advance(1.0)
+        go_on.set()
+        while not call.assembly.complete:
+            tokens += await call.next_tokens()
+        assert ''.join(token.text for token in tokens) == REFERENCE
+        assert len(agent.opened) == 1
--- a/pimentowalk/entry/tests/test_services.py
+++ b/pimentowalk/entry/tests/test_services.py
@@ -249,6 +249,7 @@
         assert headers['X-Idempotency-Record'] == 'status-only'
         status, headers, body = await entry.book(content, key='k1')
         assert (status, body) == (200, b'')
+        assert headers['X-Idempotency-Record'] == 'status-only'
         assert len(agent.calls) == 1
 
 
--- a/pimentowalk/entry/watchdog.py
+++ b/pimentowalk/entry/watchdog.py
@@ -36,6 +36,11 @@
         self._since_s = self._timers.now_s()
         self._limit_s = limit_s
 
+    @property
+    def is_overdue(self):
+        """Return whether the limit has passed without progress."""
+        return self._timers.now_s() - self._since_s >= self._limit_s
+
     def stop(self):
         """Stop watching."""
         self._task.cancel()
