--- a/pimentowalk/entry/tests/harness.py
+++ b/pimentowalk/entry/tests/harness.py
@@ -11,6 +11,7 @@
 import aiohttp
 import attrs
 
+from pimentowalk.control import commands
 from pimentowalk.core import timers as core_timers
 from pimentowalk.entry import daemon
 from pimentowalk.entry.tests import fake_agent
@@ -73,7 +74,7 @@
             settings,
             messages.Hello('entry-1', 'entry', 1, 'z1'),
             self.session,
-            fake_control.COMMANDS,
+            commands,
             timers,
         )
         self.context.routing.rng = random.Random(1)
