Take over what an engine has loaded after an order

An engine sends its hello again after an order. The agent ignored it and went on announcing the old adapters and layers. It takes the new hello over and announces it, refuses work for adapters that are not loaded, which proves that it did not run, and passes on the code of an engine's refusal.

--- a/pimentowalk/agent/engine_client.py
+++ b/pimentowalk/agent/engine_client.py
@@ -160,7 +160,11 @@
             if frame.type != aiohttp.WSMsgType.TEXT:
                 return
             message = json.loads(frame.data)
-            if message['type'] == 'done':
+            if message['type'] == 'hello':
+                # Sent again after an order has changed what is loaded.
+                self.hello = self.last_hello = parse_hello(message)
+                await self._events.engine_ready(self.hello)
+            elif message['type'] == 'done':
                 self._events.engine_done(message['items'])
             elif message['type'] == 'failed':
                 self._events.engine_failed(message)
--- a/pimentowalk/agent/node.py
+++ b/pimentowalk/agent/node.py
@@ -272,14 +272,14 @@
             await self.session.announce_now()
 
     async def engine_ready(self, hello):
-        """Take work again: the engine is connected."""
+        """Take work: the engine is connected or has loaded something."""
         self.head.queue.limits = attrs.evolve(
             self.head.queue.limits, max_running=hello.max_running
         )
         again = self._engine_ready.is_set()
         self._engine_ready.set()
         if again:
-            LOG.info('the engine is back', extra=logs.fields(step='engine'))
+            LOG.info('the engine is ready', extra=logs.fields(step='engine'))
             await self.session.announce_now()
 
     def engine_lost(self):
--- a/pimentowalk/agent/orders.py
+++ b/pimentowalk/agent/orders.py
@@ -137,12 +137,22 @@
             raise errors.NotRun(f'no engine: {error}') from None
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise errors.OutcomeUnknown(f'engine: {error!r}') from None
-        if status == 409:
-            raise errors.PimentowalkError(text, code='stale_fence')
         if status != 200:
             raise errors.PimentowalkError(
-                f'the engine answered {status}: {text}', code='bad_request'
+                f'the engine answered {status}: {text}',
+                code=_code_of(status, text),
             )
 
     def _reply(self, done, code='', text=''):
         return messages.OrderReply(done, code, text, self.highest_fence or 0)
+
+
+def _code_of(status, text):
+    """Return the code of an engine's refusal, from its JSON if it has any."""
+    if status == 409:
+        return 'stale_fence'
+    try:
+        code = json.loads(text)['code']
+    except (ValueError, KeyError, TypeError):
+        code = ''
+    return code if code in errors.CODES else 'bad_request'
--- a/pimentowalk/agent/stage.py
+++ b/pimentowalk/agent/stage.py
@@ -68,6 +68,8 @@
             self._refuse('no_chain', 'other layers are loaded here')
         if (frame.model, frame.version) != (hello.model, hello.version):
             self._refuse('no_chain', 'another model is loaded here')
+        if frame.adapter and frame.adapter not in hello.adapters:
+            self._refuse('no_chain', 'the adapter is not loaded here')
         if len(self.sequences) >= OVERCOMMIT * hello.max_running:
             self._refuse('overloaded', 'too many sequences')
 
--- a/pimentowalk/agent/tests/test_failures.py
+++ b/pimentowalk/agent/tests/test_failures.py
@@ -291,6 +291,24 @@
     assert (status.state, status.code) == ('refused', 'quarantined')
 
 
+async def test_adapter_loaded_by_an_order_is_announced(pair):
+    """Work for an adapter must reach only engines that hold it."""
+    frame = fakes.open_attempt(pair.chain, adapter='nynorsk')
+    await pair.entry.connection.send(frame)
+    status = await pair.entry.ended(frame.request_id)
+    assert (status.state, status.code) == ('refused', 'no_chain')
+    for engine in (pair.head_engine, pair.last_engine):
+        hello = {**engine.hello, 'adapters': ['nynorsk']}
+        await next(iter(engine.sockets)).send_json(hello)
+    for agent in (pair.head, pair.last):
+        await fakes.reach(lambda a=agent: a.session.announced)
+        assert agent.announcement().adapters == ['nynorsk']
+    again = fakes.open_attempt(pair.chain, adapter='nynorsk')
+    await pair.entry.connection.send(again)
+    status = await pair.entry.ended(again.request_id)
+    assert status.state == 'finished'
+
+
 async def test_refusal_by_a_later_stage_means_not_run(pair):
     """A refused preparation ran nothing, so it may be retried freely."""
     pair.last.gate.draining = True
--- a/pimentowalk/agent/tests/test_orders.py
+++ b/pimentowalk/agent/tests/test_orders.py
@@ -19,10 +19,11 @@
     def __init__(self):
         self.sent = []
         self.status = 200
+        self.text = ''
 
     async def post_order(self, order):
         self.sent.append(order)
-        return self.status, 'text'
+        return self.status, self.text
 
 
 def order(fence, action='load_model', arguments=None):
@@ -100,12 +101,20 @@
 
 
 @pytest.mark.parametrize(
-    ('status', 'code'), [(409, 'stale_fence'), (500, 'bad_request')]
+    ('status', 'text', 'code'),
+    [
+        (409, 'old', 'stale_fence'),
+        (500, 'broken', 'bad_request'),
+        (503, '{"code": "overloaded"}', 'overloaded'),
+        (503, '["overloaded"]', 'bad_request'),
+        (503, '{"code": "no such code"}', 'bad_request'),
+    ],
 )
-async def test_refusal_of_the_engine_is_passed_on(status, code):
+async def test_refusal_of_the_engine_is_passed_on(status, text, code):
     """The operator must see that the engine did not obey."""
     engine = Recorder()
     engine.status = status
+    engine.text = text
     reply = await make(engine).handle(order(1))
     assert (reply.done, reply.code) == (False, code)
 
