--- a/pimentowalk/agent/node.py
+++ b/pimentowalk/agent/node.py
@@ -72,7 +72,9 @@
         hello = messages.Hello(
             own.server_id, 'agent', own.incarnation, own.zone
         )
-        self.peers = peers.Peers(hello, self._current_loads, self.version)
+        self.peers = peers.Peers(
+            hello, self._current_loads, self.version, timers, self.in_use
+        )
         self.links = links.LinkDelays(own, self.peers, timers)
         self.engine = engine_client.EngineClient(own.backend_url, timers, self)
         self.gate = gate.Gate(self, timers)
@@ -112,6 +114,10 @@
         self.peers.on_unsent = self.stage.on_unsent
         self.peers.on_lost = self._link_lost
 
+    def in_use(self):
+        """Return whether answers of other stages may be outstanding."""
+        return bool(self.stage.sequences or self.head.attempts)
+
     def _current_loads(self):
         return self.load_table.current()
 
