--- a/pimentowalk/agent/rules.py
+++ b/pimentowalk/agent/rules.py
@@ -8,6 +8,10 @@
 # this long; before that, pushes to the entries may still be under way.
 STALE_AFTER_S = 2.0
 ATTEMPT_LEASE_S = 10.0
+# A request that crashes engines does so again near the token at which it
+# did before. A suspect that gets this far beyond it is acquitted, which
+# frees the way for the next one long before its answer is complete.
+PROBATION_TOKENS = 4
 
 
 @attrs.define
@@ -23,9 +27,14 @@
     admitted: set[int] = attrs.field(factory=set)
 
 
+def is_fenced(record, attempt):
+    """Return whether an attempt must not begin or go on."""
+    return attempt <= record.closed or attempt < record.highest
+
+
 def accepts_attempt(record, attempt):
     """Return whether a new attempt may be queued or prepared."""
-    return attempt > record.highest and attempt > record.closed
+    return not is_fenced(record, attempt) and attempt > record.highest
 
 
 def accepts_step(record, attempt, next_index, running_index, index):
@@ -33,8 +42,24 @@
 
     `running_index` is the step that the engine still has, or -1.
     """
-    current = attempt > record.closed and attempt >= record.highest
-    return current and running_index < 0 and index == next_index
+    in_sequence = running_index < 0 and index == next_index
+    return in_sequence and not is_fenced(record, attempt)
+
+
+def on_probation(isolate, first_index, next_index):
+    """Return whether a suspect may still crash the engine."""
+    return isolate and next_index <= first_index + PROBATION_TOKENS
+
+
+def blamed(sequences):
+    """Return the sequences that may have crashed their engine.
+
+    Only a step that the engine had can have done it, and a suspect on
+    probation is the likelier cause than those that ran beside it.
+    """
+    running = [s for s in sequences if s.running_index >= 0]
+    suspects = [s for s in running if s.on_probation]
+    return suspects or running
 
 
 def accepts_token(next_index, running_index, index):
@@ -48,8 +73,7 @@
 
 def may_admit(record, attempt, *, draining, ready):
     """Return whether a queued attempt may still be admitted."""
-    current = attempt > record.closed and attempt >= record.highest
-    return current and ready and not draining
+    return ready and not draining and not is_fenced(record, attempt)
 
 
 def refusal_code(*, draining, ready, stale, quarantined):
--- a/pimentowalk/agent/stage.py
+++ b/pimentowalk/agent/stage.py
@@ -1,5 +1,6 @@
 """The stage role: sequences of one engine and the steps they run."""
 
+import asyncio
 import logging
 
 from pimentowalk.agent import rules
@@ -29,8 +30,28 @@
         self._timers = timers
         self._events = events
         self.sequences = {}
+        self.suspect_moved = asyncio.Event()
         self._names = {}
 
+    @property
+    def tokens_per_s(self):
+        """Return the speed of the engine as it announced it."""
+        hello = self._engine.last_hello
+        return max(1.0, hello.capacity_tokens_per_s) if hello else 1.0
+
+    @property
+    def remaining_tokens(self):
+        """Return how many tokens the open sequences may still need."""
+        return sum(
+            max(0, sequence.max_tokens - sequence.next_index)
+            for sequence in self.sequences.values()
+        )
+
+    def heads(self):
+        """Return the connections of the heads of the open sequences."""
+        heads = {sequence.head for sequence in self.sequences.values()}
+        return heads - {None}
+
     def check_prepare(self, frame, refusal):
         """Raise PimentowalkError if a sequence cannot be opened here."""
         if refusal:
@@ -49,6 +70,8 @@
             self._refuse('no_chain', 'other layers are loaded here')
         if (frame.model, frame.version) != (hello.model, hello.version):
             self._refuse('no_chain', 'another model is loaded here')
+        if frame.adapter and frame.adapter not in hello.adapters:
+            self._refuse('no_chain', 'the adapter is not loaded here')
         if len(self.sequences) >= OVERCOMMIT * hello.max_running:
             self._refuse('overloaded', 'too many sequences')
 
@@ -87,6 +110,8 @@
         if not accepted:
             return False
         sequence.next_index = index + 1
+        if sequence.isolate:
+            self.suspect_moved.set()
         sequence.running_index = index
         sequence.ranges = ranges
         sequence.renewed_s = self._timers.now_s()
@@ -180,14 +205,18 @@
                 )
 
     def on_engine_lost(self):
-        """Fail all sequences; return them."""
+        """Fail all sequences; return those that may be the cause."""
         lost = list(self.sequences.values())
+        blamed = rules.blamed(lost)
         for sequence in lost:
-            text = 'the engine ended its connection'
             self.fail(
-                sequence, 'peer_lost', text, 'engine', engine_crashed=True
+                sequence,
+                'peer_lost',
+                'the engine ended its connection',
+                'engine',
+                engine_crashed=sequence in blamed,
             )
-        return lost
+        return blamed
 
     def fail(
         self, sequence, code, text, step, peer='', *, engine_crashed=False
@@ -222,6 +251,7 @@
         if sequence is not None:
             del self._names[sequence.name]
             self._engine.close(sequence.name)
+            self.suspect_moved.set()
         return sequence
 
     def close(self, request_id, attempt):
--- a/pimentowalk/control/client.py
+++ b/pimentowalk/control/client.py
@@ -99,6 +99,7 @@
         self.configuration = contracts.Configuration()
         self.view = view.View()
         self.quarantined = set()
+        self.suspects = set()
         self._quarantine_index = -1
         self._watch = None
         if services is not None:
@@ -150,6 +151,10 @@
         """Return the result; OutcomeUnknown if it may have been applied."""
         return await self._caller.request(command, timeout_s)
 
+    def links(self):
+        """Return the links to all control instances."""
+        return list(self._links.values())
+
     def on_configuration(self, callback):
         """Call `callback(configuration)` after each change."""
         self._configuration_callbacks.append(callback)
@@ -260,3 +265,4 @@
         if update.applied_index >= self._quarantine_index:
             self._quarantine_index = update.applied_index
             self.quarantined = set(update.fingerprints)
+            self.suspects = set(update.suspects)
--- a/pimentowalk/control/requests.py
+++ b/pimentowalk/control/requests.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from pimentowalk.admission import account_use
 from pimentowalk.control import commands
 from pimentowalk.control import member_changes
 from pimentowalk.control import publishing
@@ -33,6 +34,7 @@
         self.timers = timers
         self.clock = clock
         self._operators = operators
+        self.use = account_use.UseTable()
 
     async def answer(self, request, peer):
         """Return the `ControlReply` to a request; never raise."""
@@ -77,13 +79,12 @@
 
     async def _change_members(self, body):
         await self.replica.read_barrier()
-        earlier = self.state.earlier_result(body)
+        content = commands.to_log(body)
+        earlier = self.state.earlier_result(body, content)
         if earlier is not None:
             return earlier
         await member_changes.change(self.replica, body)
-        return await self.replica.propose(
-            commands.to_log(body), PROPOSE_TIMEOUT_S
-        )
+        return await self.replica.propose(content, PROPOSE_TIMEOUT_S)
 
 
 def name_of_query(body):
@@ -173,3 +174,15 @@
     """Return audit records."""
     records = handler.state.part('audit').after(body.after_index, body.limit)
     return commands.AuditResult(records)
+
+
+@QUERIES.register('ReportUse')
+def report_use(handler, body):
+    """Return the shares of an entry; only the leader divides rates."""
+    shares = handler.use.report(
+        body.entry_id,
+        body.demands,
+        handler.directory.live_entries,
+        handler.timers.now_s(),
+    )
+    return commands.UseShares(shares)
--- a/pimentowalk/entry/claims.py
+++ b/pimentowalk/entry/claims.py
@@ -14,6 +14,10 @@
 
 LOG = logging.getLogger(__name__)
 
+# Tells the caller what a resend with the same key gets.
+RECORD_HEADER = 'X-Idempotency-Record'
+STATUS_ONLY = 'status-only'
+REPLAYED = 'replayed'
 # A claim is an entry of the replicated log; a larger reply is recorded by
 # its status only.
 MAX_RECORDED_BYTES = 64 * 1024
@@ -27,6 +31,7 @@
 # A resend waits this long for the result of a call that still runs.
 IN_PROGRESS_WAIT_S = 2.0
 IN_PROGRESS_POLL_S = 0.25
+MAX_OPEN_S = 5.0
 
 
 @attrs.frozen
@@ -74,7 +79,7 @@
         self._timers = timers
         self._tasks = set()
 
-    async def open(self, spec, server, attempt):
+    async def open(self, spec, server, attempt, timeout_s):
         """Return `Held`, or `Recorded` if the call has run before.
 
         Raises RequestFailed if the call must not be sent.
@@ -93,8 +98,9 @@
             attempt=attempt,
         )
         give_up_s = self._timers.now_s() + IN_PROGRESS_WAIT_S
+        timeout_s = min(timeout_s, MAX_OPEN_S)
         while True:
-            result = await self._request_open(command, held)
+            result = await self._request_open(command, held, timeout_s)
             if result.state == 'new':
                 return held
             claim = result.claim
@@ -104,9 +110,9 @@
                 return _ended(result)
             await self._resolve(held, claim, give_up_s)
 
-    async def _request_open(self, command, held):
+    async def _request_open(self, command, held, timeout_s):
         try:
-            return await self._session.request(command)
+            return await self._session.request(command, timeout_s)
         except errors.PimentowalkError as error:
             # The claim may have been accepted although its reply was lost.
             # The call has not left, so releasing it is right.
@@ -162,21 +168,23 @@
         )
         return status.state if same else ''
 
-    async def settle(self, held, outcome, status=0, headers=(), body=b''):
+    async def settle(self, held, outcome, reply=None):
         """Record how a call ended, before its caller learns it.
 
-        Without a quorum the caller gets the reply after a short wait, and
-        the record is tried again in the background.
+        Of a reply that no claim can hold, only the status is recorded, with
+        a header that says so. Without a quorum the caller gets the reply
+        after a short wait, and the record is tried again in the background.
         """
-        if not is_recordable(body):
-            body = b''
+        status, headers, body = 0, [], b''
+        if reply is not None:
+            status, headers, body = _recorded(reply)
         command = self._commands.SettleClaim(
             account=held.account,
             key=held.key,
             claim_id=held.claim_id,
             outcome=outcome,
             status=status,
-            headers=list(headers)[:MAX_RECORDED_HEADERS],
+            headers=headers,
             body=body,
         )
         await self._within_wait(self._insist(command))
@@ -225,6 +233,13 @@
             await asyncio.wait(list(self._tasks), timeout=timeout_s)
 
 
+def _recorded(reply):
+    if is_recordable(reply.body):
+        headers = list(reply.headers)[:MAX_RECORDED_HEADERS]
+        return reply.status, headers, reply.body
+    return reply.status, [messages.Header(RECORD_HEADER, STATUS_ONLY)], b''
+
+
 def _ended(result):
     """Return the recorded reply of a claim, or raise RequestFailed."""
     if result.state == 'settled':
--- a/pimentowalk/entry/service_front.py
+++ b/pimentowalk/entry/service_front.py
@@ -1,11 +1,13 @@
 """HTTP routes of the configuration to plain services."""
 
 import asyncio
+from urllib import parse
 
 from aiohttp import web
 
 from pimentowalk.core import errors
 from pimentowalk.core import identifiers
+from pimentowalk.entry import claims as entry_claims
 from pimentowalk.entry import completions
 from pimentowalk.entry import replies
 from pimentowalk.entry import service_call
@@ -14,8 +16,6 @@
 
 KEY_HEADER = 'Idempotency-Key'
 MAX_KEY_CHARACTERS = 200
-# Tells the caller that a resend with this key gets the status only.
-RECORD_HEADER = 'X-Idempotency-Record'
 ACCOUNT_HEADER = 'X-Client-Account'
 # RFC 9110, section 7.6.1, and what the entry itself adds or consumes.
 HOP_HEADERS = frozenset(
@@ -97,9 +97,9 @@
     async def _spec(self, request, account):
         http = request.http
         configuration = self._context.configuration
+        path = _safe_path(http)
         route, service = self._find(configuration, account, http.path)
         body = await http.read()
-        path = http.raw_path
         fingerprint = identifiers.hash64(
             account.name, service.name, http.method, path, body
         )
@@ -144,6 +144,25 @@
         return route, service
 
 
+def _safe_path(http):
+    """Return the path with its query; raise PimentowalkError.
+
+    A service would resolve dot segments, and so run a call under a route
+    whose methods and limits were not applied.
+    """
+    paths = [http.raw_path, http.path, parse.unquote(http.path)]
+    paths = [path.partition('?')[0] for path in paths]
+    if not all(path.startswith('/') for path in paths) or any(
+        segment in ('.', '..')
+        for path in paths
+        for segment in path.replace('\\', '/').split('/')
+    ):
+        raise errors.PimentowalkError(
+            'the path has dot segments', code='bad_request', step='parse'
+        )
+    return http.raw_path
+
+
 def _key(http):
     key = http.headers.get(KEY_HEADER, '')
     if len(key) > MAX_KEY_CHARACTERS or not key.isprintable():
@@ -175,8 +194,10 @@
             response.headers[name] = value
         else:
             response.headers.add(name, value)
-    if result.replayed:
-        response.headers[RECORD_HEADER] = 'replayed'
-    elif result.status_only:
-        response.headers[RECORD_HEADER] = 'status-only'
+    if result.status_only:
+        response.headers[entry_claims.RECORD_HEADER] = entry_claims.STATUS_ONLY
+    elif result.replayed:
+        response.headers.setdefault(
+            entry_claims.RECORD_HEADER, entry_claims.REPLAYED
+        )
     return response
