--- a/pimentowalk/cli/tests/fake_control.py
+++ b/pimentowalk/cli/tests/fake_control.py
@@ -1,9 +1,8 @@
-"""A control client and commands with the fields of the design page."""
+"""A control client that answers from a few tables."""
 
 import asyncio
 
-import attrs
-
+from pimentowalk.control import commands
 from pimentowalk.core import errors
 from pimentowalk.topology import contracts
 from pimentowalk.topology import instances
@@ -12,43 +11,6 @@
 CONTROL_2 = instances.Instance('c2', '127.0.0.1', 7102)
 
 
-def result(name, /, **fields):
-    """Return a result with attributes, as control's attrs classes have."""
-    cls = attrs.make_class(name, list(fields), frozen=True)
-    return cls(**fields)
-
-
-class Commands:
-    """Stand in for `pimentowalk.control.commands`."""
-
-    def __getattr__(self, name):
-        fields = COMMAND_FIELDS[name]
-        return attrs.make_class(
-            name,
-            {
-                field: attrs.field(default=DEFAULTS.get(field, attrs.NOTHING))
-                for field in fields.split()
-            },
-            frozen=True,
-        )
-
-
-DEFAULTS = {'dry_run': False}
-COMMAND_FIELDS = {
-    'Publish': 'change_id author expected_version sources dry_run',
-    'Source': 'services routes accounts',
-    'IssueFence': 'change_id author server_id action arguments',
-    'ClearQuarantine': 'change_id author fingerprint',
-    'ChangeMembers': 'change_id author action instance',
-    'ListQuarantine': '',
-    'ListMembers': '',
-    'ReadConfiguration': '',
-    'ReadStatus': '',
-    'ReadAudit': 'after_index limit',
-    'FindServer': 'server_id',
-}
-
-
 class FakeControl:
     """Answer requests from a few tables; see `failures`, `silent`."""
 
@@ -85,49 +47,36 @@
         return [r for r in self.requests if type(r).__name__ == name]
 
     def _on_ReadConfiguration(self, command):  # noqa: N802
-        return result(
-            'ConfigurationResult',
-            configuration=contracts.Configuration(
-                self.version, accounts=self.accounts
-            ),
-            sources=self.sources,
+        configuration = contracts.Configuration(
+            self.version, accounts=self.accounts
         )
+        return commands.ConfigurationResult(configuration, self.sources)
 
     def _on_Publish(self, command):  # noqa: N802
-        return result('PublishResult', version=5, repeated=False)
+        return commands.PublishResult(5)
 
     def _on_ReadStatus(self, command):  # noqa: N802
-        rows = [
-            ('entry-1', 'entry', 'Bergen', 5, False),
-            ('agent-1', 'agent', 'Voss', 4, False),
-            ('agent-2', 'agent', 'Førde', 5, True),
-        ]
         nodes = [
-            result(
-                'NodeStatus',
-                node_id=node_id,
-                role=role,
-                zone=zone,
-                version_in_force=version,
-                draining=draining,
-            )
-            for node_id, role, zone, version, draining in rows
+            commands.NodeStatus(
+                'entry-1', 'entry', 'Bergen', 1, 5, False, 0.1
+            ),
+            commands.NodeStatus('agent-1', 'agent', 'Voss', 1, 4, False, 0.1),
+            commands.NodeStatus('agent-2', 'agent', 'Førde', 1, 5, True, 0.1),
         ]
-        return result('Status', version=5, leader_id='c1', nodes=nodes)
+        return commands.StatusResult(5, 'c2', 'c1', nodes)
 
     def _on_ReadAudit(self, command):  # noqa: N802
-        record = result(
-            'AuditRecord',
-            index=command.after_index + 1,
-            time_s=1_700_000_000.0,
-            author='kari',
-            name='Publish',
-            change_id='abc',
-            from_version=4,
-            to_version=5,
-            detail='service/skrivar',
+        record = commands.AuditRecord(
+            command.after_index + 1,
+            1_700_000_000.0,
+            'kari',
+            'Publish',
+            'abc',
+            4,
+            5,
+            'service/skrivar',
         )
-        return result('AuditResult', records=[record])
+        return commands.AuditResult([record])
 
     def _on_FindServer(self, command):  # noqa: N802
         try:
@@ -138,26 +87,23 @@
             ) from None
 
     def _on_IssueFence(self, command):  # noqa: N802
-        return result('FenceResult', fence=17)
+        return commands.FenceResult(17)
 
     def _on_ListMembers(self, command):  # noqa: N802
         members = [
-            result('Member', instance=CONTROL_1, voter=True),
-            result('Member', instance=CONTROL_2, voter=False),
+            commands.Member(CONTROL_1, True),
+            commands.Member(CONTROL_2, False),
         ]
-        return result('MembersResult', members=members, leader_id='c1')
+        return commands.MembersResult(members, 'c1')
 
     def _on_ChangeMembers(self, command):  # noqa: N802
-        return result('Done', repeated=False)
+        return commands.Done()
 
     def _on_ListQuarantine(self, command):  # noqa: N802
-        request = result(
-            'QuarantinedRequest',
-            fingerprint=0xAB,
-            account='voss',
-            servers=['agent-1', 'agent-2'],
+        request = commands.QuarantinedRequest(
+            0xAB, 'voss', 0.0, ['agent-1', 'agent-2']
         )
-        return result('QuarantineResult', requests=[request])
+        return commands.QuarantineResult([request])
 
     def _on_ClearQuarantine(self, command):  # noqa: N802
-        return result('Done', repeated=False)
+        return commands.Done()
--- a/pimentowalk/cli/tests/test_cli.py
+++ b/pimentowalk/cli/tests/test_cli.py
@@ -13,6 +13,7 @@
 from pimentowalk.cli import operator_file
 from pimentowalk.cli import remote
 from pimentowalk.cli.tests import fake_control
+from pimentowalk.control.tests import fakes
 from pimentowalk.core import errors
 from pimentowalk.settings import published
 from pimentowalk.topology import contracts
@@ -34,7 +35,6 @@
 def control(monkeypatch, tmp_path):
     fake = fake_control.FakeControl()
     monkeypatch.setattr(remote, 'new_client', fake.connect)
-    monkeypatch.setattr(remote, 'command_module', fake_control.Commands)
     path = tmp_path / 'operator.ini'
     path.write_text(OPERATOR)
     path.chmod(0o600)
@@ -51,6 +51,7 @@
 
 
 def run_json(capsys, *argv):
+    capsys.readouterr()
     status = main.run([*map(str, argv), '--json'])
     return status, json.loads(capsys.readouterr().out)
 
@@ -261,37 +262,37 @@
     assert main.run(['members', 'add-learner', 'c3@host:1']) == 2
 
 
+@contextlib.contextmanager
+def served(server):
+    """Run a server in a thread with its own loop while the block runs."""
+    loop = asyncio.new_event_loop()
+    thread = threading.Thread(target=loop.run_forever)
+    thread.start()
+
+    def call(coroutine):
+        future = asyncio.run_coroutine_threadsafe(coroutine, loop)
+        return future.result(10)
+
+    call(server.start())
+    try:
+        yield server.port
+    finally:
+        call(server.stop())
+        loop.call_soon_threadsafe(loop.stop)
+        thread.join()
+        loop.close()
+
+
 class Agent:
-    """An agent that records orders, in a thread with its own loop."""
+    """An agent that records orders."""
 
     def __init__(self, node_id, reply):
         self.orders = []
-        self._hello = messages.Hello(node_id, 'agent', 1)
         self._reply = reply
-
-    @contextlib.contextmanager
-    def running(self):
-        """Listen while the block runs; yield the port."""
-        loop = asyncio.new_event_loop()
-        thread = threading.Thread(target=loop.run_forever)
-        thread.start()
-        server = connection.PeerServer(
-            '127.0.0.1', 0, self._hello, self._accept
+        self.server = connection.PeerServer(
+            '127.0.0.1', 0, messages.Hello(node_id, 'agent', 1), self._accept
         )
 
-        def call(coroutine):
-            future = asyncio.run_coroutine_threadsafe(coroutine, loop)
-            return future.result(10)
-
-        call(server.start())
-        try:
-            yield server.port
-        finally:
-            call(server.stop())
-            loop.call_soon_threadsafe(loop.stop)
-            thread.join()
-            loop.close()
-
     def _accept(self, peer):
         peer.on_frame = self._on_frame
 
@@ -321,7 +322,7 @@
 ):
     """An order without a fence, or to another server, does harm."""
     agent = Agent(node_id, reply)
-    with agent.running() as port:
+    with served(agent.server) as port:
         control.servers['agent-1'] = instances.BackendServer(
             'agent-1', 1, 'skrivar', '127.0.0.1', port
         )
@@ -349,6 +350,40 @@
     assert 'no order was sent' in capsys.readouterr().err
 
 
+def test_commands_work_against_a_control_server(
+    tmp_path, files, monkeypatch, capsys
+):
+    """Frames and JSON between the two sides must fit together."""
+    instance = fakes.ControlInstance()
+    path = tmp_path / 'operator.ini'
+    monkeypatch.setenv(operator_file.VARIABLE, str(path))
+    with served(instance.server) as port:
+        path.write_text(
+            f'[operator]\nname = anna\ntoken = {fakes.TOKEN}\n'
+            f'control = control-1@127.0.0.1:{port}\n'
+        )
+        path.chmod(0o600)
+        assert main.run(['publish', str(files), '--change-id', 'x1']) == 0
+        again = ['publish', str(files), '--expected-version', '0']
+        assert main.run([*again, '--change-id', 'x1']) == 0
+        assert 'version 1 accepted (accepted before)' in (
+            capsys.readouterr().out
+        )
+        assert main.run(again) == 1
+        assert 'conflict' in capsys.readouterr().err
+        assert main.run(['check', str(files), '--online']) == 0
+        _, shown = run_json(capsys, 'accounts')
+        assert [one['name'] for one in shown['accounts']] == ['voss']
+        for command in (['status'], ['servers'], ['members', 'list']):
+            assert main.run(command) == 0
+        assert main.run(['drain', 'agent-1']) == 1
+        _, shown = run_json(capsys, 'audit')
+        assert [r['author'] for r in shown['records']] == ['anna']
+        path.write_text(path.read_text().replace(fakes.TOKEN, 'other'))
+        assert main.run(again) == 1
+        assert 'unauthorized' in capsys.readouterr().err
+
+
 def test_the_documented_exit_statuses_are_the_real_ones():
     """Scripts are written by the page and rely on its numbers."""
     page = pathlib.Path(__file__).parents[3] / 'docs' / 'operators.md'
