--- a/tools/tests/test_standin_engine.py
+++ b/tools/tests/test_standin_engine.py
@@ -1,138 +1,24 @@
 """Guard the stand-in engine against the interface of the design page."""
 
-import asyncio
-import contextlib
 import json
 
 import aiohttp
 import pytest
 
 from tools import standin_batcher as batcher
-from tools import standin_engine
 from tools import standin_model as model
+from tools.tests import engine_bench
 from tools.tests import waiting
 
 WEIGHTS = model.Weights('standin', '1')
-TOTAL_LAYERS = 8
+TOTAL_LAYERS = engine_bench.TOTAL_LAYERS
 PROMPT = ' '.join(f'word{number}' for number in range(100))
 
 
-class Client:
-    """The agent's side of one stage connection."""
-
-    def __init__(self, socket):
-        self.socket = socket
-        self.loads = []
-        self.waiting = []
-
-    async def send(self, kind, **fields):
-        await self.socket.send_json({'type': kind, **fields})
-
-    async def receive(self, kind):
-        """Return the next message of a kind; keep reports of load."""
-        while True:
-            async with asyncio.timeout(waiting.TIMEOUT_S):
-                message = await self.socket.receive_json()
-            if message['type'] == kind:
-                return message
-            assert message['type'] == 'load', message
-            self.loads.append(message)
-
-    async def open(self, name, prompt=None, *, adapter='', **fields):
-        await self.send(
-            'open',
-            sequence=name,
-            model='standin',
-            version='1',
-            adapter=adapter,
-            **({'prompt': prompt} if prompt is not None else {}),
-            **fields,
-        )
-
-    async def step(self, name, index, **fields):
-        item = {'sequence': name, 'index': index, **fields}
-        await self.send('steps', items=[item])
-
-    async def done(self):
-        """Return the next finished step."""
-        while not self.waiting:
-            self.waiting = (await self.receive('done'))['items']
-        return self.waiting.pop(0)
-
-
-class Bench:
-    """Engines of one test, on loopback."""
-
-    def __init__(self, stack, session):
-        self._stack = stack
-        self.session = session
-
-    async def engine(self, first=0, end=TOTAL_LAYERS, *, crash=None, **more):
-        options = standin_engine.Options(
-            first_layer=first,
-            end_layer=end,
-            total_layers=TOTAL_LAYERS,
-            **{'tokens_per_s': 0, 'base_s': 0, 'weights_bytes': 0, **more},
-        )
-        batcher_options = {'crash': crash} if crash else {}
-        engine = standin_engine.Engine(options, **batcher_options)
-        await engine.start()
-        self._stack.push_async_callback(engine.stop)
-        return engine
-
-    async def client(self, engine):
-        url = f'http://127.0.0.1:{engine.port}/v1/stage'
-        socket = await self._stack.enter_async_context(
-            self.session.ws_connect(url)
-        )
-        client = Client(socket)
-        client.hello = await client.receive('hello')
-        return client
-
-    async def order(self, engine, fence, action, **arguments):
-        url = f'http://127.0.0.1:{engine.port}/v1/orders'
-        order = {'fence': fence, 'action': action, 'arguments': arguments}
-        async with self.session.post(url, json=order) as response:
-            return response.status
-
-    async def record(self, engine):
-        url = f'http://127.0.0.1:{engine.port}/v1/record'
-        async with self.session.get(url) as response:
-            return await response.json()
-
-    async def idle_record(self, engine):
-        """Return the record once no sequence is open."""
-        await waiting.until(lambda: not engine.batcher.sequences)
-        return await self.record(engine)
-
-
 @pytest.fixture
 async def bench():
-    async with contextlib.AsyncExitStack() as stack:
-        session = await stack.enter_async_context(aiohttp.ClientSession())
-        yield Bench(stack, session)
-
-
-async def answer(clients, name, prompt, *, generated=(), **parameters):
-    """Drive one sequence through a chain and return its tokens."""
-    first, *others = clients
-    await first.open(name, prompt, generated=list(generated), **parameters)
-    for client in others:
-        await client.open(name, **parameters)
-    tokens = []
-    step = {}
-    while True:
-        index = len(generated) + len(tokens)
-        for client in clients:
-            await client.step(name, index, **step)
-            item = await client.done()
-            assert (item['sequence'], item['index']) == (name, index)
-            step = {'hidden': item.get('hidden')}
-        tokens.append(item['token'])
-        assert item['text'] == model.token_text(item['token'])
-        if item['end']:
-            return tokens
-        step = {'token': item['token']}
+    async with engine_bench.running() as found:
+        yield found
 
 
 @pytest.mark.parametrize('bounds', [[0, 8], [0, 3, 8], [0, 2, 5, 8]])
@@ -144,12 +30,12 @@
         engines.append(await bench.engine(first, end))
         clients.append(await bench.client(engines[-1]))
     parameters = {'max_tokens': 6, 'seed': 3, 'temperature': 0.5}
-    tokens = await answer(clients, 'aa-1', PROMPT, **parameters)
+    tokens = await engine_bench.answer(clients, 'aa-1', PROMPT, **parameters)
     expected = model.reference_answer(
         WEIGHTS, TOTAL_LAYERS, PROMPT, **parameters
     )
     assert tokens == expected
-    rest = await answer(
+    rest = await engine_bench.answer(
         clients, 'aa-2', PROMPT, generated=tokens[:2], **parameters
     )
     assert rest == expected[2:]
@@ -298,7 +184,9 @@
     ]
     clients = [await bench.client(engine) for engine in engines]
     for number, prompt in enumerate([PROMPT, PROMPT, f'{PROMPT} more']):
-        tokens = await answer(clients, f'0{number}-1', prompt, max_tokens=3)
+        tokens = await engine_bench.answer(
+            clients, f'0{number}-1', prompt, max_tokens=3
+        )
         assert tokens == model.reference_answer(
             WEIGHTS, TOTAL_LAYERS, prompt, max_tokens=3
         )
@@ -306,7 +194,9 @@
         rows = (await bench.record(engine))['ran']
         hits = [r['cached_tokens'] for r in rows if r['index'] == 0]
         assert hits == [0, 96, 96]
-    await answer(clients, '03-1', f'other {PROMPT} {PROMPT}', max_tokens=1)
+    await engine_bench.answer(
+        clients, '03-1', f'other {PROMPT} {PROMPT}', max_tokens=1
+    )
     assert all(len(engine.cache) <= 128 for engine in engines)
 
 
@@ -314,7 +204,7 @@
     """The cache of other weights gives the answer of another model."""
     client = await bench.client(await bench.engine(adapters=['a']))
     for number, adapter in enumerate(['', 'a', '']):
-        tokens = await answer(
+        tokens = await engine_bench.answer(
             [client], f'0{number}-1', PROMPT, max_tokens=2, adapter=adapter
         )
         weights = model.Weights('standin', '1', adapter)
@@ -431,7 +321,7 @@
     ):
         url = f'{await waiting.line(process)}/v1/stage'
         async with session.ws_connect(url) as socket:
-            client = Client(socket)
+            client = engine_bench.Client(socket)
             await client.receive('hello')
             await client.open('aa-1', 'clean', max_tokens=1)
             await client.step('aa-1', 0)
