Report each call in flight at a service crash once

Cause: every call that failed at the crash of a plain service reported all calls that still ran, so 64 calls in flight gave up to 2,080 reports to control. Each failing call now reports itself, which covers all that were in flight.

--- a/pimentowalk/agent/service_calls.py
+++ b/pimentowalk/agent/service_calls.py
@@ -235,10 +235,10 @@
             )
         if isinstance(error, TimeoutError):
             return Outcome(STATES.FAILED, 'deadline', 'no reply in time')
-        in_flight = self.running_frames()
         crashed = not await self._alive()
         if crashed:
-            self.on_crash(in_flight)
+            # Each call in flight fails and gets here for itself.
+            self.on_crash([frame])
         LOG.warning(
             'service call failed: %r',
             error,
@@ -248,10 +248,6 @@
             STATES.FAILED, 'outcome_unknown', repr(error), crashed=crashed
         )
 
-    def running_frames(self):
-        """Return the frames of the calls that run."""
-        return [call.frame for call in self.calls.values() if call.task]
-
     def close(self, frame):
         """Fence a call for its entry; what has left is not cut."""
         self._records.close(frame.request_id, frame.attempt)
--- a/pimentowalk/agent/tests/proofs.py
+++ b/pimentowalk/agent/tests/proofs.py
@@ -102,3 +102,20 @@
         queue.finish(work.key)
         served[work.account] += 10
     assert abs(served['a'] - served['b']) <= 20
+
+
+def one_suspect_at_a_time():
+    """Check that a crash can have one suspect as its cause."""
+    queue = fair_queue.FairQueue(fair_queue.QueueLimits(max_running=4))
+    for number, isolate in enumerate((True, False, True, True)):
+        work = fair_queue.Work(number, 'a', 1.0, 5, 0.0, isolate=isolate)
+        queue.push(work)
+    while queue.pop(0.0) is not None:
+        pass
+    assert list(queue.running) == [0, 1]
+    queue.acquit(0)
+    assert queue.pop(0.0).key == 2
+    assert queue.pop(0.0) is None
+    assert rules.on_probation(True, 3, 3 + rules.PROBATION_TOKENS)
+    assert not rules.on_probation(True, 3, 4 + rules.PROBATION_TOKENS)
+    assert not rules.on_probation(False, 3, 3)
--- a/pimentowalk/agent/tests/test_faults.py
+++ b/pimentowalk/agent/tests/test_faults.py
@@ -18,6 +18,7 @@
     proofs.orders_in_sequence,
     proofs.lease_times,
     proofs.queue_shares,
+    proofs.one_suspect_at_a_time,
 ]
 REFUSED = messages.AttemptState.REFUSED
 
@@ -155,6 +156,20 @@
         property(lambda limits: limits.max_running),
         [proofs.queue_shares],
     ),
+    Fault(
+        'suspects run together',
+        fair_queue.BaseQueue,
+        '_runs_suspect',
+        lambda queue: False,
+        [proofs.one_suspect_at_a_time],
+    ),
+    Fault(
+        'suspect acquitted at once',
+        rules,
+        'on_probation',
+        lambda isolate, first_index, next_index: False,
+        [proofs.one_suspect_at_a_time],
+    ),
     Fault(
         'predictions not corrected',
         fair_queue.FairQueue,
--- a/pimentowalk/agent/tests/test_service_calls.py
+++ b/pimentowalk/agent/tests/test_service_calls.py
@@ -50,18 +50,22 @@
 
 
 async def test_crash_in_the_middle_is_reported(desk):
-    """The call in flight at a crash becomes a suspect."""
+    """Each call in flight becomes a suspect and is reported once."""
     desk.service.gate.clear()
-    pending = send(desk, fakes.service_call(fingerprint=12))
-    await fakes.reach(lambda: desk.service.calls)
+    pending = [
+        send(desk, fakes.service_call(fingerprint=fingerprint))
+        for fingerprint in (12, 13, 14)
+    ]
+    await fakes.reach(lambda: len(desk.service.calls) == 3)
     desk.service.cut = True
     desk.service.healthy = False
     desk.service.gate.set()
-    reply = await pending
-    assert (reply.state, reply.engine_crashed) == ('failed', True)
-    await fakes.reach(lambda: desk.agent.control.crashes)
-    assert desk.agent.control.crashes[0].fingerprint == 12
-    assert desk.agent.suspicion.is_suspect(12)
+    for reply in await asyncio.gather(*pending):
+        assert (reply.state, reply.engine_crashed) == ('failed', True)
+    crashes = desk.agent.control.crashes
+    await fakes.reach(lambda: len(crashes) >= 3)
+    assert sorted(crash.fingerprint for crash in crashes) == [12, 13, 14]
+    assert desk.agent.suspicion.crashes == {12: 1, 13: 1, 14: 1}
 
 
 async def test_unhealthy_service_is_announced_and_refused(desk):
