--- a/pimentowalk/agent/head.py
+++ b/pimentowalk/agent/head.py
@@ -131,7 +131,12 @@
     async def _prepare_at(self, attempt, position, stage, work):
         peer = await self._peers.connection(stage)
         attempt.prepared.append(stage)
-        frame = attempts.prepare_frame(attempt.frame, position, work.isolate)
+        frame = attempts.prepare_frame(
+            attempt.frame,
+            position,
+            work.isolate,
+            attempts.priority_of(work),
+        )
         try:
             await peer.call(frame, attempts.prepare_timeout_s(work.isolate))
         except TimeoutError:
@@ -154,6 +159,7 @@
             code = 'draining' if self._gate.draining else 'not_run'
             self._end(attempt, code, 'closed before it ran', 'admit')
             return
+        work = self.queue.running[attempt.key]
         attempt.sequence = sequences.Sequence(
             frame.request_id,
             frame.attempt,
@@ -163,7 +169,8 @@
             frame.max_tokens,
             frame.account,
             frame.fingerprint,
-            self.queue.running[attempt.key].isolate,
+            work.isolate,
+            priority=attempts.priority_of(work),
         )
         self._stage.open(
             attempt.sequence,
--- a/pimentowalk/agent/preparation.py
+++ b/pimentowalk/agent/preparation.py
@@ -102,6 +102,7 @@
             frame.fingerprint,
             self._is_suspect(frame),
             connection,
+            frame.priority,
         )
         self._stage.open(sequence, frame)
 
