Let a waiting preparation give way to a higher attempt

A suspect that waited at a later stage was opened although a higher attempt of its request had been prepared meanwhile. Its steps would have been dropped, but the sequence held a place until its lease passed. The check after the wait uses the same fence as every other decision. The new test failed before the change.

--- a/pimentowalk/agent/preparation.py
+++ b/pimentowalk/agent/preparation.py
@@ -69,7 +69,8 @@
 
     def _check(self, connection, frame):
         record = self._records.of(frame.request_id)
-        if frame.attempt <= record.closed or connection.closed:
+        fenced = rules.is_fenced(record, frame.attempt)
+        if fenced or connection.closed:
             raise self._error('not_run', 'the attempt is fenced')
         self._stage.check_prepare(frame, self._gate.refusal(frame))
 
--- a/pimentowalk/agent/tests/test_stages.py
+++ b/pimentowalk/agent/tests/test_stages.py
@@ -152,6 +152,27 @@
     await entry.close()
 
 
+async def test_waiting_suspect_gives_way_to_a_higher_attempt(three):
+    """A sequence of a lower attempt would hold its place for a lease."""
+    await three.open(fingerprint=9, isolate=True)
+    lower = prepare(three, isolate=True)
+    entry, suspect = await prepare_at(three, lower)
+    await entry.connection.call(messages.Empty(), fakes.WAIT_S)
+    await entry.connection.call(
+        attrs.evolve(lower, attempt=2, isolate=False), 5
+    )
+    three.engines[2].held = False
+    await three.engines[2].release()
+    with pytest.raises(errors.PimentowalkError) as caught:
+        await suspect
+    assert caught.value.code == 'not_run'
+    held = [
+        key for key in three.agents[2].stage.sequences if key[0] == b'p' * 16
+    ]
+    assert held == [(b'p' * 16, 2)]
+    await entry.close()
+
+
 async def test_suspect_does_not_wait_for_ever(three):
     """A stage must refuse at last, so that the entry can go on."""
     await three.open(fingerprint=9, isolate=True)
