--- a/pimentowalk/wire/messages.py
+++ b/pimentowalk/wire/messages.py
@@ -181,6 +181,7 @@
     account: str = ''
     fingerprint: int = 0
     isolate: bool = False
+    priority: int = 0
 
 
 @message('attemptStatus')
