--- a/pimentowalk/agent/stage.py
+++ b/pimentowalk/agent/stage.py
@@ -1,5 +1,6 @@
 """The stage role: sequences of one engine and the steps they run."""
 
+import asyncio
 import logging
 
 from pimentowalk.agent import rules
@@ -29,8 +30,28 @@
         self._timers = timers
         self._events = events
         self.sequences = {}
+        self.suspect_moved = asyncio.Event()
         self._names = {}
 
+    @property
+    def tokens_per_s(self):
+        """Return the speed of the engine as it announced it."""
+        hello = self._engine.last_hello
+        return max(1.0, hello.capacity_tokens_per_s) if hello else 1.0
+
+    @property
+    def remaining_tokens(self):
+        """Return how many tokens the open sequences may still need."""
+        return sum(
+            max(0, sequence.max_tokens - sequence.next_index)
+            for sequence in self.sequences.values()
+        )
+
+    def heads(self):
+        """Return the connections of the heads of the open sequences."""
+        heads = {sequence.head for sequence in self.sequences.values()}
+        return heads - {None}
+
     def check_prepare(self, frame, refusal):
         """Raise PimentowalkError if a sequence cannot be opened here."""
         if refusal:
@@ -87,6 +108,8 @@
         if not accepted:
             return False
         sequence.next_index = index + 1
+        if sequence.isolate:
+            self.suspect_moved.set()
         sequence.running_index = index
         sequence.ranges = ranges
         sequence.renewed_s = self._timers.now_s()
@@ -222,6 +245,7 @@
         if sequence is not None:
             del self._names[sequence.name]
             self._engine.close(sequence.name)
+            self.suspect_moved.set()
         return sequence
 
     def close(self, request_id, attempt):
