Charge stalls of live servers, and measure after free failovers

Cause: failovers after a lost connection are free, and stalls were meant to be charged, but a stall carried the code `peer_lost` too and so was free twice. The bench of attempts ran into the rates of its accounts once these were shared by demand.

Ruled out: charging every stall, because a frozen agent would again use up the budget with the requests that were in flight on it.

Change: a stall of a head that was heard within 1 s is charged and blames the whole chain; a silent head counts as lost and is blamed alone. The bench lifts the rates. An end-to-end test sends 40 answers through lost, doubled, reordered and foreign tokens.

Conclusion: overload is charged; the loss of servers is not. With free failovers the budget no longer bounds the attempts of round_robin after the loss of half of the servers.

--- a/bench/routing_losses.py
+++ b/bench/routing_losses.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from bench import routing
+from bench import common
 from pimentowalk.admission import retry_budget
 from pimentowalk.entry.tests import fake_agent
 from pimentowalk.entry.tests import harness
@@ -40,6 +40,10 @@
 async def measure(policy, lost_per_range, budget):
     """Return the counts of one run."""
     async with harness.running() as entry:
+        # The rates of accounts would refuse some of the requests.
+        entry.session.configuration = harness.configuration(
+            requests_per_s=1e9, tokens_per_s=1e9
+        )
         services = entry.session.configuration.services
         services['assist'] = attrs.evolve(
             services['assist'], chain_policy=policy
@@ -83,8 +87,8 @@
                 statuses, count, lost = await measure(
                     policy, lost_per_range, budget
                 )
-                routing.emit(
-                    'attempts',
+                common.emit(
+                    'routing.attempts',
                     policy=policy,
                     servers=2 * AGENTS_PER_RANGE,
                     lost=lost,
--- a/pimentowalk/entry/tests/test_failures.py
+++ b/pimentowalk/entry/tests/test_failures.py
@@ -1,9 +1,11 @@
 """Guard attempts, retries, budgets and deadlines of model requests."""
 
 import asyncio
+import random
 
 import attrs
 
+from pimentowalk.admission import retry_budget
 from pimentowalk.core import timers as core_timers
 from pimentowalk.entry import model_call
 from pimentowalk.entry.tests import fake_agent
@@ -393,3 +395,66 @@
             tokens += await call.next_tokens()
         assert ''.join(token.text for token in tokens) == REFERENCE
         assert len(agent.opened) == 1
+
+
+def disturbed(rng):
+    """Return a script that loses, doubles, reorders and adds tokens."""
+
+    def change(frames):
+        head, tokens, finished = frames[:2], frames[2:-1], frames[-1]
+        kind = rng.choice(['lose', 'double', 'reorder', 'foreign', 'none'])
+        if kind == 'lose':
+            tokens.pop(rng.randrange(len(tokens)))
+        elif kind == 'double':
+            tokens.insert(0, rng.choice(tokens))
+        elif kind == 'reorder':
+            rng.shuffle(tokens)
+        elif kind == 'foreign':
+            token = tokens[0].tokens[0]
+            for others in (
+                {'request_id': b'x' * 16},
+                {'attempt': token.attempt - 1},
+                {'attempt': token.attempt + 1},
+            ):
+                other = attrs.evolve(token, token_id=1, text='no ', **others)
+                tokens.insert(0, messages.TokenBatch([other]))
+        return [*head, *tokens, finished]
+
+    return fake_agent.mangled(change)
+
+
+async def test_answers_survive_disturbed_frames():
+    """Lost, doubled, reordered or foreign tokens must change no answer."""
+    async with harness.running() as entry:
+        rng = random.Random(5)
+        for name in ('a', 'b', 'c'):
+            agent = await entry.agent(name)
+            agent.script = disturbed(rng)
+        entry.show()
+        entry.context.budgets = retry_budget.RouteBudgets('unlimited')
+        prompts = [f'question {number}' for number in range(40)]
+        results = await asyncio.gather(*(entry.complete(p) for p in prompts))
+        texts = [body['choices'][0]['text'] for _, body in results]
+        assert texts == [fake_agent.reference_text(p, 6) for p in prompts]
+        assert entry.context.metrics.counters['retries'] > 0
+
+
+async def test_stall_is_charged_to_the_budget():
+    """Stalls come with overload, which free retries would multiply."""
+    timers = core_timers.ManualTimerService()
+    async with harness.running(timers) as entry:
+        agents, asked = await pair(entry, fake_agent.stall_after(2))
+        harness.set_budget(entry, 0)
+        request = asyncio.ensure_future(entry.stream())
+        await harness.until(lambda: asked and asked[0].stalled.is_set())
+        agent = asked[0]
+        server = agent.record()
+        link = await entry.context.pool.link_to(server)
+        while not agent.close_seen.is_set():
+            await agent.peers[0].send(messages.LoadReport([]))
+            await harness.until(lambda: link.heard_s == timers.now_s())
+            await timers.advance(0.5)
+            await asyncio.sleep(0.001)
+        events = await request
+        assert events[-1][0] == 'error'
+        assert sum(len(agent.opened) for agent in agents) == 1
