--- a/pimentowalk/control/election.py
+++ b/pimentowalk/control/election.py
@@ -44,9 +44,11 @@
                 await self.campaign()
 
     def _postpone(self):
-        timing = self._consensus.timing
-        wait_s = timing.election_s
-        wait_s += self._random.random() * timing.election_spread_s
+        self._wait(self._consensus.timing.election_s)
+
+    def _wait(self, least_s):
+        spread_s = self._consensus.timing.election_spread_s
+        wait_s = least_s + self._random.random() * spread_s
         self._quiet_until_s = self._consensus.timers.now_s() + wait_s
 
     def _is_overdue(self):
@@ -69,7 +71,9 @@
         and so deposing a leader that the others still hear.
         """
         consensus = self._consensus
-        self._postpone()
+        # After a split vote there is no leader to wait for, so that the
+        # next attempt comes sooner than the first.
+        self._wait(consensus.timing.heartbeat_s)
         heard_s = consensus.heard_s
         term = consensus.term + 1
         if not transfer:
--- a/pimentowalk/control/receiver.py
+++ b/pimentowalk/control/receiver.py
@@ -53,7 +53,7 @@
             cluster_id=consensus.cluster_id,
             empty=consensus.is_empty,
             voters_digest=self._voters_digest,
-            last_index=consensus.log.last_index,
+            last_index=consensus.log.synced_index,
         )
 
     async def _vote(self, body):
