--- a/specs/log_scenarios.py
+++ b/specs/log_scenarios.py
@@ -11,6 +11,7 @@
 
 from pimentowalk.control import rules as control_rules
 from specs import explorer
+from specs import log_state
 from specs import replicated_log
 
 
@@ -18,7 +19,7 @@
 class Scenario:
     """Bounds, and the depth to which the tests explore them."""
 
-    bounds: replicated_log.Bounds
+    bounds: log_state.Bounds
     depth: int
 
 
@@ -33,26 +34,24 @@
 
 SCENARIOS = {
     'crash and vote': Scenario(
-        replicated_log.Bounds(proposals=0, elections=3, crashes=1), 4
+        log_state.Bounds(proposals=0, elections=3, crashes=1), 4
     ),
     'crash and record': Scenario(
-        replicated_log.Bounds(proposals=1, elections=1, crashes=1), 8
+        log_state.Bounds(proposals=1, elections=1, crashes=1), 8
     ),
-    'older term': Scenario(replicated_log.Bounds(proposals=1, elections=3), 6),
+    'older term': Scenario(log_state.Bounds(proposals=1, elections=3), 6),
     'repair, then second loss': Scenario(
-        replicated_log.Bounds(
-            proposals=0, elections=1, lost_disks=2, changes=2
-        ),
+        log_state.Bounds(proposals=0, elections=1, lost_disks=2, changes=2),
         13,
     ),
     'lost disk': Scenario(
-        replicated_log.Bounds(proposals=1, elections=2, lost_disks=1), 6
+        log_state.Bounds(proposals=1, elections=2, lost_disks=1), 6
     ),
     'membership change': Scenario(
-        replicated_log.Bounds(proposals=0, elections=2, changes=2), 6
+        log_state.Bounds(proposals=0, elections=2, changes=2), 6
     ),
     'frozen leader': Scenario(
-        replicated_log.Bounds(proposals=0, elections=1, ticks=3, reads=1), 14
+        log_state.Bounds(proposals=0, elections=1, ticks=3, reads=1), 14
     ),
 }
 
--- a/specs/replicated_log.py
+++ b/specs/replicated_log.py
@@ -7,143 +7,19 @@
 are sent one at a time.
 """
 
-import functools
 import itertools
 
-import attrs
-
 from pimentowalk.control import members as control_members
 from pimentowalk.control import rules as control_rules
+from specs import log_state
 
 VOTE_NOT_PERSISTED = 'vote not persisted'
 ANSWER_BEFORE_SYNC = 'answer before sync'
 KEEPS_IDENTITY = 'lost-disk voter keeps its identity'
 
-NAMES = ('a', 'b', 'c')
-FOLLOWER = 'follower'
-LEADER = 'leader'
 # In ticks of the clock; the lease is shorter, as in `consensus.Timing`.
 LEASE = 1
 ELECTION = 2
-NEVER = -10
-
-
-@functools.cache
-def _names(cls):
-    return tuple(field.name for field in attrs.fields(cls))
-
-
-def _evolve(instance, **changes):
-    """Return a changed copy; `attrs.evolve` takes most of a search."""
-    cls = type(instance)
-    return cls(
-        *[
-            changes[name] if name in changes else getattr(instance, name)
-            for name in _names(cls)
-        ]
-    )
-
-
-@attrs.frozen
-class Bounds:
-    """How much may happen in one exploration."""
-
-    proposals: int = 1
-    elections: int = 3
-    crashes: int = 0
-    lost_disks: int = 0
-    changes: int = 0
-    ticks: int = 0
-    reads: int = 0
-
-
-@attrs.frozen(cache_hash=True)
-class Record:
-    """A log record; `members` is None for a command."""
-
-    index: int
-    term: int
-    members: control_members.MemberSet | None = None
-
-
-@attrs.frozen(cache_hash=True)
-class Node:
-    """One replica; `durable` and `durable_vote` survive a crash."""
-
-    name: str
-    disk: int
-    term: int
-    voted_for: str
-    durable_vote: tuple[int, str]
-    log: tuple[Record, ...]
-    durable: int
-    role: str = FOLLOWER
-    commit: int = 0
-    match: tuple[tuple[str, int], ...] = ()
-    acked: tuple[tuple[str, int], ...] = ()
-    heard: int = NEVER
-    read_needs: int = NEVER
-
-    @property
-    def identity(self):
-        """Return the identity of the disk."""
-        return f'{self.name}{self.disk}'
-
-    def term_at(self, index):
-        """Return the term at an index, or None."""
-        if index == 0:
-            return 0
-        return self.log[index - 1].term if index <= len(self.log) else None
-
-    @property
-    def last(self):
-        """Return term and index of the last record."""
-        return self.term_at(len(self.log)), len(self.log)
-
-    @property
-    def members_index(self):
-        """Return the index of the latest members."""
-        return max(
-            (r.index for r in self.log if r.members is not None), default=0
-        )
-
-    @property
-    def members(self):
-        """Return the latest members in the log."""
-        if not self.members_index:
-            return control_members.MemberSet()
-        return self.log[self.members_index - 1].members
-
-    def voters(self):
-        """Return the identities that vote."""
-        return [m.identity for m in self.members.voters()]
-
-
-@attrs.frozen(cache_hash=True)
-class State:
-    """All nodes, what is known to be committed, and what may still happen.
-
-    `committed` holds every record that any leader committed, and
-    `committed_term` the highest term of such a leader.
-    """
-
-    nodes: tuple[Node, ...]
-    left: Bounds
-    committed: tuple[Record, ...]
-    committed_term: int = 1
-    leaders: tuple[tuple[int, str], ...] = ()
-    now: int = 0
-    broken: str = ''
-
-    def replace(self, *changed, **others):
-        """Return the state with some nodes replaced by name."""
-        by_name = {node.name: node for node in changed}
-        nodes = tuple(by_name.get(node.name, node) for node in self.nodes)
-        return _evolve(self, nodes=nodes, **others)
-
-    def spend(self, name):
-        """Return the bounds after one use."""
-        return _evolve(self.left, **{name: getattr(self.left, name) - 1})
 
 
 def _with(pairs, key, value):
@@ -165,15 +41,17 @@
     def initial(self):
         """Return three empty-handed voters, of which `a` leads term 1."""
         members = control_members.MemberSet(
-            tuple(_member(name, 0, True) for name in NAMES)
+            tuple(_member(name, 0, True) for name in log_state.NAMES)
         )
-        log = (Record(1, 1, members),)
+        log = (log_state.Record(1, 1, members),)
         nodes = [
-            Node(name, 0, 1, 'a0', (1, 'a0'), log, 1, commit=1)
-            for name in NAMES
+            log_state.Node(name, 0, 1, 'a0', (1, 'a0'), log, 1, commit=1)
+            for name in log_state.NAMES
         ]
-        nodes[0] = _evolve(nodes[0], role=LEADER)
-        return State(tuple(nodes), self.bounds, log, leaders=((1, 'a0'),))
+        nodes[0] = log_state.evolve(nodes[0], role=log_state.LEADER)
+        return log_state.State(
+            tuple(nodes), self.bounds, log, leaders=((1, 'a0'),)
+        )
 
     def violation(self, state):
         """Return what is broken in a state."""
@@ -186,12 +64,14 @@
         for node in state.nodes:
             yield from self._elections(state, node)
             yield from self._faults(state, node)
-            if node.role == LEADER:
+            if node.role == log_state.LEADER:
                 yield from self._leading(state, node)
         if state.left.ticks:
             yield (
                 'tick',
-                _evolve(state, now=state.now + 1, left=state.spend('ticks')),
+                log_state.evolve(
+                    state, now=state.now + 1, left=state.spend('ticks')
+                ),
             )
 
     def _leading(self, state, node):
@@ -220,7 +100,9 @@
 
     def _campaign(self, state, node, reached, term):
         candidate = self._vote(
-            _evolve(node, role=FOLLOWER, read_needs=NEVER),
+            log_state.evolve(
+                node, role=log_state.FOLLOWER, read_needs=log_state.NEVER
+            ),
             term,
             node.identity,
         )
@@ -246,7 +128,7 @@
 
     def _ask(self, state, candidate, other):
         if state.now - other.heard < ELECTION or (
-            other.role == LEADER and self._holds_lease(state, other)
+            other.role == log_state.LEADER and self._holds_lease(state, other)
         ):
             return other, False
         member = candidate.members.get(other.name)
@@ -271,12 +153,12 @@
         durable = (term, voted_for)
         if VOTE_NOT_PERSISTED in self.faults:
             durable = node.durable_vote
-        return _evolve(
+        return log_state.evolve(
             node,
             term=term,
             voted_for=voted_for,
             durable_vote=durable,
-            role=node.role if term == node.term else FOLLOWER,
+            role=node.role if term == node.term else log_state.FOLLOWER,
         )
 
     def _lead(self, state, node):
@@ -288,8 +170,12 @@
         known = node.log[: len(state.committed)]
         if node.term > state.committed_term and known != state.committed:
             broken = f'the leader of term {node.term} lacks a committed record'
-        node = self._appended(node, Record(len(node.log) + 1, node.term))
-        node = _evolve(node, role=LEADER, match=(), acked=())
+        node = self._appended(
+            node, log_state.Record(len(node.log) + 1, node.term)
+        )
+        node = log_state.evolve(
+            node, role=log_state.LEADER, match=(), acked=()
+        )
         leaders = tuple(sorted(leaders))
         return state.replace(node, leaders=leaders, broken=broken)
 
@@ -297,7 +183,7 @@
 
     def _propose(self, state, node):
         if state.left.proposals:
-            record = Record(len(node.log) + 1, node.term)
+            record = log_state.Record(len(node.log) + 1, node.term)
             after = self._appended(node, record)
             left = state.spend('proposals')
             yield f'{node.name} proposes', state.replace(after, left=left)
@@ -306,11 +192,11 @@
         # Without crashes it makes no difference when records are synced.
         log = (*node.log, record)
         durable = node.durable if self.bounds.crashes else len(log)
-        return _evolve(node, log=log, durable=durable)
+        return log_state.evolve(node, log=log, durable=durable)
 
     def _sync(self, state, node):
         if node.durable < len(node.log):
-            after = _evolve(node, durable=len(node.log))
+            after = log_state.evolve(node, durable=len(node.log))
             yield f'{node.name} syncs', state.replace(after)
 
     def _append(self, state, node, other):
@@ -330,7 +216,7 @@
         records = node.log[previous : previous + 1]
         after = self._take(state, node, other, previous, records)
         match_index = previous + len(records)
-        leader = _evolve(
+        leader = log_state.evolve(
             node,
             match=_with(node.match, other.identity, match_index),
             acked=self._acknowledged(state, node, other),
@@ -350,7 +236,7 @@
         if other.term < node.term:
             other = self._vote(other, node.term, voted_for)
         if self.bounds.ticks:
-            other = _evolve(other, heard=state.now)
+            other = log_state.evolve(other, heard=state.now)
         log = other.log
         fresh = records[self.rules.first_new(records, other.term_at) :]
         durable = other.durable
@@ -360,8 +246,12 @@
         if ANSWER_BEFORE_SYNC not in self.faults:
             durable = max(durable, previous + len(records))
         commit = max(other.commit, min(node.commit, previous + len(records)))
-        return _evolve(
-            other, log=log, durable=durable, commit=commit, role=FOLLOWER
+        return log_state.evolve(
+            other,
+            log=log,
+            durable=durable,
+            commit=commit,
+            role=log_state.FOLLOWER,
         )
 
     def _commit(self, state, node):
@@ -381,7 +271,7 @@
         yield (
             f'{node.name} commits {index}',
             state.replace(
-                _evolve(node, commit=index),
+                log_state.evolve(node, commit=index),
                 committed=max(known, state.committed, key=len),
                 committed_term=max(node.term, state.committed_term),
                 broken=broken,
@@ -399,7 +289,7 @@
         ):
             return
         for label, members in self._changes(state, node):
-            record = Record(len(node.log) + 1, node.term, members)
+            record = log_state.Record(len(node.log) + 1, node.term, members)
             after = self._appended(node, record)
             left = state.spend('changes')
             yield f'{node.name} {label}', state.replace(after, left=left)
@@ -425,15 +315,15 @@
     # Reads
 
     def _read(self, state, node):
-        if node.read_needs == NEVER:
+        if node.read_needs == log_state.NEVER:
             if state.left.reads and node.term_at(node.commit) == node.term:
-                after = _evolve(node, read_needs=len(state.committed))
+                after = log_state.evolve(node, read_needs=len(state.committed))
                 left = state.spend('reads')
                 yield f'{node.name} reads', state.replace(after, left=left)
             return
         if self._holds_lease(state, node):
             stale = node.commit < node.read_needs
-            after = _evolve(node, read_needs=NEVER)
+            after = log_state.evolve(node, read_needs=log_state.NEVER)
             broken = 'a read missed a committed record' if stale else ''
             yield (
                 f'{node.name} answers the read',
@@ -443,7 +333,7 @@
     def _holds_lease(self, state, node):
         acked = dict(node.acked)
         acked[node.identity] = state.now
-        sent = [acked.get(voter, NEVER) for voter in node.voters()]
+        sent = [acked.get(voter, log_state.NEVER) for voter in node.voters()]
         end = self.rules.lease_end_s(sent, LEASE)
         return self.rules.holds_lease(state.now, end)
 
@@ -462,23 +352,23 @@
     def _crashed(self, state, node):
         term, voted_for = node.durable_vote
         log = node.log[: node.durable]
-        return _evolve(
+        return log_state.evolve(
             node,
             term=term,
             voted_for=voted_for,
             log=log,
             commit=min(1, len(log)),
-            role=FOLLOWER,
+            role=log_state.FOLLOWER,
             match=(),
             acked=(),
-            heard=state.now if self.bounds.ticks else NEVER,
-            read_needs=NEVER,
+            heard=state.now if self.bounds.ticks else log_state.NEVER,
+            read_needs=log_state.NEVER,
         )
 
     def _emptied(self, node):
         keeps = KEEPS_IDENTITY in self.faults
         disk = node.disk if keeps else node.disk + 1
-        return Node(node.name, disk, 0, '', (0, ''), (), 0)
+        return log_state.Node(node.name, disk, 0, '', (0, ''), (), 0)
 
     def _repaired(self, state, lost):
         """Return whether all other nodes vote with the disk they have.
