Delay and reorder frames in the simulation of the replicas

Cause: frames arrived at once, so that no late vote, append or answer of an earlier term was ever seen.

Change: a rule of the state machine chooses how long frames take, up to 0.9 s, and frames may overtake each other.

--- a/pimentowalk/control/tests/simulation.py
+++ b/pimentowalk/control/tests/simulation.py
@@ -107,6 +107,7 @@
     async def _deliver(self, body):
         self._check()
         target = self._target
+        await self._simulation.travel()
         await target.timers.wait_thawed()
         self._check()
         call_id = len(self._answers)
@@ -114,6 +115,7 @@
         envelope = codec.Envelope(body, 0, call_id)
         await target.replica.handle(self, envelope)
         await target.timers.wait_thawed()
+        await self._simulation.travel()
         self._check()
         return self._answers[call_id]
 
@@ -242,6 +244,9 @@
         self.identity_of = identity_of
         self.fatal = []
         self.cut = set()
+        # Frames take one of these times; with several, they overtake.
+        self.delays_s = (0.0,)
+        self.random = random.Random(11)
         self.voters = [
             instances.Instance(f'c{port}', '127.0.0.1', port)
             for port in range(count)
@@ -252,6 +257,12 @@
         self._numbers = 0
         self._tasks = []
 
+    async def travel(self):
+        """Let a frame take its time on the way."""
+        delay_s = self.random.choice(self.delays_s)
+        if delay_s:
+            await self.clock.sleep(delay_s)
+
     def linked(self, source, target):
         """Return whether two running nodes reach each other."""
         if not (source.running and target.running):
@@ -368,6 +379,7 @@
 
     async def heal(self):
         """Undo all faults and check that nothing answered was lost."""
+        self.delays_s = (0.0,)
         self.cut.clear()
         for node in self.nodes:
             if not node.running:
--- a/pimentowalk/control/tests/test_simulation.py
+++ b/pimentowalk/control/tests/test_simulation.py
@@ -50,6 +50,14 @@
     def advance(self, steps):
         self.run(self.simulation.advance(steps * simulation.STEP_S))
 
+    @stateful.rule(
+        delays_s=strategies.sampled_from(
+            [(0.0,), (0.0, 0.02, 0.07), (0.0, 0.3), (0.0, 0.05, 0.9)]
+        )
+    )
+    def set_delays(self, delays_s):
+        self.simulation.delays_s = delays_s
+
     @stateful.rule(number=NODES)
     def cut_or_join(self, number):
         self.simulation.cut ^= {self.node(number)}
