--- a/pimentowalk/control/audit.py
+++ b/pimentowalk/control/audit.py
@@ -15,8 +15,8 @@
 
 
 @parts.part('audit')
-class Audit:
-    """Keep the latest audit records of operators and of nodes."""
+class Audit(parts.Part):
+    """Keep the latest audit records of operators and of nodes as JSON."""
 
     def __init__(
         self,
@@ -28,33 +28,35 @@
 
     def add(self, record, *, operator):
         """Keep one record."""
-        (self._operator if operator else self._automatic).append(record)
+        text = commands.CONVERTER.dumps(record)
+        records = self._operator if operator else self._automatic
+        records.append((record.index, text))
 
     def after(self, index, limit):
         """Return at most `limit` records after a log index."""
-        merged = heapq.merge(
-            self._operator, self._automatic, key=lambda r: r.index
-        )
-        later = (record for record in merged if record.index > index)
-        return list(itertools.islice(later, min(limit, READ_LIMIT)))
-
-    def snapshot(self):
-        """Return the records as JSON data."""
-        unstructure = commands.CONVERTER.unstructure
-        return {
-            'operator': unstructure(list(self._operator)),
-            'automatic': unstructure(list(self._automatic)),
-        }
-
-    def restore(self, data):
+        merged = heapq.merge(self._operator, self._automatic)
+        later = (text for at, text in merged if at > index)
+        return [
+            commands.CONVERTER.loads(text, commands.AuditRecord)
+            for text in itertools.islice(later, min(limit, READ_LIMIT))
+        ]
+
+    def lines(self):
+        """Return the records, each after its table and its index."""
+        return [
+            f'{name}\t{index}\t{text}'
+            for name, records in self._tables().items()
+            for index, text in records
+        ]
+
+    def restore_lines(self, lines):
         """Replace the records."""
-        for name, records in (
-            ('operator', self._operator),
-            ('automatic', self._automatic),
-        ):
+        tables = self._tables()
+        for records in tables.values():
             records.clear()
-            records.extend(
-                commands.CONVERTER.structure(
-                    data[name], list[commands.AuditRecord]
-                )
-            )
+        for line in lines:
+            name, index, text = line.split('\t')
+            tables[name].append((int(index), text))
+
+    def _tables(self):
+        return {'operator': self._operator, 'automatic': self._automatic}
--- a/pimentowalk/control/change_results.py
+++ b/pimentowalk/control/change_results.py
@@ -1,6 +1,7 @@
 """The results of accepted changes, by change id."""
 
 import collections
+import json
 
 from pimentowalk.control import commands
 from pimentowalk.control import parts
@@ -17,7 +18,7 @@
 
 
 @parts.part('changes')
-class Changes:
+class Changes(parts.Part):
     """Remember accepted changes so that a resend gets the same result."""
 
     def __init__(self, limit=CHANGES_KEPT):
@@ -29,28 +30,29 @@
 
         Raises Conflict if the id was used for another change.
         """
-        entry = self._entries.get(body.change_id)
-        if entry is None:
+        text = self._entries.get(body.change_id)
+        if text is None:
             return None
-        if entry[0] != digest(content):
+        _, known_digest, result = json.loads(text)
+        if known_digest != digest(content):
             raise errors.Conflict(
                 f'change id {body.change_id} was used for another change'
             )
-        return entry[1]
+        return result
 
     def remember(self, body, content, result):
         """Keep the result of an accepted change."""
         data = commands.CONVERTER.unstructure(result)
-        self._entries[body.change_id] = [digest(content), data]
+        entry = [body.change_id, digest(content), data]
+        self._entries[body.change_id] = json.dumps(entry)
         while len(self._entries) > self._limit:
             self._entries.popitem(last=False)
 
-    def snapshot(self):
-        """Return the entries as JSON data."""
-        return [[key, *entry] for key, entry in self._entries.items()]
+    def lines(self):
+        """Return the entries."""
+        return list(self._entries.values())
 
-    def restore(self, data):
+    def restore_lines(self, lines):
         """Replace the entries."""
-        self._entries = collections.OrderedDict(
-            (key, entry) for key, *entry in data
-        )
+        pairs = ((json.loads(line)[0], line) for line in lines)
+        self._entries = collections.OrderedDict(pairs)
--- a/pimentowalk/control/claims.py
+++ b/pimentowalk/control/claims.py
@@ -37,7 +37,7 @@
 
 
 @parts.part('claims')
-class Claims:
+class Claims(parts.Part):
     """Hold claims in order of opening.
 
     Each claim is kept as JSON text: a snapshot of 200,000 attrs objects
@@ -178,18 +178,23 @@
         return True
 
     def snapshot(self):
-        """Return the claims as JSON data."""
-        return {
-            'claims': list(self._claims.items()),
-            'replies': list(self._replies.items()),
-        }
+        """Return the sizes of recorded replies as JSON data."""
+        return list(self._replies.items())
 
     def restore(self, data):
-        """Replace the claims."""
-        self._claims = collections.OrderedDict(data['claims'])
-        self._replies = collections.OrderedDict(data['replies'])
+        """Replace the sizes of recorded replies."""
+        self._replies = collections.OrderedDict(data)
         self._replies_bytes = sum(self._replies.values())
 
+    def lines(self):
+        """Return the claims, each after its key and a tab."""
+        return [f'{key}\t{text}' for key, text in self._claims.items()]
+
+    def restore_lines(self, lines):
+        """Replace the claims."""
+        pairs = (line.split('\t') for line in lines)
+        self._claims = collections.OrderedDict(pairs)
+
 
 def _describe(body):
     return f'{body.account}/{body.key} claim {body.claim_id}'
--- a/pimentowalk/control/fences.py
+++ b/pimentowalk/control/fences.py
@@ -11,7 +11,7 @@
 
 
 @parts.part('fences')
-class Fences:
+class Fences(parts.Part):
     """Issue rising numbers; remember the highest one of each server."""
 
     def __init__(self, limit=SERVERS_KEPT):
--- a/pimentowalk/control/parts.py
+++ b/pimentowalk/control/parts.py
@@ -22,8 +22,31 @@
     detail: str = ''
 
 
+class Part:
+    """Base of the parts of the control state.
+
+    Small tables go into `snapshot()` as JSON data. Large ones keep their
+    entries as JSON text without line breaks and return them as `lines()`,
+    so that a snapshot does not stop the process to convert them.
+    """
+
+    def snapshot(self):
+        """Return the small tables as JSON data."""
+        return None
+
+    def restore(self, data):
+        """Replace the small tables."""
+
+    def lines(self):
+        """Return the entries of the large table."""
+        return []
+
+    def restore_lines(self, lines):
+        """Replace the entries of the large table."""
+
+
 def part(name):
-    """Register a class with `snapshot()` and `restore(data)`."""
+    """Register a subclass of `Part`."""
     return PARTS.register(name)
 
 
--- a/pimentowalk/control/publishing.py
+++ b/pimentowalk/control/publishing.py
@@ -44,7 +44,7 @@
 
 
 @parts.part('publishing')
-class Publishing:
+class Publishing(parts.Part):
     """Hold the contracts of all sources under one version."""
 
     def __init__(self):
--- a/pimentowalk/control/quarantine.py
+++ b/pimentowalk/control/quarantine.py
@@ -34,7 +34,7 @@
 
 
 @parts.part('quarantine')
-class Quarantine:
+class Quarantine(parts.Part):
     """Count crashes by fingerprint and quarantine after the second."""
 
     def __init__(self):
--- a/pimentowalk/control/state.py
+++ b/pimentowalk/control/state.py
@@ -13,7 +13,7 @@
 from pimentowalk.control import quarantine  # noqa: F401 registers a part
 from pimentowalk.core import errors
 
-SNAPSHOT_FORMAT = 1
+SNAPSHOT_FORMAT = 2
 
 
 class ControlState:
@@ -99,34 +99,51 @@
         )
 
     def snapshot(self):
-        """Return the whole state as bytes."""
-        content = {
+        """Return the whole state as bytes: a line of JSON, then entries."""
+        lines = {n: p.lines() for n, p in self._parts.items()}
+        header = {
             'format': SNAPSHOT_FORMAT,
             'index': self.index,
             'time_s': self.time_s,
             'parts': {n: p.snapshot() for n, p in self._parts.items()},
+            'lines': {name: len(entries) for name, entries in lines.items()},
         }
-        return json.dumps(content, separators=(',', ':')).encode()
+        text = [json.dumps(header, separators=(',', ':'))]
+        for entries in lines.values():
+            text += entries
+        return '\n'.join(text).encode()
 
     def restore(self, content):
         """Replace the state by a snapshot; raise DamagedData."""
         try:
-            data = json.loads(content)
-            if data['format'] != SNAPSHOT_FORMAT:
-                raise errors.DamagedData(
-                    f'snapshot format {data["format"]} is not '
-                    f'{SNAPSHOT_FORMAT}',
-                    step='restore',
-                )
-            fresh = {name: cls() for name, cls in parts.PARTS.entries()}
-            for name, value in fresh.items():
-                value.restore(data['parts'][name])
+            header, fresh = _read_snapshot(content)
         except (ValueError, KeyError, TypeError) as error:
             raise errors.DamagedData(
                 f'the snapshot cannot be read: {error!r}', step='restore'
             ) from None
-        self.index = data['index']
-        self.time_s = data['time_s']
+        self.index = header['index']
+        self.time_s = header['time_s']
         self._parts = fresh
         for callback in self._callbacks:
             callback()
+
+
+def _read_snapshot(content):
+    first, *lines = content.decode().split('\n')
+    header = json.loads(first)
+    if header['format'] != SNAPSHOT_FORMAT:
+        raise errors.DamagedData(
+            f'snapshot format {header["format"]} is not {SNAPSHOT_FORMAT}',
+            step='restore',
+        )
+    if sum(header['lines'].values()) != len(lines):
+        raise ValueError('lines are missing')
+    fresh = {name: cls() for name, cls in parts.PARTS.entries()}
+    for name, part in fresh.items():
+        part.restore(header['parts'][name])
+    begin = 0
+    # The lines of the parts are in the order of the header.
+    for name, count in header['lines'].items():
+        fresh[name].restore_lines(lines[begin : begin + count])
+        begin += count
+    return header, fresh
--- a/pimentowalk/control/tests/test_parts.py
+++ b/pimentowalk/control/tests/test_parts.py
@@ -283,6 +283,27 @@
 
 def test_snapshot_of_another_format_is_refused(log):
     """A newer snapshot must not be read as the present one."""
-    content = log.state.snapshot().replace(b'"format":1', b'"format":2')
+    content = log.state.snapshot().replace(b'"format":2', b'"format":3')
     with pytest.raises(errors.DamagedData, match='format'):
         log.state.restore(content)
+
+
+def test_damaged_snapshot_is_refused_as_a_whole(log):
+    """A state restored in part would answer wrongly."""
+    log.apply(open_claim())
+    content = log.state.snapshot()
+    for damaged in (content.rpartition(b'\n')[0], content[:40], b'\xff'):
+        with pytest.raises(errors.DamagedData):
+            log.state.restore(damaged)
+    assert log.state.snapshot() == content
+
+
+def test_keys_with_any_characters_survive_a_restart(log):
+    """Callers choose their keys; a separator in one must not mix claims."""
+    keys = ['a\tb', 'a\nb', 'ø', '"', '\u2028']
+    for number, key in enumerate(keys):
+        log.apply(open_claim(f'claim-{number}', key=key))
+    log.restart()
+    for number, key in enumerate(keys):
+        found = log.apply(open_claim('claim-9', key=key))
+        assert found.claim.claim_id == f'claim-{number}'
--- a/pimentowalk/control/tests/test_proofs.py
+++ b/pimentowalk/control/tests/test_proofs.py
@@ -63,7 +63,9 @@
 
 
 def _memory_lost_on_restart(monkeypatch):
-    monkeypatch.setattr(change_results.Changes, 'restore', lambda *a: None)
+    monkeypatch.setattr(
+        change_results.Changes, 'restore_lines', lambda *a: None
+    )
 
 
 def _lower_version_applied(monkeypatch):
