--- a/pimentowalk/entry/tests/fake_control.py
+++ b/pimentowalk/entry/tests/fake_control.py
@@ -1,72 +1,13 @@
 """A node session without control, and its claims kept in memory."""
 
 import asyncio
-import sys
 
 import attrs
 
+from pimentowalk.control import commands
 from pimentowalk.core import errors
 
 
-@attrs.frozen
-class ServerAddress:
-    server_id: str
-    incarnation: int
-    host: str
-    port: int
-
-
-@attrs.frozen
-class Claim:
-    claim_id: str
-    body_hash: str
-    request_id: bytes
-    attempt: int
-    server: ServerAddress
-    state: str = 'open'
-    status: int = 0
-    headers: list = attrs.field(factory=list)
-    body: bytes = b''
-
-
-@attrs.frozen
-class ClaimResult:
-    state: str
-    claim: Claim | None = None
-
-
-@attrs.frozen
-class OpenClaim:
-    account: str
-    key: str
-    body_hash: str
-    claim_id: str
-    request_id: bytes
-    server: ServerAddress
-    attempt: int = 1
-
-
-@attrs.frozen
-class SettleClaim:
-    account: str
-    key: str
-    claim_id: str
-    outcome: str
-    status: int = 0
-    headers: list = attrs.field(factory=list)
-    body: bytes = b''
-
-
-@attrs.frozen
-class ReleaseClaim:
-    account: str
-    key: str
-    claim_id: str
-
-
-COMMANDS = sys.modules[__name__]
-
-
 class FakeView:
     """A view that a test fills."""
 
@@ -87,8 +28,9 @@
         self.quarantined = set()
         self.has_quorum = True
         self.lose_replies = 0
+        self.use_share = 1.0
         self.claims = {}
-        self.commands = []
+        self.requested = []
         self.noted = set()
         self.is_ready = asyncio.Event()
         self._on_view = []
@@ -121,28 +63,35 @@
     async def request(self, command, timeout_s=5.0):
         if not self.has_quorum:
             raise errors.NoQuorum('no majority', step=type(command).__name__)
-        self.commands.append(command)
+        self.requested.append(command)
         result = getattr(self, f'_{type(command).__name__}')(command)
         if self.lose_replies:
             self.lose_replies -= 1
             raise errors.OutcomeUnknown('the reply was lost')
         return result
 
+    def _ReportUse(self, command):  # noqa: N802
+        return commands.UseShares(
+            dict.fromkeys(command.demands, self.use_share)
+        )
+
     def _OpenClaim(self, command):  # noqa: N802
         key = (command.account, command.key)
         known = self.claims.get(key)
         if known is None:
-            self.claims[key] = Claim(
+            self.claims[key] = commands.Claim(
                 command.claim_id,
                 command.body_hash,
                 command.request_id,
                 command.attempt,
                 command.server,
+                'open',
+                0.0,
             )
-            return ClaimResult('new', self.claims[key])
+            return commands.ClaimResult('new', self.claims[key])
         if known.body_hash != command.body_hash:
-            return ClaimResult('key_reused', known)
-        return ClaimResult(known.state, known)
+            return commands.ClaimResult('key_reused', known)
+        return commands.ClaimResult(known.state, known)
 
     def _held(self, command):
         known = self.claims.get((command.account, command.key))
