Take ports of started processes from below the ephemeral range

Cause: two of 16 demo runs did not become ready, one of them because an outgoing connection had taken the port of an agent before it bound it.

Ruled out: retrying the start, which would hide real start-up faults.

Change: free_port draws ports from 20000 to 31999 and never gives one twice.

--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -8,6 +8,7 @@
 import contextlib
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -19,13 +20,28 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 LOOPBACK = '127.0.0.1'
 STOP_TIMEOUT_S = 15.0
+FIRST_PORT = 20_000
+END_PORT = 32_000
+_GIVEN_PORTS = set()
 
 
 def free_port():
-    """Return a TCP port that was free on loopback a moment ago."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return probe.getsockname()[1]
+    """Return a TCP port on loopback that nobody listens on.
+
+    Outgoing connections get their ports from the ephemeral range, so a
+    port below it is not taken before the started process binds it.
+    """
+    while True:
+        port = random.SystemRandom().randrange(FIRST_PORT, END_PORT)
+        if port in _GIVEN_PORTS:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                continue
+        _GIVEN_PORTS.add(port)
+        return port
 
 
 @attrs.define
