--- a/pimentowalk/control/replica.py
+++ b/pimentowalk/control/replica.py
@@ -78,14 +78,20 @@
             timing or control_consensus.Timing(),
             rules or control_rules.Rules(),
         )
-        self._consensus.on_members = self._sync_peers
         self._applier = control_applier.Applier(
             self._consensus, state_machine, snapshot_every, kept_records
         )
+        self._connect_parts(voters, random or random_module.Random())
+        self._peers = {}
+        self._tasks = []
+        self._running = False
+
+    def _connect_parts(self, voters, random):
+        self._consensus.on_members = self._sync_peers
         self._elections = election.Elections(
             self._consensus,
             lambda: [peer for peer, _ in self._peers.values()],
-            random or random_module.Random(),
+            random,
         )
         self._receiver = control_receiver.Receiver(
             self._consensus,
@@ -96,9 +102,6 @@
         self._bootstrap = bootstrap.Bootstrap(
             self._consensus, voters, self._dial
         )
-        self._peers = {}
-        self._tasks = []
-        self._running = False
 
     async def _dial_peer(self, host, port):
         return await connection.dial(host, port, self._hello)
