--- a/pimentowalk/entry/completions.py
+++ b/pimentowalk/entry/completions.py
@@ -146,13 +146,6 @@
     temperature = _number(
         body, 'temperature', DEFAULT_TEMPERATURE, (int, float), 0, 2
     )
-    # The seed of a request that names none does not enter its fingerprint,
-    # so that a caller's resend has the same one.
-    fingerprint = identifiers.hash64(
-        account.name,
-        str(name),
-        json.dumps([prompt, max_tokens, seed, temperature]),
-    )
     return model_call.ModelSpec(
         request_id=request.request_id,
         account=account,
@@ -163,7 +156,12 @@
         max_tokens=max_tokens,
         seed=secrets.randbits(62) if seed is None else seed,
         temperature=float(temperature),
-        fingerprint=fingerprint,
+        # The seed as the caller gave it, so that a resend has the same one.
+        fingerprint=identifiers.hash64(
+            account.name,
+            name,
+            json.dumps([prompt, max_tokens, seed, temperature]),
+        ),
         scope_version=context.scope_version(
             f'service/{service.name}',
             f'route/{route.name}',
