--- a/pimentowalk/agent/attempts.py
+++ b/pimentowalk/agent/attempts.py
@@ -10,6 +10,9 @@
 PREPARE_TIMEOUT_S = 2.0
 # The reason of a CloseAttempt that follows a complete answer.
 FINISHED = 'finished'
+# Engines run a higher priority first where more sequences are open than
+# run at once, as at a stage that several heads share.
+SHORT_PRIORITY = 1
 
 
 @attrs.define(eq=False)
@@ -31,7 +34,12 @@
         return self.frame.request_id, self.frame.attempt
 
 
-def prepare_frame(frame, position, isolate=False):
+def priority_of(work):
+    """Return the priority of work at the engines: short before long."""
+    return SHORT_PRIORITY if work.short else 0
+
+
+def prepare_frame(frame, position, isolate=False, priority=0):
     """Return the frame that prepares one stage of an attempt."""
     return messages.PrepareAttempt(
         frame.request_id,
@@ -48,6 +56,7 @@
         frame.account,
         frame.fingerprint,
         isolate,
+        priority,
     )
 
 
--- a/pimentowalk/agent/tests/test_path.py
+++ b/pimentowalk/agent/tests/test_path.py
@@ -124,3 +124,15 @@
     await pair.timers.advance(2)
     await pair.entry.connection.call(messages.Empty(), fakes.WAIT_S)
     assert len(pair.entry.received) == count
+
+
+async def test_short_work_has_priority_at_every_engine(pair):
+    """A shared stage would otherwise run long work before short."""
+    short = fakes.open_attempt(pair.chain, predicted_tokens=200)
+    long = fakes.open_attempt(pair.chain, predicted_tokens=201)
+    for frame in (short, long):
+        await pair.entry.connection.send(frame)
+        await pair.entry.ended(frame.request_id)
+    for engine in (pair.head_engine, pair.last_engine):
+        opened = [m for m in engine.messages if m['type'] == 'open']
+        assert [message['priority'] for message in opened] == [1, 0]
--- a/pimentowalk/control/receiver.py
+++ b/pimentowalk/control/receiver.py
@@ -34,13 +34,14 @@
         self._pieces = bytearray()
         self._pieces_of = None
         self._tasks = set()
-        self._handlers = {
-            messages.VoteRequest: self._vote,
-            messages.AppendRequest: self._append,
-            messages.SnapshotRequest: self._snapshot,
-            messages.TimeoutNow: self._timeout_now,
-            messages.IdentityRequest: self._tell_identity,
-        }
+        handlers = (
+            self._vote,
+            self._append,
+            self._snapshot,
+            self._timeout_now,
+            self._tell_identity,
+        )
+        self._handlers = dict(zip(FRAMES, handlers, strict=True))
 
     async def handle(self, connection, envelope):
         """Answer one frame; raise FrameError if it is not for a replica."""
@@ -62,7 +63,7 @@
             cluster_id=consensus.cluster_id,
             empty=consensus.is_empty,
             voters_digest=self._voters_digest,
-            last_index=consensus.log.last_index,
+            last_index=consensus.log.synced_index,
         )
 
     async def _vote(self, body):
--- a/pimentowalk/wire/frames.capnp
+++ b/pimentowalk/wire/frames.capnp
@@ -62,6 +62,7 @@
   account @11 :Text;
   fingerprint @12 :UInt64;
   isolate @13 :Bool;
+  priority @14 :UInt64;
 }
 
 struct StageLoad {
