--- a/pimentowalk/cli/main.py
+++ b/pimentowalk/cli/main.py
@@ -1,6 +1,8 @@
 """The program `pimentowalk` for operators."""
 
+import contextlib
 import enum
+import os
 import sys
 
 import defopt
@@ -70,8 +72,13 @@
             },
         )
     except errors.PimentowalkError as error:
-        _show_error(error, as_json='--json' in argv)
+        with contextlib.suppress(BrokenPipeError):
+            _show_error(error, as_json='--json' in argv)
         return STATUS_OF_CODE.get(error.code, ExitStatus.REFUSED)
+    except BrokenPipeError:
+        # Only output is left to do by then: what reads it, such as `head`,
+        # has seen enough. The status still tells what was done.
+        pass
     return ExitStatus.DONE
 
 
@@ -96,7 +103,14 @@
 
 def main():
     """Run the command line."""
-    sys.exit(run())
+    status = run()
+    try:
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # The interpreter flushes again at its end, and would report it.
+        null = os.open(os.devnull, os.O_WRONLY)
+        os.dup2(null, sys.stdout.fileno())
+    sys.exit(status)
 
 
 if __name__ == '__main__':
