--- a/tools/tests/test_operators_page.py
+++ b/tools/tests/test_operators_page.py
@@ -12,6 +12,7 @@
 import pytest
 
 from pimentowalk.cli import main
+from pimentowalk.core import errors
 from tools import deployment as deployments
 
 pytestmark = pytest.mark.processes
@@ -152,3 +153,34 @@
     used = set(re.findall(r'\bpimentowalk ([a-z]+)', text))
     assert used <= set(main.COMMANDS)
     assert {'publish', 'drain', 'members', 'quarantine', 'audit'} <= used
+
+
+def table_after(heading):
+    """Return the first cells of the first table below a line."""
+    rows = PAGE.read_text().split(heading)[1].split('\n\n')[0]
+    return [line.split('|')[1] for line in rows.splitlines()]
+
+
+def test_every_error_code_is_explained():
+    """An operator must not meet a code that the page leaves out."""
+    cells = ''.join(table_after('For operators they mean:\n\n'))
+    assert sorted(re.findall(r'`(\w+)`', cells)) == sorted(errors.CODES)
+
+
+def test_named_log_lines_and_metrics_exist():
+    """An alarm on a renamed log line or metric never goes off."""
+    folder = deployments.ROOT / 'pimentowalk'
+    source = ''.join(
+        path.read_text()
+        for path in folder.rglob('*.py')
+        if 'tests' not in path.parts
+    )
+    lines = re.findall('`([^`]+)`', ''.join(table_after('\n\n| log line')))
+    names = re.findall('`([^`]+)`', ''.join(table_after('\n\n| metric of')))
+    assert len(lines) > 15
+    assert len(names) > 5
+    for line in lines:
+        assert line.removesuffix(': ...') in source, line
+    for name in names:
+        stem = re.sub('_total$|_seconds$|CODE_total$', '', name)
+        assert stem in source, name
