Explore all specifications with specs/explorer.py

Cause: attempts, service_calls, claims and versions were explored by a second breadth-first search inside a test module, with another interface (`successors`) and without a trace to the violation.

Ruled out: returning all states in `Result`; the log scenarios have no use for them and would hold them twice. An `on_state` callback gives them to the four tests that look at them.

Change: every specification has `initial()`, `steps(state)` and `violation(state)`. `explorer.explore` takes no depth where a specification bounds itself; the tests then also require that the search was complete, and the initial state is checked too, which the second search did not do. The second search is deleted.

Conclusion: one search and one interface for all five specifications.

--- a/pimentowalk/agent/tests/proofs.py
+++ b/pimentowalk/agent/tests/proofs.py
@@ -12,8 +12,8 @@
 from pimentowalk.agent.tests import world
 from pimentowalk.wire import messages
 from specs import attempts
+from specs import explorer
 from specs import service_calls
-from specs.tests import test_attempts
 
 CHOICES = strategies.lists(
     strategies.integers(0, 10_000), min_size=10, max_size=60
@@ -22,14 +22,12 @@
 
 def attempts_specification():
     """Explore the specification of attempts."""
-    wrong, _ = test_attempts.explore(attempts)
-    assert wrong == ''
+    assert not explorer.explore(attempts).violation
 
 
 def calls_specification():
     """Explore the specification of non-idempotent calls."""
-    wrong, _ = test_attempts.explore(service_calls)
-    assert wrong == ''
+    assert not explorer.explore(service_calls).violation
 
 
 @hypothesis.settings(
--- a/specs/attempts.py
+++ b/specs/attempts.py
@@ -72,14 +72,12 @@
     return State()
 
 
-def successors(state):
-    """Return the labelled states that can follow."""
-    found = list(_entry_steps(state))
-    found.extend(_agent_steps(state))
+def steps(state):
+    """Yield labels and the states that may follow."""
+    yield from _entry_steps(state)
+    yield from _agent_steps(state)
     for frame in state.network:
-        after = DELIVERIES[frame[0]](state, *frame[1:])
-        found.append((f'deliver {frame}', after))
-    return [(label, after) for label, after in found if after != state]
+        yield f'deliver {frame}', DELIVERIES[frame[0]](state, *frame[1:])
 
 
 def violation(state):
--- a/specs/claims.py
+++ b/specs/claims.py
@@ -74,13 +74,13 @@
         """Return the first state."""
         return State()
 
-    def successors(self, state):
-        """Return labels and the states that may follow."""
+    def steps(self, state):
+        """Yield labels and the states that may follow."""
         yield from self._deliveries(state)
         for number, phase in enumerate(state.entries):
-            steps = PHASES.get(phase)
-            if steps is not None:
-                for after in steps(state, number):
+            moves = PHASES.get(phase)
+            if moves is not None:
+                for after in moves(state, number):
                     yield f'{phase} entry {number}', after
             if state.calls[number] == 'flying':
                 yield f'run {number}', state.call(number, RAN)
--- a/specs/explorer.py
+++ b/specs/explorer.py
@@ -1,6 +1,7 @@
 """Exhaustive breadth-first exploration of small specifications."""
 
 import gc
+import itertools
 
 import attrs
 
@@ -25,9 +26,13 @@
         return f'{self.states} states, {reach}: {found}'
 
 
-def explore(specification, max_depth):
+def explore(specification, max_depth=None, *, on_state=None):
     """Visit every state that is reachable in so many steps.
 
+    Without `max_depth`, the search ends when no state is left, so that the
+    specification must bound its states. `on_state` is called once with each
+    state that keeps the invariants, in breadth-first order.
+
     The specification has `initial()`, `steps(state)` yielding pairs of a
     label and the next state, and `violation(state)` returning a text or ''.
     States are hashable. The first violation found has the fewest steps.
@@ -37,29 +42,30 @@
     enabled = gc.isenabled()
     gc.disable()
     try:
-        return _search(specification, max_depth)
+        return _search(specification, max_depth, on_state)
     finally:
         if enabled:
             gc.enable()
 
 
-def _search(specification, max_depth):
+def _search(specification, max_depth, on_state):
     first = specification.initial()
     parents = {first: None}
     frontier = [first]
-    for depth in range(max_depth + 1):
+    for depth in itertools.count():
         for state in frontier:
             found = specification.violation(state)
             if found:
                 trace = _trace(parents, state)
                 return Result(len(parents), depth, False, found, trace)
+            if on_state is not None:
+                on_state(state)
         if depth == max_depth:
-            break
+            return Result(len(parents), depth, False)
         deeper = _expand(specification, frontier, parents)
         if not deeper:
             return Result(len(parents), depth, True)
         frontier = deeper
-    return Result(len(parents), max_depth, False)
 
 
 def _expand(specification, frontier, parents):
--- a/specs/service_calls.py
+++ b/specs/service_calls.py
@@ -76,12 +76,12 @@
     return State()
 
 
-def successors(state):
-    """Return the labelled states that can follow."""
-    found = list(_steps(state))
+def steps(state):
+    """Yield labels and the states that may follow."""
+    yield from _entry_steps(state)
+    yield from _agent_steps(state)
     for frame in state.network:
-        found.append((f'deliver {frame}', DELIVERIES[frame[0]](state, *frame)))
-    return [(label, after) for label, after in found if after != state]
+        yield f'deliver {frame}', DELIVERIES[frame[0]](state, *frame)
 
 
 def violation(state):
@@ -94,7 +94,7 @@
     return ''
 
 
-def _steps(state):
+def _entry_steps(state):
     if FIRST not in state.sent and may_send(0, state.incarnation):
         after = attrs.evolve(state, sent=state.sent | {FIRST})
         yield 'first entry sends', after.send(('call', FIRST))
@@ -104,6 +104,9 @@
     if state.claimed_by == SECOND and SECOND not in state.sent:
         after = attrs.evolve(state, sent=state.sent | {SECOND})
         yield 'second entry sends', after.send(('call', SECOND))
+
+
+def _agent_steps(state):
     for request in state.queued:
         yield f'admit {request}', _admit(state, request)
     for request in state.running:
--- a/specs/tests/test_attempts.py
+++ b/specs/tests/test_attempts.py
@@ -1,34 +1,23 @@
 """Explore the specifications of attempts and of non-idempotent calls."""
 
-import collections
-
 from specs import attempts
+from specs import explorer
 from specs import service_calls
 
 
-def explore(spec):
-    """Visit every state; return the first violation, or '', and all states.
-
-    The states are those seen until then, in breadth-first order.
-    """
-    seen = {spec.initial(): None}
-    waiting = collections.deque(seen)
-    while waiting:
-        for label, after in spec.successors(waiting.popleft()):
-            if after in seen:
-                continue
-            seen[after] = None
-            waiting.append(after)
-            wrong = spec.violation(after)
-            if wrong:
-                return f'{wrong} (after {label})', list(seen)
-    return '', list(seen)
+def all_states(specification):
+    """Return all states, after a check that none breaks an invariant."""
+    states = []
+    result = explorer.explore(specification, on_state=states.append)
+    assert not result.violation, result.trace
+    assert result.complete
+    assert len(states) == result.states
+    return states
 
 
 def test_no_order_of_frames_breaks_an_attempt():
     """Late, repeated or swapped frames must not break R1 or R3."""
-    wrong, states = explore(attempts)
-    assert wrong == ''
+    states = all_states(attempts)
     assert len(states) > 10_000
     # A specification in which nothing works would prove nothing.
     complete = {
@@ -41,6 +30,5 @@
 
 def test_no_order_of_frames_repeats_a_call():
     """Two entries, a restart and late frames must not break R3 or R4."""
-    wrong, states = explore(service_calls)
-    assert wrong == ''
+    states = all_states(service_calls)
     assert any(state.left == ('second',) for state in states)
--- a/specs/tests/test_control.py
+++ b/specs/tests/test_control.py
@@ -4,16 +4,14 @@
 
 from pimentowalk.control.tests import test_proofs
 from specs import claims
+from specs import explorer
 from specs import versions
 from specs.tests import test_attempts
 
-explore = test_attempts.explore
-
 
 def test_no_order_of_publishes_and_pushes_reverts_a_node():
     """Repeated commands and late pushes must not break R7."""
-    wrong, states = explore(versions.Versions())
-    assert wrong == ''
+    states = test_attempts.all_states(versions.Versions())
     assert any(state.nodes == (3, 3) for state in states)
     refused = {
         name for s in states for name, a in s.answers if a[0] != 'version'
@@ -23,8 +21,7 @@
 
 def test_no_order_of_claims_runs_a_call_twice():
     """Lost replies, crashes and late commands must not break R4."""
-    wrong, states = explore(claims.Claims())
-    assert wrong == ''
+    states = test_attempts.all_states(claims.Claims())
     ways = {(state.calls, state.entries) for state in states}
     assert (('never', 'ran'), ('gone', 'sent')) in ways
 
@@ -55,5 +52,4 @@
     seeds = {n: seed for n, (seed, _) in test_proofs.FAULTS.items()}
     seeds['settled claim forgotten'] = _settled_claim_forgotten
     seeds[name](monkeypatch)
-    wrong, _ = explore(FAULTS[name]())
-    assert wrong != ''
+    assert explorer.explore(FAULTS[name]()).violation
--- a/specs/versions.py
+++ b/specs/versions.py
@@ -64,8 +64,8 @@
             self._published[log] = part
         return self._published[log]
 
-    def successors(self, state):
-        """Return labels and the states that may follow."""
+    def steps(self, state):
+        """Yield labels and the states that may follow."""
         if state.wrong:
             return
         yield from self._deliveries(state)
