Write the seeded faults of control as a table of replacements

Cause: each fault of test_proofs.py was a function that patches one attribute, specs/tests unpacked these functions again, and the tests of requests, homes and sessions nested the same two contexts. Six tests of members began with the same two lines.

Change: a fault is what it replaces and by what, applied by monkeypatch in one place. harness.desk, node and agent join the nested contexts; a settled fixture, watch and append_request take the place of repeated set-up.

--- a/pimentowalk/control/tests/harness.py
+++ b/pimentowalk/control/tests/harness.py
@@ -58,3 +58,22 @@
         yield caller
     finally:
         await caller.close()
+
+
+@contextlib.asynccontextmanager
+async def desk(count=1, token=fakes.TOKEN):
+    """Run control instances and an operator's client."""
+    async with control(count) as found, operator(found, token) as caller:
+        yield found, caller
+
+
+@contextlib.asynccontextmanager
+async def node(count=1, **options):
+    """Run control instances and a node session."""
+    async with control(count) as found, session(found, **options) as one:
+        yield found, one
+
+
+def agent(instances, announcement):
+    """Return the session of an agent that announces a server."""
+    return session(instances, 'agent-1', 'agent', announcement=announcement)
--- a/pimentowalk/control/tests/test_directory.py
+++ b/pimentowalk/control/tests/test_directory.py
@@ -22,6 +22,11 @@
     return Connection(hello)
 
 
+def watch(services, count):
+    hello = messages.Hello('entry-1', 'entry', 1, 'zone-1')
+    return watches.WatchedView(hello, messages.Watch(services, count))
+
+
 def heartbeat(connection, draining=False):
     hello = connection.hello
     return messages.Heartbeat(hello.node_id, hello.incarnation, 3, draining)
@@ -114,8 +119,7 @@
 
 def test_watched_view_follows_the_directory_by_changes_only(known):
     """A view that drifts from the directory sends work to dead servers."""
-    hello = messages.Hello('entry-1', 'entry', 1, 'zone-1')
-    watched = watches.WatchedView(hello, messages.Watch(['svc-1'], 2))
+    watched = watch(['svc-1'], 2)
     node_view = view.View()
     agents = [agent(number) for number in range(6)]
     for number, connection in enumerate(agents):
@@ -142,8 +146,7 @@
 
 def test_server_that_changes_its_layers_is_not_removed(known):
     """A removal after the change would hide a working server."""
-    hello = messages.Hello('entry-1', 'entry', 1, 'zone-1')
-    watched = watches.WatchedView(hello, messages.Watch([], 16))
+    watched = watch([], 16)
     connection = agent()
     announce(known, connection)
     watched.start(known, whole=True)
@@ -158,8 +161,7 @@
     """A frame has a limit of 1 MiB."""
     for number in range(watches.PIECE_SERVERS + 1):
         announce(known, agent(number), first_layer=number)
-    hello = messages.Hello('entry-1', 'entry', 1, 'zone-1')
-    watched = watches.WatchedView(hello, messages.Watch([], 16))
+    watched = watch([], 16)
     updates = watched.start(known, whole=True)
     assert [(u.whole, u.more) for u in updates] == [
         (True, True),
--- a/pimentowalk/control/tests/test_faults.py
+++ b/pimentowalk/control/tests/test_faults.py
@@ -60,6 +60,20 @@
     )
 
 
+def append_request(log, record, previous_term):
+    """Return a request of a later leader with one record."""
+    return messages.AppendRequest(
+        term=50,
+        leader_id='x',
+        previous_index=record.index - 1,
+        previous_term=previous_term,
+        commit_index=0,
+        records=[record],
+        cluster_id=log.vote.cluster_id,
+        receiver_identity=log.vote.identity,
+    )
+
+
 async def follower_of(sim):
     """Return a node that follows, after one command is committed."""
     await sim.settle()
@@ -86,18 +100,8 @@
     """A record that a follower answered for must survive its crash."""
     node = await follower_of(sim)
     log = node.replica._log
-    index = log.last_index + 1
-    record = messages.LogRecord(index, 50, 'noop', b'')
-    request = messages.AppendRequest(
-        term=50,
-        leader_id='x',
-        previous_index=index - 1,
-        previous_term=log.last_term,
-        commit_index=0,
-        records=[record],
-        cluster_id=log.vote.cluster_id,
-        receiver_identity=log.vote.identity,
-    )
+    record = messages.LogRecord(log.last_index + 1, 50, 'noop', b'')
+    request = append_request(log, record, log.last_term)
     reply = await Desk().ask(node, request)
     assert reply.accepted
     await restart(node)
@@ -209,16 +213,8 @@
         log.last_index + 1, old.replica.term, control_consensus.NOOP, b''
     )
     consensus.append([record])
-    request = messages.AppendRequest(
-        term=50,
-        leader_id='x',
-        previous_index=log.last_index - 1,
-        previous_term=log.term_at(log.last_index - 1),
-        commit_index=0,
-        records=[record],
-        cluster_id=log.vote.cluster_id,
-        receiver_identity=log.vote.identity,
-    )
+    previous_term = log.term_at(log.last_index - 1)
+    request = append_request(log, record, previous_term)
     reply = await Desk().ask(old, request)
     assert reply.match_index == record.index == log.synced_index
     await sim.stop()
--- a/pimentowalk/control/tests/test_homes.py
+++ b/pimentowalk/control/tests/test_homes.py
@@ -51,11 +51,10 @@
 async def test_large_change_is_pulled(monkeypatch):
     """A push to all nodes at once would fill the send buffers."""
     monkeypatch.setattr(pushes, 'PUSH_BYTES', 10)
-    async with harness.control(3) as found:
-        async with harness.session(found) as node:
-            for version in range(3):
-                publish_everywhere(found, version)
-                await agree(node, found)
+    async with harness.node(3) as (found, node):
+        for version in range(3):
+            publish_everywhere(found, version)
+            await agree(node, found)
 
 
 async def test_heartbeats_show_a_lost_push(monkeypatch):
@@ -72,14 +71,13 @@
 async def test_version_in_a_frame_of_a_peer_makes_the_node_pull(monkeypatch):
     """Entries and agents tell each other of newer versions."""
     monkeypatch.setattr(server_module, 'BEHIND_HEARTBEATS', 10**9)
-    async with harness.control() as found:
-        async with harness.session(found) as node:
-            await harness.until(lambda: node.homes)
-            lose_pushes(monkeypatch)
-            found[0].server.peers._version = lambda: 0
-            publish_everywhere(found, 0)
-            node.note_version(1)
-            await agree(node, found)
+    async with harness.node() as (found, node):
+        await harness.until(lambda: node.homes)
+        lose_pushes(monkeypatch)
+        found[0].server.peers._version = lambda: 0
+        publish_everywhere(found, 0)
+        node.note_version(1)
+        await agree(node, found)
 
 
 async def test_instance_that_lags_does_not_hold_back_a_node():
@@ -108,9 +106,7 @@
     """Two homes of eight keep the load of control small."""
     server = builders.backend()
     async with harness.control(5) as found:
-        agent = harness.session(
-            found, 'agent-1', 'agent', announcement=lambda: server
-        )
+        agent = harness.agent(found, lambda: server)
         async with harness.session(found, services=[]) as node, agent:
             await harness.until(lambda: len(node.homes) == client.HOMES)
             await harness.until(
@@ -138,17 +134,14 @@
     async def ignore(*arguments):
         pass
 
-    async with harness.control(3) as found:
-        async with harness.session(found) as node:
-            await harness.until(
-                lambda: all(link.is_open for link in node.links())
-            )
-            frozen = next(i for i in found if i.node_id == node.homes[0])
-            opened = [link.peer for link in node.links() if link.is_home]
-            frozen.server._on_frame = ignore
-            for peer in list(frozen.server.pushes._subscribers):
-                peer.on_frame = ignore
-            await harness.until(lambda: any(p.closed for p in opened))
+    async with harness.node(3) as (found, node):
+        await harness.until(lambda: all(link.is_open for link in node.links()))
+        frozen = next(i for i in found if i.node_id == node.homes[0])
+        opened = [link.peer for link in node.links() if link.is_home]
+        frozen.server._on_frame = ignore
+        for peer in list(frozen.server.pushes._subscribers):
+            peer.on_frame = ignore
+        await harness.until(lambda: any(p.closed for p in opened))
 
 
 @pytest.mark.parametrize(
--- a/pimentowalk/control/tests/test_membership.py
+++ b/pimentowalk/control/tests/test_membership.py
@@ -18,6 +18,14 @@
     await simulated.stop()
 
 
+@pytest.fixture
+async def settled(sim):
+    """Return a cluster that has a leader."""
+    await sim.start()
+    await sim.settle()
+    return sim
+
+
 async def change(sim, action, node):
     """Change the members at the leader; return its answer."""
     await sim.advance_until(sim.leaders)
@@ -62,14 +70,12 @@
     assert not any(n.replica.members() for n in sim.nodes)
 
 
-async def test_emptied_first_voter_does_not_form_a_second_cluster(sim):
+async def test_emptied_first_voter_does_not_form_a_second_cluster(settled):
     """A second first record would drop all that was committed."""
-    await sim.start()
-    await sim.settle()
-    await restart_empty(sim.nodes[0])
-    await sim.advance(5.0)
-    assert sim.nodes[0].replica.members() == []
-    await sim.settle()
+    await restart_empty(settled.nodes[0])
+    await settled.advance(5.0)
+    assert settled.nodes[0].replica.members() == []
+    await settled.settle()
 
 
 async def test_cut_off_first_start_is_finished(sim):
@@ -91,36 +97,30 @@
     await sim.settle()
 
 
-async def test_second_disk_lost_right_after_the_repair(sim):
+async def test_second_disk_lost_right_after_the_repair(settled):
     """What was committed must survive one lost disk after another."""
-    await sim.start()
-    await sim.settle()
-    for node in (*sim.nodes, *sim.nodes):
+    for node in (*settled.nodes, *settled.nodes):
         await restart_empty(node)
-        await sim.repair(node)
-    leader = sim.leaders()[0]
-    assert set(sim.answered) <= set(leader.register.names)
+        await settled.repair(node)
+    leader = settled.leaders()[0]
+    assert set(settled.answered) <= set(leader.register.names)
     assert sorted(voters(leader)) == ['c0', 'c1', 'c2']
 
 
-async def test_removed_leader_steps_down(sim):
+async def test_removed_leader_steps_down(settled):
     """A leader outside the cluster must not go on leading it."""
-    await sim.start()
-    await sim.settle()
-    old = sim.leaders()[0]
-    await change(sim, members.REMOVE, old)
-    await sim.advance_until(lambda: sim.leaders() not in ([], [old]))
-    assert old.node_id not in voters(sim.leaders()[0])
-    await sim.commit()
+    old = settled.leaders()[0]
+    await change(settled, members.REMOVE, old)
+    await settled.advance_until(lambda: settled.leaders() not in ([], [old]))
+    assert old.node_id not in voters(settled.leaders()[0])
+    await settled.commit()
 
 
-async def test_one_change_at_a_time(sim):
+async def test_one_change_at_a_time(settled):
     """Two changes at once could give majorities without a common voter."""
-    await sim.start()
-    await sim.settle()
-    leader = sim.leaders()[0]
-    others = [node for node in sim.nodes if node is not leader]
-    sim.cut.update(others)
+    leader = settled.leaders()[0]
+    others = [node for node in settled.nodes if node is not leader]
+    settled.cut.update(others)
     first = asyncio.ensure_future(
         leader.replica.change_members(members.REMOVE, others[0].instance, 5)
     )
@@ -129,36 +129,32 @@
         await leader.replica.change_members(
             members.REMOVE, others[1].instance, 5
         )
-    sim.cut.clear()
-    await sim.advance_until(first.done)
+    settled.cut.clear()
+    await settled.advance_until(first.done)
     first.exception()
 
 
-async def test_learner_that_is_behind_is_not_promoted(sim):
+async def test_learner_that_is_behind_is_not_promoted(settled):
     """A voter without the records would hold up every commit."""
-    await sim.start()
-    await sim.settle()
-    leader = sim.leaders()[0]
-    other = next(node for node in sim.nodes if node is not leader)
+    leader = settled.leaders()[0]
+    other = next(node for node in settled.nodes if node is not leader)
     await restart_empty(other)
-    await change(sim, members.ADD_LEARNER, other)
-    sim.cut.add(other)
+    await change(settled, members.ADD_LEARNER, other)
+    settled.cut.add(other)
     for _ in range(6):
         for _ in range(50):
-            sim.propose(leader)
-        await sim.advance(0.5)
+            settled.propose(leader)
+        await settled.advance(0.5)
     with pytest.raises(errors.Conflict, match='records behind'):
-        await change(sim, members.PROMOTE, other)
+        await change(settled, members.PROMOTE, other)
 
 
-async def test_replica_of_another_cluster_is_refused(sim):
+async def test_replica_of_another_cluster_is_refused(settled):
     """A replica must not mix the logs of two clusters."""
-    await sim.start()
-    await sim.settle()
-    leader = sim.leaders()[0]
-    other = next(node for node in sim.nodes if node is not leader)
+    leader = settled.leaders()[0]
+    other = next(node for node in settled.nodes if node is not leader)
     vote = other.replica._log.vote
-    await change(sim, members.REMOVE, other)
+    await change(settled, members.REMOVE, other)
     await other.replica._log.save_vote(vote.term, '', 'another cluster')
     with pytest.raises(errors.Conflict, match='another cluster'):
-        await change(sim, members.ADD_LEARNER, other)
+        await change(settled, members.ADD_LEARNER, other)
--- a/pimentowalk/control/tests/test_requests.py
+++ b/pimentowalk/control/tests/test_requests.py
@@ -42,11 +42,10 @@
     queries.append(commands.ClearQuarantine('q1', 'anna', 1))
     one = instances.Instance('control-9', '127.0.0.1', 9)
     queries.append(commands.ChangeMembers('m1', 'a', 'add_learner', one))
-    async with harness.control() as found:
-        async with harness.operator(found, token or 'x') as anna:
-            for query in queries:
-                with error_codes.raises('unauthorized'):
-                    await anna.request(query)
+    async with harness.desk(token=token or 'x') as (found, anna):
+        for query in queries:
+            with error_codes.raises('unauthorized'):
+                await anna.request(query)
         assert found[0].state.index == 0
     assert 'wrong' not in caplog.text
 
@@ -54,11 +53,10 @@
 async def test_author_is_the_owner_of_the_token(caplog):
     """The audit trail must not depend on what a client claims."""
     caplog.set_level(logging.DEBUG)
-    async with harness.control() as found:
-        async with harness.operator(found) as anna:
-            body = attrs.evolve(builders.publish('c1', 0), author='boss')
-            await anna.request(body)
-            result = await anna.request(commands.ReadAudit())
+    async with harness.desk() as (found, anna):
+        body = attrs.evolve(builders.publish('c1', 0), author='boss')
+        await anna.request(body)
+        result = await anna.request(commands.ReadAudit())
     assert [record.author for record in result.records] == ['anna']
     assert fakes.TOKEN not in caplog.text
     assert fakes.TOKEN not in repr(
@@ -68,19 +66,18 @@
 
 async def test_dry_run_checks_without_a_change():
     """Operators validate a publish before they make it."""
-    async with harness.control() as found:
-        async with harness.operator(found) as anna:
-            body = attrs.evolve(builders.publish('c1', 0), dry_run=True)
-            result = await anna.request(body)
-            assert (result.version, result.change_count) == (0, 3)
-            assert found[0].state.index == 0
-            await anna.request(builders.publish('c2', 0))
-            codes = []
-            for expected in (0, 4):
-                query = attrs.evolve(body, expected_version=expected)
-                with pytest.raises(errors.PimentowalkError) as caught:
-                    await anna.request(query)
-                codes.append(caught.value.code)
+    async with harness.desk() as (found, anna):
+        body = attrs.evolve(builders.publish('c1', 0), dry_run=True)
+        result = await anna.request(body)
+        assert (result.version, result.change_count) == (0, 3)
+        assert found[0].state.index == 0
+        await anna.request(builders.publish('c2', 0))
+        codes = []
+        for expected in (0, 4):
+            query = attrs.evolve(body, expected_version=expected)
+            with pytest.raises(errors.PimentowalkError) as caught:
+                await anna.request(query)
+            codes.append(caught.value.code)
         assert codes == ['conflict', 'bad_request']
         assert found[0].state.index == 1
 
@@ -134,9 +131,7 @@
     """Operators need to see which version is in force where."""
     server = builders.backend()
     async with harness.control() as found:
-        agent = harness.session(
-            found, 'agent-1', 'agent', announcement=lambda: server
-        )
+        agent = harness.agent(found, lambda: server)
         async with agent, harness.operator(found) as anna:
             await anna.request(builders.publish('c1', 0))
             async with asyncio.timeout(harness.WAIT_S):
@@ -174,15 +169,14 @@
 
 async def test_quarantine_reaches_nodes_and_expires():
     """A quarantined request must be refused everywhere, for a while."""
-    async with harness.control() as found:
-        async with harness.session(found, services=[]) as node:
-            for name in ('r1', 'r2'):
-                body = commands.ReportCrash(5, 'acc-1', 's', 1, name)
-                result = await node.request(body)
-            assert result.quarantined
-            await harness.until(lambda: node.quarantined == {5})
-            found[0].replica.time_s += 601
-            await harness.until(lambda: node.quarantined == set())
+    async with harness.node(services=[]) as (found, node):
+        for name in ('r1', 'r2'):
+            body = commands.ReportCrash(5, 'acc-1', 's', 1, name)
+            result = await node.request(body)
+        assert result.quarantined
+        await harness.until(lambda: node.quarantined == {5})
+        found[0].replica.time_s += 601
+        await harness.until(lambda: node.quarantined == set())
 
 
 def write_operators(path, mode=0o600, value=None):
--- a/pimentowalk/control/tests/test_session.py
+++ b/pimentowalk/control/tests/test_session.py
@@ -27,20 +27,17 @@
 async def test_announcement_reaches_an_entry_and_leaves_it():
     """Entries know of servers by their announcements only."""
     server = builders.backend()
-    async with harness.control() as found:
-        async with harness.session(found, services=['svc-1']) as node:
-            agent = harness.session(
-                found, 'agent-1', 'agent', announcement=lambda: server
+    async with harness.node(services=['svc-1']) as (found, node):
+        agent = harness.agent(found, lambda: server)
+        async with agent as announcer:
+            await harness.until(
+                lambda: node.view.of_service('svc-1') == [server]
             )
-            async with agent as announcer:
-                await harness.until(
-                    lambda: node.view.of_service('svc-1') == [server]
-                )
-                server = attrs.evolve(server, draining=True)
-                await announcer.announce_now()
-                await harness.until(lambda: node.view.servers() == [server])
-            await harness.until(lambda: node.view.servers() == [])
-            assert node.view.live_entries == 1
+            server = attrs.evolve(server, draining=True)
+            await announcer.announce_now()
+            await harness.until(lambda: node.view.servers() == [server])
+        await harness.until(lambda: node.view.servers() == [])
+        assert node.view.live_entries == 1
 
 
 @pytest.mark.parametrize('count', [1, 3])
@@ -50,9 +47,7 @@
     async with harness.control(count) as found:
         async with (
             harness.session(found, services=[]) as node,
-            harness.session(
-                found, 'agent-1', 'agent', announcement=lambda: server
-            ),
+            harness.agent(found, lambda: server),
         ):
             await harness.until(lambda: node.view.servers() == [server])
             for instance in found:
--- a/specs/tests/test_control.py
+++ b/specs/tests/test_control.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from pimentowalk.control import claims as control_claims
 from pimentowalk.control.tests import test_proofs
 from specs import claims
 from specs import explorer
@@ -26,12 +27,18 @@
     assert (('never', 'ran'), ('gone', 'sent')) in ways
 
 
-def _settled_claim_forgotten(monkeypatch):
-    def settle(self, body):
-        return self._claims.pop(table_key(body), None) is not None
+def _forget_settled(self, body):
+    return self._claims.pop(control_claims.table_key(body), None) is not None
 
-    table_key = test_proofs.claims.table_key
-    monkeypatch.setattr(test_proofs.claims.Claims, 'settle', settle)
+
+SEEDS = {
+    **test_proofs.FAULTS,
+    'settled claim forgotten': (
+        control_claims.Claims,
+        'settle',
+        _forget_settled,
+    ),
+}
 
 
 FAULTS = {
@@ -49,7 +56,5 @@
 @pytest.mark.parametrize('name', FAULTS)
 def test_exploration_finds_seeded_fault(name, monkeypatch):
     """A specification without decisions of its own proves nothing."""
-    seeds = {n: seed for n, (seed, _) in test_proofs.FAULTS.items()}
-    seeds['settled claim forgotten'] = _settled_claim_forgotten
-    seeds[name](monkeypatch)
+    monkeypatch.setattr(*SEEDS[name])
     assert explorer.explore(FAULTS[name]()).violation
