Join an engine and its client in the tests of the stand-in engine

Cause: nearly every test started an engine, connected a client, and opened, stepped and awaited a first sequence by hand; the tests of killed agents and of killed engines differed in one word.

Ruled out: joining the test of the frozen agent too; it checks more after the agent has woken.

Change: Bench.pair, Client.run and reference() in the tests of the engine; one test with the kind of process as a parameter.

All of tools/tests passes.

--- a/tools/tests/engine_bench.py
+++ b/tools/tests/engine_bench.py
@@ -54,6 +54,12 @@
             self.waiting = (await self.receive('done'))['items']
         return self.waiting.pop(0)
 
+    async def run(self, name, prompt, **fields):
+        """Open a sequence, run its first step and return the result."""
+        await self.open(name, prompt, **fields)
+        await self.step(name, 0)
+        return await self.done()
+
 
 class Bench:
     """Engines of one test, on loopback."""
@@ -84,6 +90,11 @@
         client.hello = await client.receive('hello')
         return client
 
+    async def pair(self, *layers, **options):
+        """Return an engine and a client that is connected to it."""
+        engine = await self.engine(*layers, **options)
+        return engine, await self.client(engine)
+
     async def order(self, engine, fence, action, **arguments):
         url = f'http://127.0.0.1:{engine.port}/v1/orders'
         order = {'fence': fence, 'action': action, 'arguments': arguments}
--- a/tools/tests/test_failures.py
+++ b/tools/tests/test_failures.py
@@ -84,23 +84,13 @@
 
 
 @pytest.mark.parametrize('stage', [0, 1])
-async def test_killed_agent_loses_no_answer(tmp_path, stage):
-    """Answers must go on elsewhere when the head or a stage dies."""
+@pytest.mark.parametrize('program', ['agent', 'engine'])
+async def test_killed_process_loses_no_answer(tmp_path, program, stage):
+    """Answers must go on elsewhere when an agent or an engine dies."""
     async with running(tmp_path) as (site, session):
 
         async def fault():
-            site.processes[f'agent-{demo.MODEL}-1-{stage}'].kill()
-
-        await under_load(site, session, fault)
-
-
-@pytest.mark.parametrize('stage', [0, 1])
-async def test_killed_engine_loses_no_answer(tmp_path, stage):
-    """Answers must go on elsewhere when an engine dies."""
-    async with running(tmp_path) as (site, session):
-
-        async def fault():
-            site.processes[f'engine-{demo.MODEL}-1-{stage}'].kill()
+            site.processes[f'{program}-{demo.MODEL}-1-{stage}'].kill()
 
         await under_load(site, session, fault)
 
--- a/tools/tests/test_standin_engine.py
+++ b/tools/tests/test_standin_engine.py
@@ -1,5 +1,6 @@
 """Guard the stand-in engine against the interface of the design page."""
 
+import itertools
 import json
 
 import aiohttp
@@ -21,19 +22,21 @@
         yield found
 
 
+def reference(prompt, weights=WEIGHTS, **parameters):
+    """Return the right answer over all layers."""
+    return model.reference_answer(weights, TOTAL_LAYERS, prompt, **parameters)
+
+
 @pytest.mark.parametrize('bounds', [[0, 8], [0, 3, 8], [0, 2, 5, 8]])
 async def test_a_chain_gives_the_reference_answer(bench, bounds):
     """An engine that differs from the model would make every check void."""
-    clients = []
-    engines = []
-    for first, end in zip(bounds, bounds[1:], strict=False):
-        engines.append(await bench.engine(first, end))
-        clients.append(await bench.client(engines[-1]))
+    engines, clients = zip(
+        *[await bench.pair(*pair) for pair in itertools.pairwise(bounds)],
+        strict=True,
+    )
     parameters = {'max_tokens': 6, 'seed': 3, 'temperature': 0.5}
     tokens = await engine_bench.answer(clients, 'aa-1', PROMPT, **parameters)
-    expected = model.reference_answer(
-        WEIGHTS, TOTAL_LAYERS, PROMPT, **parameters
-    )
+    expected = reference(PROMPT, **parameters)
     assert tokens == expected
     rest = await engine_bench.answer(
         clients, 'aa-2', PROMPT, generated=tokens[:2], **parameters
@@ -51,11 +54,8 @@
 
 async def test_a_repeated_step_shows_in_record_and_answer(bench):
     """An engine that hides repeated steps would hide a broken router."""
-    engine = await bench.engine()
-    client = await bench.client(engine)
-    await client.open('aa-1', 'hei', max_tokens=9)
-    await client.step('aa-1', 0)
-    token = (await client.done())['token']
+    engine, client = await bench.pair()
+    token = (await client.run('aa-1', 'hei', max_tokens=9))['token']
     await client.step('aa-1', 1, token=token)
     first = await client.done()
     await client.step('aa-1', 1, token=token)
@@ -66,8 +66,7 @@
 
 async def test_steps_of_many_sequences_share_iterations(bench):
     """An engine without batching would not show what batching costs."""
-    engine = await bench.engine(base_s=0.005)
-    client = await bench.client(engine)
+    engine, client = await bench.pair(base_s=0.005)
     names = [f'{number:02x}-1' for number in range(20)]
     for name in names:
         await client.open(name, 'hei', max_tokens=2)
@@ -82,8 +81,7 @@
 
 async def test_max_running_and_priority_order_the_work(bench):
     """Urgent work must overtake work that waits for a slot."""
-    engine = await bench.engine(base_s=0.002, max_running=1)
-    client = await bench.client(engine)
+    engine, client = await bench.pair(base_s=0.002, max_running=1)
     for name, priority in [('aa-1', 0), ('bb-1', 0), ('cc-1', 5)]:
         await client.open(name, 'hei', max_tokens=1, priority=priority)
     await client.send(
@@ -102,8 +100,7 @@
 
 async def test_sequences_beyond_max_running_take_turns(bench):
     """Sequences that starve would look like a stall of the router."""
-    engine = await bench.engine(base_s=0.001, max_running=2)
-    client = await bench.client(engine)
+    engine, client = await bench.pair(base_s=0.001, max_running=2)
     names = [f'{number:02x}-1' for number in range(6)]
     for name in names:
         await client.open(name, 'hei', max_tokens=10)
@@ -124,11 +121,8 @@
 
 async def test_decode_steps_run_between_pieces_of_a_prompt(bench):
     """A long prompt must not hold up answers that are under way."""
-    engine = await bench.engine(cache_tokens=0)
-    client = await bench.client(engine)
-    await client.open('aa-1', 'hei', max_tokens=99)
-    await client.step('aa-1', 0)
-    await client.done()
+    engine, client = await bench.pair(cache_tokens=0)
+    await client.run('aa-1', 'hei', max_tokens=99)
     words = ' '.join(str(number) for number in range(20_000))
     await client.open('bb-1', words, max_tokens=1)
     # Sent together, so that the order does not depend on the client's pace.
@@ -143,8 +137,7 @@
 
 async def test_pause_holds_and_resume_continues(bench):
     """A paused sequence must free its slot and lose nothing."""
-    engine = await bench.engine(max_running=1)
-    client = await bench.client(engine)
+    engine, client = await bench.pair(max_running=1)
     await client.open('aa-1', 'hei', max_tokens=1)
     await client.open('bb-1', 'hei', max_tokens=1)
     await client.send('pause', sequence='aa-1')
@@ -153,23 +146,18 @@
     assert (await client.done())['sequence'] == 'bb-1'
     await client.send('close', sequence='bb-1')
     await client.send('resume', sequence='aa-1')
-    expected = model.reference_answer(
-        WEIGHTS, TOTAL_LAYERS, 'hei', max_tokens=1
-    )
+    expected = reference('hei', max_tokens=1)
     assert [(await client.done())['token']] == expected
 
 
 async def test_cancel_and_closed_connection_end_sequences(bench):
     """Cancelled work must neither run on nor answer."""
-    engine = await bench.engine()
-    client = await bench.client(engine)
+    engine, client = await bench.pair()
     await client.open('aa-1', 'hei', max_tokens=3)
     await client.send('close', sequence='aa-1')
     await client.step('aa-1', 0)
     assert (await client.receive('failed'))['code'] == 'not_found'
-    await client.open('bb-1', 'hei', max_tokens=3)
-    await client.step('bb-1', 0)
-    await client.done()
+    await client.run('bb-1', 'hei', max_tokens=3)
     assert (await bench.record(engine))['open'] == ['bb-1']
     await client.socket.close()
     record = await bench.idle_record(engine)
@@ -187,9 +175,7 @@
         tokens = await engine_bench.answer(
             clients, f'0{number}-1', prompt, max_tokens=3
         )
-        assert tokens == model.reference_answer(
-            WEIGHTS, TOTAL_LAYERS, prompt, max_tokens=3
-        )
+        assert tokens == reference(prompt, max_tokens=3)
     for engine in engines:
         rows = (await bench.record(engine))['ran']
         hits = [r['cached_tokens'] for r in rows if r['index'] == 0]
@@ -208,18 +194,14 @@
             [client], f'0{number}-1', PROMPT, max_tokens=2, adapter=adapter
         )
         weights = model.Weights('standin', '1', adapter)
-        assert tokens == model.reference_answer(
-            weights, TOTAL_LAYERS, PROMPT, max_tokens=2
-        )
+        assert tokens == reference(PROMPT, weights, max_tokens=2)
 
 
 async def test_exported_state_continues_elsewhere(bench):
     """A move that loses KV state would change the answer."""
     source = await bench.client(await bench.engine())
     target = await bench.client(await bench.engine())
-    expected = model.reference_answer(
-        WEIGHTS, TOTAL_LAYERS, 'hei', max_tokens=2
-    )
+    expected = reference('hei', max_tokens=2)
     for client in (source, target):
         await client.open('aa-1', 'hei', max_tokens=2)
     await source.step('aa-1', 0)
@@ -236,8 +218,7 @@
 @pytest.mark.parametrize('checks', [True, False])
 async def test_orders_check_or_ignore_the_fence(bench, checks):
     """Both kinds of engines exist, so agents must be tested with both."""
-    engine = await bench.engine(checks_fencing=checks)
-    client = await bench.client(engine)
+    engine, client = await bench.pair(checks_fencing=checks)
     assert client.hello['checks_fencing'] is checks
     assert await bench.order(engine, 5, 'load_adapter', adapter='a') == 200
     assert (await client.receive('hello'))['adapters'] == ['a']
@@ -249,11 +230,8 @@
 
 async def test_weights_change_only_without_open_sequences(bench):
     """Weights replaced under a running answer would corrupt it."""
-    engine = await bench.engine()
-    client = await bench.client(engine)
-    await client.open('aa-1', 'hei', max_tokens=3)
-    await client.step('aa-1', 0)
-    await client.done()
+    engine, client = await bench.pair()
+    await client.run('aa-1', 'hei', max_tokens=3)
     assert await bench.order(engine, 1, 'load_version', version='2') == 503
     await client.send('close', sequence='aa-1')
     await bench.idle_record(engine)
@@ -268,8 +246,7 @@
 
 async def test_load_reports_are_late(bench):
     """Routing must be tested with the lag that real engines have."""
-    engine = await bench.engine(load_period_s=0.01, load_lag_s=0.05)
-    client = await bench.client(engine)
+    engine, client = await bench.pair(load_period_s=0.01, load_lag_s=0.05)
     await client.open('aa-1', 'hei', max_tokens=3)
     report = await client.receive('load')
     while not report['running']:
@@ -285,22 +262,17 @@
     client = await bench.client(await bench.engine())
     await client.socket.send_str(text)
     assert (await client.receive('failed'))['code'] == 'bad_request'
-    await client.open('aa-1', 'hei', max_tokens=1)
-    await client.step('aa-1', 0)
-    assert (await client.done())['end']
+    assert (await client.run('aa-1', 'hei', max_tokens=1))['end']
 
 
 async def test_the_marker_crashes_when_the_prompt_runs(bench):
     """Quarantine is tested with prompts that end the process."""
     crashes = []
-    engine = await bench.engine(
+    engine, client = await bench.pair(
         crash_marker='POISON', crash=lambda: crashes.append(1)
     )
-    client = await bench.client(engine)
     await client.open('aa-1', 'a POISON word', max_tokens=1)
-    await client.open('bb-1', 'a clean word', max_tokens=1)
-    await client.step('bb-1', 0)
-    await client.done()
+    await client.run('bb-1', 'a clean word', max_tokens=1)
     assert not crashes
     await client.step('aa-1', 0)
     await client.done()
@@ -323,9 +295,7 @@
         async with session.ws_connect(url) as socket:
             client = engine_bench.Client(socket)
             await client.receive('hello')
-            await client.open('aa-1', 'clean', max_tokens=1)
-            await client.step('aa-1', 0)
-            await client.done()
+            await client.run('aa-1', 'clean', max_tokens=1)
             await client.open('bb-1', 'POISON', max_tokens=1)
             await client.step('bb-1', 0)
             assert await waiting.exit_status(process) == 70
