Write the seeded faults of agents and rates as short tables

Cause: each of the 18 faults of the agent was an object of five fields, one on a line; two recorders took the place of the engine in tests of orders; the tests of the queue filled it by hand.

Ruled out: one table for all subpackages; each names proofs of its own.

Change: a fault is what it replaces, by what, and a named group of proofs. fakes.Recorder serves both users. filled() also requires that the queue refuses none of the work, which only one test did before.

--- a/pimentowalk/admission/tests/test_fair_queue.py
+++ b/pimentowalk/admission/tests/test_fair_queue.py
@@ -31,6 +31,20 @@
     )
 
 
+def filled(*items, limits=LIMITS):
+    """Return a fair queue that took all of this work."""
+    queue = fair_queue.FairQueue(limits)
+    for item in items:
+        assert queue.push(item) is None
+    return queue
+
+
+def finish(queue, item, tokens):
+    """Let running work end after it made some tokens."""
+    queue.made(item.key, tokens)
+    queue.finish(item.key)
+
+
 class NaiveFair:
     """The definition of the fair policy, by scanning lists."""
 
@@ -216,8 +230,7 @@
     served = dict.fromkeys(WEIGHTS, 0.0)
     for _ in range(150):
         item = queue.pop(0.0)
-        queue.made(item.key, real[item.key])
-        queue.finish(item.key)
+        finish(queue, item, real[item.key])
         served[item.account] += real[item.key] / item.weight
         # Start-time fair queueing: one largest piece of work of each of two
         # accounts, where a wrong prediction counts with its size.
@@ -228,9 +241,8 @@
 def test_long_work_is_not_starved_by_short_work_of_its_account():
     """Without ageing, steady short work would delay long work for ever."""
     limits = fair_queue.QueueLimits(max_running=2, max_queue_s=40.0)
-    queue = fair_queue.FairQueue(limits)
     long = work('a', 5000, 0.0)
-    queue.push(long)
+    queue = filled(long, limits=limits)
     for now_s in range(1, 40):
         queue.push(work('a', 5, float(now_s)))
         queue.push(work('a', 5, float(now_s)))
@@ -238,8 +250,7 @@
             if item is long:
                 assert now_s <= 40 * fair_queue.AGEING_SHARE + 1
                 return
-            queue.made(item.key, 5)
-            queue.finish(item.key)
+            finish(queue, item, 5)
             if now_s % 2 and queue.waiting:
                 break
     raise AssertionError('the long work never ran')
@@ -248,13 +259,9 @@
 def test_light_account_does_not_wait_behind_a_heavy_one():
     """A flood of one account must not delay the others."""
     limits = fair_queue.QueueLimits(max_running=1)
-    queue = fair_queue.FairQueue(limits)
-    for _ in range(500):
-        queue.push(work('a', 20))
+    queue = filled(*(work('a', 20) for _ in range(500)), limits=limits)
     for _ in range(100):
-        item = queue.pop(0.0)
-        queue.made(item.key, 20)
-        queue.finish(item.key)
+        finish(queue, queue.pop(0.0), 20)
     light = work('b', 20)
     queue.push(light)
     assert queue.pop(0.0) is light
@@ -262,10 +269,7 @@
 
 def test_short_work_has_places_that_long_work_cannot_take():
     """Long jobs that fill all places would block every short request."""
-    queue = fair_queue.FairQueue(LIMITS)
-    for account in 'abc':
-        for _ in range(2):
-            queue.push(work(account, 500))
+    queue = filled(*(work(account, 500) for account in 'aabbcc'))
     while queue.pop(0.0) is not None:
         pass
     assert len(queue.running) == LIMITS.max_long_running == 3
@@ -277,19 +281,15 @@
 def test_single_place_is_open_to_long_work():
     """A reserve that took the only place would starve long work."""
     limits = fair_queue.QueueLimits(max_running=1, short_reserve_percent=100)
-    queue = fair_queue.FairQueue(limits)
     long = work('a', 500)
-    queue.push(long)
-    assert queue.pop(0.0) is long
+    assert filled(long, limits=limits).pop(0.0) is long
 
 
 def test_full_queue_refuses_the_newest_of_the_greediest_account():
     """A flood must push out itself and not the others."""
-    queue = fair_queue.FairQueue(LIMITS)
     modest = [work('b', 5, float(n)) for n in range(3)]
     greedy = [work('a', 5, float(n)) for n in range(5)]
-    for item in modest + greedy:
-        assert queue.push(item) is None
+    queue = filled(*modest, *greedy)
     late = work('b', 5, 9.0)
     assert queue.push(late) is greedy[-1]
     assert late.key in queue.waiting
@@ -297,9 +297,8 @@
 
 def test_expired_deadline_is_refused_before_the_longest_wait():
     """Work whose caller has given up must not be run."""
-    queue = fair_queue.FairQueue(LIMITS)
     item = work('a', 5, 0.0, due_s=3.0)
-    queue.push(item)
+    queue = filled(item)
     assert queue.expire(2.9) == []
     assert queue.expire(3.0) == [item]
     assert not queue.backlogged
@@ -324,18 +323,14 @@
     queue = fair_queue.FairQueue(LIMITS)
     for number in range(1000):
         queue.push(work(f'account-{number}', 5))
-        item = queue.pop(0.0)
-        queue.made(item.key, 5)
-        queue.finish(item.key)
+        finish(queue, queue.pop(0.0), 5)
     assert len(queue.accounts) <= fair_queue.SPARE_ACCOUNTS + 3
 
 
 def test_change_of_policy_keeps_the_work():
     """A published policy must not lose requests that wait or run."""
-    queue = fair_queue.FairQueue(LIMITS)
     items = [work('a', 500), work('b', 5), work('c', 50)]
-    for item in items:
-        queue.push(item)
+    queue = filled(*items)
     running = queue.pop(0.0)
     service = contracts.Service('brass', queue_policy='fifo')
     fifo = fair_queue.reconfigure(queue, service)
--- a/pimentowalk/admission/tests/test_rate_faults.py
+++ b/pimentowalk/admission/tests/test_rate_faults.py
@@ -8,7 +8,6 @@
 from pimentowalk.admission.tests import test_rates as proofs
 
 BUCKET = rate_limits.TokenBucket
-TABLE = account_use.UseTable
 _SET_RATE = BUCKET.set_rate
 
 
@@ -20,22 +19,16 @@
     self._level = min(self._level - cost / 2, self.depth)
 
 
-def _correct_nothing(self, account, predicted_tokens, used_tokens):
-    return None
-
-
-def _keep_reports(self, now_s):
-    return None
-
-
 def _save_without_limit(self):
     self._saved += self._share
 
 
-def _allow(self):
-    return True
+def _nothing(*arguments):
+    return None
 
 
+LIMITS = rate_limits.AccountLimits
+BUDGET = retry_budget.ShareBudget
 # Name of the fault, what it replaces, by what, and the test that finds it.
 FAULTS = [
     (
@@ -50,17 +43,17 @@
     ),
     (
         'predicted cost not corrected',
-        (rate_limits.AccountLimits, 'correct', _correct_nothing),
+        (LIMITS, 'correct', _nothing),
         proofs.test_limits_match_the_naive_version,
     ),
     (
         'whole rate taken by each entry',
-        (rate_limits.AccountLimits, 'share', lambda self, name: 1.0),
+        (LIMITS, 'share', lambda self, name: 1.0),
         proofs.test_rate_follows_the_callers_of_an_account,
     ),
     (
         'demand of stopped entries kept',
-        (TABLE, '_expire', _keep_reports),
+        (account_use.UseTable, '_expire', _nothing),
         proofs.test_shares_match_the_naive_version,
     ),
     (
@@ -70,12 +63,12 @@
     ),
     (
         'budget without a limit',
-        (retry_budget.ShareBudget, 'first_attempt', _save_without_limit),
+        (BUDGET, 'first_attempt', _save_without_limit),
         proofs.test_saved_retries_are_bounded,
     ),
     (
         'budget never refuses',
-        (retry_budget.ShareBudget, 'take', _allow),
+        (BUDGET, 'take', lambda self: True),
         proofs.test_budget_matches_the_naive_version,
     ),
 ]
--- a/pimentowalk/agent/tests/fakes.py
+++ b/pimentowalk/agent/tests/fakes.py
@@ -226,6 +226,19 @@
         return web.Response(status=201, body=self.reply, headers=headers)
 
 
+class Recorder:
+    """Take the place of the engine; `status` is its answer."""
+
+    def __init__(self):
+        self.sent = []
+        self.status = 200
+        self.text = ''
+
+    async def post_order(self, order):
+        self.sent.append(order)
+        return self.status, self.text
+
+
 class FakeSession:
     """Stand in for `control.client.NodeSession`."""
 
--- a/pimentowalk/agent/tests/proofs.py
+++ b/pimentowalk/agent/tests/proofs.py
@@ -47,16 +47,8 @@
 def orders_in_sequence():
     """Send old and repeated orders to the real order handling."""
 
-    class Recorder:
-        sent = []
-
-        async def post_order(self, order):
-            self.sent.append(order['fence'])
-            return 200, ''
-
     async def run():
-        engine = Recorder()
-        engine.sent = []
+        engine = fakes.Recorder()
         control = fakes.FakeControl()
         own = world.World()._own(0)
         subject = orders.Orders(
@@ -64,7 +56,7 @@
         )
         for fence in (2, 1, 2, 3):
             await subject.handle(messages.Order(fence, 'load', b'{}'))
-        assert engine.sent == [2, 3]
+        assert [order['fence'] for order in engine.sent] == [2, 3]
 
     asyncio.run(run())
 
--- a/pimentowalk/agent/tests/test_faults.py
+++ b/pimentowalk/agent/tests/test_faults.py
@@ -2,7 +2,6 @@
 
 import random
 
-import attrs
 import pytest
 
 from pimentowalk.admission import fair_queue
@@ -20,168 +19,115 @@
     proofs.queue_shares,
     proofs.one_suspect_at_a_time,
 ]
-REFUSED = messages.AttemptState.REFUSED
+WALKED = (proofs.attempts_specification, proofs.real_roles)
+CALLS = (proofs.calls_specification,)
+ORDERS = (proofs.orders_in_sequence,)
+LEASES = (proofs.lease_times,)
+SHARES = (proofs.queue_shares,)
+SUSPECTS = (proofs.one_suspect_at_a_time,)
 
 
-@attrs.frozen
-class Fault:
-    """Replace one decision; the proofs named here must then fail."""
+def _true(*arguments):
+    return True
 
-    name: str
-    owner: object
-    attribute: str
-    replacement: object
-    noticed_by: list
 
+def _false(*arguments):
+    return False
 
-FAULTS = [
-    Fault(
-        'sequence check left out',
-        rules,
-        'accepts_step',
-        lambda record, attempt, next_index, running, index: (
-            running < 0 and not rules.is_fenced(record, attempt)
-        ),
-        [proofs.attempts_specification, proofs.real_roles],
-    ),
-    Fault(
-        'duplicate step run',
-        rules,
-        'accepts_step',
-        lambda record, attempt, next_index, running, index: (
-            not rules.is_fenced(record, attempt)
-            and running < 0
-            and index in (next_index, next_index - 1)
-        ),
-        [proofs.attempts_specification, proofs.real_roles],
-    ),
-    Fault(
-        'fence not checked',
-        rules,
-        'is_fenced',
-        lambda record, attempt: False,
-        [
-            proofs.attempts_specification,
-            proofs.calls_specification,
-            proofs.real_roles,
-        ],
-    ),
-    Fault(
-        'repeated attempt accepted',
-        rules,
-        'accepts_attempt',
-        lambda record, attempt: (
-            attempt > record.closed and attempt >= record.highest
-        ),
-        [proofs.attempts_specification, proofs.real_roles],
-    ),
-    Fault(
-        'refused after admission',
-        rules,
-        'failure_state',
-        lambda admitted: REFUSED,
-        [proofs.attempts_specification, proofs.real_roles],
-    ),
-    Fault(
-        'cancelled after admission',
-        rules,
-        'closing_state',
-        lambda admitted: messages.AttemptState.CANCELLED,
-        [proofs.attempts_specification, proofs.real_roles],
-    ),
-    Fault(
-        'drain still admits',
-        rules,
-        'may_admit',
-        lambda record, attempt, *, draining, ready: (
-            ready and not rules.is_fenced(record, attempt)
-        ),
-        [proofs.attempts_specification, proofs.real_roles],
-    ),
-    Fault(
-        'running call proven not run',
-        rules,
-        'was_never_admitted',
-        lambda record, attempt, *, same_incarnation: same_incarnation,
-        [proofs.calls_specification],
-    ),
-    Fault(
-        'proof by a restarted agent',
-        rules,
-        'was_never_admitted',
-        lambda record, attempt, *, same_incarnation: (
-            attempt <= record.closed and attempt not in record.admitted
-        ),
-        [proofs.calls_specification],
-    ),
-    Fault(
-        'entry sends to a restarted agent',
-        service_calls,
-        'may_send',
-        lambda named, found: True,
-        [proofs.calls_specification],
-    ),
-    Fault(
-        'old order accepted',
-        rules,
-        'accepts_order',
-        lambda highest_fence, fence: True,
-        [proofs.orders_in_sequence],
-    ),
-    Fault(
-        'repeated order accepted',
-        rules,
-        'accepts_order',
-        lambda highest_fence, fence: fence >= highest_fence,
-        [proofs.orders_in_sequence],
-    ),
-    Fault(
-        'clock jump ignored',
-        rules,
-        'clock_jumped',
-        lambda last_s, now_s: False,
-        [proofs.lease_times],
-    ),
-    Fault(
-        'older version accepted',
-        rules,
-        'is_stale',
-        lambda scope_version, known_version, known_for_s: False,
-        [proofs.lease_times],
-    ),
-    Fault(
-        'no reserved places',
-        fair_queue.QueueLimits,
-        'max_long_running',
-        property(lambda limits: limits.max_running),
-        [proofs.queue_shares],
-    ),
-    Fault(
-        'suspects run together',
-        fair_queue.BaseQueue,
-        '_runs_suspect',
-        lambda queue: False,
-        [proofs.one_suspect_at_a_time],
-    ),
-    Fault(
-        'suspect acquitted at once',
-        rules,
-        'on_probation',
-        lambda isolate, first_index, next_index: False,
-        [proofs.one_suspect_at_a_time],
-    ),
-    Fault(
-        'predictions not corrected',
-        fair_queue.FairQueue,
-        'correct',
-        lambda queue, work, difference: None,
-        [proofs.queue_shares],
-    ),
-]
+
+def _step_out_of_sequence(record, attempt, next_index, running, index):
+    return running < 0 and not rules.is_fenced(record, attempt)
+
+
+def _step_repeated(record, attempt, next_index, running, index):
+    unfenced = running < 0 and not rules.is_fenced(record, attempt)
+    return unfenced and index in (next_index, next_index - 1)
+
+
+def _attempt_repeated(record, attempt):
+    return attempt > record.closed and attempt >= record.highest
+
+
+def _admitted_in_a_drain(record, attempt, *, draining, ready):
+    return ready and not rules.is_fenced(record, attempt)
+
+
+def _proven_while_running(record, attempt, *, same_incarnation):
+    return same_incarnation
+
+
+def _proven_after_a_restart(record, attempt, *, same_incarnation):
+    return attempt <= record.closed and attempt not in record.admitted
+
+
+def _order_repeated(highest_fence, fence):
+    return fence >= highest_fence
+
+
+def _refused(admitted):
+    return messages.AttemptState.REFUSED
+
+
+def _cancelled(admitted):
+    return messages.AttemptState.CANCELLED
+
+
+def _uncorrected(queue, work, difference):
+    return None
+
+
+LIMITS = fair_queue.QueueLimits
+ALL_RUNNING = property(lambda limits: limits.max_running)
+QUEUE = fair_queue.BaseQueue
+# What a fault replaces and by what, and the proofs that must notice it.
+FAULTS = {
+    'sequence check left out': (
+        (rules, 'accepts_step', _step_out_of_sequence),
+        WALKED,
+    ),
+    'duplicate step run': ((rules, 'accepts_step', _step_repeated), WALKED),
+    'fence not checked': ((rules, 'is_fenced', _false), WALKED + CALLS),
+    'repeated attempt accepted': (
+        (rules, 'accepts_attempt', _attempt_repeated),
+        WALKED,
+    ),
+    'refused after admission': ((rules, 'failure_state', _refused), WALKED),
+    'cancelled after admission': (
+        (rules, 'closing_state', _cancelled),
+        WALKED,
+    ),
+    'drain still admits': ((rules, 'may_admit', _admitted_in_a_drain), WALKED),
+    'running call proven not run': (
+        (rules, 'was_never_admitted', _proven_while_running),
+        CALLS,
+    ),
+    'proof by a restarted agent': (
+        (rules, 'was_never_admitted', _proven_after_a_restart),
+        CALLS,
+    ),
+    'entry sends to a restarted agent': (
+        (service_calls, 'may_send', _true),
+        CALLS,
+    ),
+    'old order accepted': ((rules, 'accepts_order', _true), ORDERS),
+    'repeated order accepted': (
+        (rules, 'accepts_order', _order_repeated),
+        ORDERS,
+    ),
+    'clock jump ignored': ((rules, 'clock_jumped', _false), LEASES),
+    'older version accepted': ((rules, 'is_stale', _false), LEASES),
+    'no reserved places': ((LIMITS, 'max_long_running', ALL_RUNNING), SHARES),
+    'suspects run together': ((QUEUE, '_runs_suspect', _false), SUSPECTS),
+    'suspect acquitted at once': ((rules, 'on_probation', _false), SUSPECTS),
+    'predictions not corrected': (
+        (fair_queue.FairQueue, 'correct', _uncorrected),
+        SHARES,
+    ),
+}
 CASES = [
-    pytest.param(fault, proof, id=f'{fault.name}-{proof.__name__}')
-    for fault in FAULTS
-    for proof in fault.noticed_by
+    pytest.param(change, proof, id=f'{name}-{proof.__name__}')
+    for name, (change, noticed_by) in FAULTS.items()
+    for proof in noticed_by
 ]
 
 
@@ -191,10 +137,10 @@
     proof()
 
 
-@pytest.mark.parametrize(('fault', 'proof'), CASES)
-def test_fault_is_noticed(fault, proof, monkeypatch):
+@pytest.mark.parametrize(('change', 'proof'), CASES)
+def test_fault_is_noticed(change, proof, monkeypatch):
     """A proof that misses its fault would give false confidence."""
-    monkeypatch.setattr(fault.owner, fault.attribute, fault.replacement)
+    monkeypatch.setattr(*change)
     with pytest.raises(AssertionError):
         proof()
 
--- a/pimentowalk/agent/tests/test_orders.py
+++ b/pimentowalk/agent/tests/test_orders.py
@@ -13,19 +13,6 @@
 OWN = node.Identity('agent-1', 1, 'brass')
 
 
-class Recorder:
-    """Take the place of the engine; `status` is its answer."""
-
-    def __init__(self):
-        self.sent = []
-        self.status = 200
-        self.text = ''
-
-    async def post_order(self, order):
-        self.sent.append(order)
-        return self.status, self.text
-
-
 def order(fence, action='load_model', arguments=None):
     """Return an order."""
     content = json.dumps(arguments or {}).encode()
@@ -43,7 +30,7 @@
 
 async def test_old_and_repeated_numbers_never_reach_the_engine():
     """An engine that ignores the number relies on the agent."""
-    engine = Recorder()
+    engine = fakes.Recorder()
     subject = make(engine)
     replies = [await subject.handle(order(n)) for n in (4, 4, 3, 5)]
     assert [r.done for r in replies] == [True, False, False, True]
@@ -54,7 +41,7 @@
 
 async def test_number_survives_a_restart_in_its_file(tmp_path):
     """A restarted agent must refuse what an earlier life has run."""
-    engine = Recorder()
+    engine = fakes.Recorder()
     control = fakes.FakeControl()
     control.fence = 2
     first = make(engine, tmp_path / 'data', control)
@@ -68,28 +55,28 @@
 async def test_number_is_stored_before_the_engine_gets_the_order(tmp_path):
     """A crash in between must not let the number run twice."""
 
-    class Crashing(Recorder):
+    class Crashing(fakes.Recorder):
         async def post_order(self, sent):
             assert orders.FenceFile(tmp_path).read() == sent['fence']
             raise errors.OutcomeUnknown('crashed')
 
     reply = await make(Crashing(), tmp_path).handle(order(3))
     assert reply.code == 'outcome_unknown'
-    again = make(Recorder(), tmp_path)
+    again = make(fakes.Recorder(), tmp_path)
     assert (await again.handle(order(3))).code == 'stale_fence'
 
 
 async def test_damaged_file_refuses_orders(tmp_path):
     """A number that cannot be read must not be taken as zero."""
     (tmp_path / orders.FILE_NAME).write_text('x')
-    engine = Recorder()
+    engine = fakes.Recorder()
     reply = await make(engine, tmp_path).handle(order(3))
     assert (reply.code, engine.sent) == ('damaged_data', [])
 
 
 async def test_without_a_file_control_is_asked_before_the_first_order():
     """An agent without a disk forgets the numbers of its earlier lives."""
-    engine = Recorder()
+    engine = fakes.Recorder()
     control = fakes.FakeControl()
     control.fence = None
     subject = make(engine, control=control)
@@ -112,7 +99,7 @@
 )
 async def test_refusal_of_the_engine_is_passed_on(status, text, code):
     """The operator must see that the engine did not obey."""
-    engine = Recorder()
+    engine = fakes.Recorder()
     engine.status = status
     engine.text = text
     reply = await make(engine).handle(order(1))
@@ -121,7 +108,7 @@
 
 async def test_drain_order_is_not_forwarded():
     """Draining concerns the agent; the engine has no such order."""
-    engine = Recorder()
+    engine = fakes.Recorder()
     drained = []
     reply = await make(engine, drained=drained).handle(order(1, 'drain'))
     assert (reply.done, drained, engine.sent) == (True, [1], [])
--- a/pimentowalk/cli/tests/fake_control.py
+++ b/pimentowalk/cli/tests/fake_control.py
@@ -62,6 +62,12 @@
             return ANSWERS[name]
         return getattr(self, f'_on_{name}')(command)
 
+    def announce(self, port, **fields):
+        """Let agent-1 be announced at a port."""
+        self.servers['agent-1'] = instances.BackendServer(
+            'agent-1', 1, 'skrivar', '127.0.0.1', port, **fields
+        )
+
     def sent(self, name):
         """Return the recorded requests of a kind."""
         return [r for r in self.requests if type(r).__name__ == name]
--- a/pimentowalk/cli/tests/test_cli.py
+++ b/pimentowalk/cli/tests/test_cli.py
@@ -208,9 +208,7 @@
 def test_tables_and_json_show_the_same(control, capsys):
     """A script and a person must see the same state."""
     control.accounts = {'voss': contracts.ClientAccount('voss', '0' * 64)}
-    control.servers['agent-1'] = instances.BackendServer(
-        'agent-1', 1, 'skrivar', '127.0.0.1', 1, zone='Voss'
-    )
+    control.announce(1, zone='Voss')
     for command, expected in [
         (['status'], 'agent-2'),
         (['status', '--behind'], 'agent-1'),
@@ -323,9 +321,7 @@
     """An order without a fence, or to another server, does harm."""
     agent = Agent(node_id, reply)
     with served(agent.server) as port:
-        control.servers['agent-1'] = instances.BackendServer(
-            'agent-1', 1, 'skrivar', '127.0.0.1', port
-        )
+        control.announce(port)
         assert main.run(['drain', 'agent-1']) == status
     expected = [messages.Order(17, 'drain', b'{}')]
     assert agent.orders == (expected if node_id == 'agent-1' else [])
@@ -339,9 +335,7 @@
     assert main.run([*argv, '[1]']) == 2
     assert main.run([*argv, '{"version": "2"}']) == 1
     assert control.sent('IssueFence') == []
-    control.servers['agent-1'] = instances.BackendServer(
-        'agent-1', 1, 'skrivar', '127.0.0.1', 1
-    )
+    control.announce(1)
     assert main.run([*argv, '{"version": "2"}']) == 1
     assert 'peer_lost' in capsys.readouterr().err
     assert control.sent('IssueFence')[0].arguments == '{"version": "2"}'
