Write operators files and run clients in one place in tests

Cause: three test modules wrote an operators file by hand, and test_daemon.py closed its clients itself, also only where no assertion had failed.

Ruled out: tools/demo.py as the writer; it holds the operators of the examples.

Change: fakes.write_operators and harness.client_of in the tests of control, which the processes tests of the agent use too.

All tests of the agent and the tests of daemon, requests, homes, session, account_use and directory of control pass.

--- a/pimentowalk/agent/tests/test_processes.py
+++ b/pimentowalk/agent/tests/test_processes.py
@@ -1,7 +1,6 @@
 """Guard the agent as a process beside a real engine and control."""
 
 import asyncio
-import hashlib
 import signal
 
 import pytest
@@ -9,13 +8,13 @@
 from pimentowalk.agent.tests import fakes
 from pimentowalk.control import client
 from pimentowalk.control import commands
+from pimentowalk.control.tests import fakes as control_fakes
 from pimentowalk.core import errors
 from pimentowalk.topology import instances
 from pimentowalk.wire import messages
 from tools import deployment
 
 pytestmark = pytest.mark.processes
-TOKEN = 'operator-token'
 MARKER = 'crashes-engines'
 
 
@@ -30,17 +29,16 @@
 
     async def start(self):
         """Start all processes; return the record of the agent."""
-        operators = self.folder / 'operators.ini'
-        digest = hashlib.sha256(TOKEN.encode()).hexdigest()
-        operators.write_text(f'[operators]\nann = {digest}\n')
-        operators.chmod(0o600)
+        operators = control_fakes.write_operators(self.folder)
         self.processes.start_controls(['zone-1'], operators)
         self.start_engine()
         addresses = [
             instances.Instance(node, '127.0.0.1', port)
             for node, port in self.processes.control
         ]
-        self.control = client.ControlClient(addresses, token=TOKEN)
+        self.control = client.ControlClient(
+            addresses, token=control_fakes.TOKEN
+        )
         return await self.start_agent()
 
     def start_engine(self):
@@ -144,7 +142,7 @@
     fences = []
     for change in ('one', 'two'):
         issued = await run.control.request(
-            commands.IssueFence(change, 'ann', 'agent-1', 'load_adapter')
+            commands.IssueFence(change, 'anna', 'agent-1', 'load_adapter')
         )
         fences.append(issued.fence)
     arguments = b'{"adapter": "nynorsk"}'
--- a/pimentowalk/control/tests/fakes.py
+++ b/pimentowalk/control/tests/fakes.py
@@ -25,6 +25,15 @@
     )
 
 
+def write_operators(folder, mode=0o600, value=None):
+    """Write an operators file, by default with TOKEN; return its path."""
+    path = folder / 'operators.ini'
+    value = value or operators.hash_token(TOKEN)
+    path.write_text(f'[operators]\nanna = {value}\n')
+    path.chmod(mode)
+    return path
+
+
 class FakeReplica:
     """Apply each command at once; faults are switched on by attributes."""
 
--- a/pimentowalk/control/tests/harness.py
+++ b/pimentowalk/control/tests/harness.py
@@ -49,17 +49,20 @@
 
 
 @contextlib.asynccontextmanager
-async def operator(instances, token=fakes.TOKEN):
-    """Run an operator's client."""
-    caller = client.ControlClient(
-        [instance.address for instance in instances], token=token
-    )
+async def client_of(addresses, token=fakes.TOKEN):
+    """Run an operator's client for some addresses."""
+    caller = client.ControlClient(addresses, token=token)
     try:
         yield caller
     finally:
         await caller.close()
 
 
+def operator(instances, token=fakes.TOKEN):
+    """Run an operator's client for control instances."""
+    return client_of([instance.address for instance in instances], token)
+
+
 @contextlib.asynccontextmanager
 async def desk(count=1, token=fakes.TOKEN):
     """Run control instances and an operator's client."""
--- a/pimentowalk/control/tests/test_daemon.py
+++ b/pimentowalk/control/tests/test_daemon.py
@@ -10,7 +10,6 @@
 from pimentowalk.control import client
 from pimentowalk.control import commands
 from pimentowalk.control import daemon
-from pimentowalk.control import operators
 from pimentowalk.control.tests import builders
 from pimentowalk.control.tests import fakes
 from pimentowalk.control.tests import harness
@@ -23,16 +22,6 @@
 PATIENCE_S = 20
 
 
-def write_operators(folder):
-    """Return the path of an operators file with the token of anna."""
-    path = folder / 'operators.ini'
-    path.write_text(
-        f'[operators]\nanna = {operators.hash_token(fakes.TOKEN)}\n'
-    )
-    path.chmod(0o600)
-    return path
-
-
 def write_settings(folder, count, voters):
     """Return the settings of some control instances."""
     control = [
@@ -40,7 +29,7 @@
         for n in range(1, count + 1)
     ]
     ids = [one.instance_id for one in control[:voters]]
-    operators_file = write_operators(folder)
+    operators_file = fakes.write_operators(folder)
     return [
         settings_module.ControlSettings(
             settings_module.ProcessSettings(
@@ -67,13 +56,10 @@
     daemons = [daemon.ControlDaemon(one) for one in settings]
     for one in daemons:
         await one.start()
-    caller = client.ControlClient(
-        settings[0].process.control, token=fakes.TOKEN
-    )
     try:
-        yield daemons, caller
+        async with harness.client_of(settings[0].process.control) as caller:
+            yield daemons, caller
     finally:
-        await caller.close()
         for one in daemons:
             await one.stop()
 
@@ -90,10 +76,8 @@
 async def test_one_of_racing_publishes_wins(tmp_path):
     """Two operators with one expected version must not both succeed."""
     settings = write_settings(tmp_path, 3, 3)
-    async with running(settings) as (daemons, caller):
-        second = client.ControlClient(
-            settings[0].process.control[::-1], token=fakes.TOKEN
-        )
+    reverse = harness.client_of(settings[0].process.control[::-1])
+    async with running(settings) as (daemons, caller), reverse as second:
         for version in range(3):
             bodies = [
                 builders.publish(
@@ -122,7 +106,6 @@
                 accounts.accounts['acc-1']
                 == (winner.sources['one'].accounts[0])
             )
-        await second.close()
 
 
 async def leader_of(caller):
@@ -134,40 +117,34 @@
 @pytest.mark.processes
 async def test_publish_survives_the_kill_of_the_leader(tmp_path):
     """A repeated publish at the new leader must get the first result."""
-    operators_file = write_operators(tmp_path)
+    operators_file = fakes.write_operators(tmp_path)
     with deployment.Deployment(tmp_path) as run:
         run.start_controls(['zone-1', 'zone-2', 'zone-3'], operators_file)
-        caller = client.ControlClient(
-            [
-                instances.Instance(node_id, '127.0.0.1', port)
-                for node_id, port in run.control
-            ],
-            token=fakes.TOKEN,
-        )
+        addresses = [
+            instances.Instance(node_id, '127.0.0.1', port)
+            for node_id, port in run.control
+        ]
         body = builders.publish('c1', 0)
-        assert not (await caller.request(body, PATIENCE_S)).repeated
-        run.processes[await leader_of(caller)].kill()
-        result = await caller.request(body, PATIENCE_S)
-        assert (result.version, result.repeated) == (1, True)
-        leader = run.processes[await leader_of(caller)]
-        leader.signal(signal.SIGTERM)
-        assert await asyncio.to_thread(leader.wait_stopped) == 0
-        await caller.close()
+        async with harness.client_of(addresses) as caller:
+            assert not (await caller.request(body, PATIENCE_S)).repeated
+            run.processes[await leader_of(caller)].kill()
+            result = await caller.request(body, PATIENCE_S)
+            assert (result.version, result.repeated) == (1, True)
+            leader = run.processes[await leader_of(caller)]
+            leader.signal(signal.SIGTERM)
+            assert await asyncio.to_thread(leader.wait_stopped) == 0
 
 
 @pytest.mark.processes
 async def test_learner_joins_is_promoted_and_removed(tmp_path):
     """Operators replace a lost instance without a restart of the others."""
     control = [
-        instances.Instance(f'control-{n}', '127.0.0.1', port)
-        for n, port in (
-            (1, deployment.free_port()),
-            (2, deployment.free_port()),
-        )
+        instances.Instance(f'control-{n}', '127.0.0.1', deployment.free_port())
+        for n in (1, 2)
     ]
-    operators_file = write_operators(tmp_path)
-    caller = client.ControlClient(control, token=fakes.TOKEN)
+    operators_file = fakes.write_operators(tmp_path)
     with deployment.Deployment(tmp_path) as run:
+        caller = client.ControlClient(control, token=fakes.TOKEN)
         run.control = [(one.instance_id, one.port) for one in control]
         start_control(run, control[0], operators_file, 'control-1')
         await caller.request(builders.publish('c1', 0), PATIENCE_S)
--- a/pimentowalk/control/tests/test_requests.py
+++ b/pimentowalk/control/tests/test_requests.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import os
 
 import attrs
 import pytest
@@ -179,22 +178,14 @@
         await harness.until(lambda: node.quarantined == set())
 
 
-def write_operators(path, mode=0o600, value=None):
-    value = value or operators.hash_token('secret')
-    path.write_text(f'[operators]\nanna = {value}\n')
-    os.chmod(path, mode)
-
-
 def test_operators_file_is_checked(tmp_path):
     """A file that others can read gives the hashes away."""
-    path = tmp_path / 'operators.ini'
-    write_operators(path)
-    assert operators.load(path).authenticate('secret') == 'anna'
-    write_operators(path, 0o644)
+    path = fakes.write_operators(tmp_path)
+    assert operators.load(path).authenticate(fakes.TOKEN) == 'anna'
+    fakes.write_operators(tmp_path, 0o644)
     with pytest.raises(errors.SettingsError, match='others have access'):
         operators.load(path)
-    os.chmod(path, 0o600)
-    write_operators(path, value='secret')
+    fakes.write_operators(tmp_path, value='secret')
     with pytest.raises(errors.SettingsError) as caught:
         operators.load(path)
     assert 'secret' not in str(caught.value)
