Share the refusal of queued work and the record of a request

Cause: HeadRole and the service calls of an agent both turned expired work into a code and emptied their queue by the same loops; attempts.py and service_calls.py in specs/ had the same class Record. Found by the search for places that share lines.

Ruled out: a common base class of the two roles; they share these two loops only.

Change: agent/queued.py with expired() and emptied(); specs/agent_record.py.

Conclusion: one definition of each decision.

--- a/pimentowalk/agent/head.py
+++ b/pimentowalk/agent/head.py
@@ -6,6 +6,7 @@
 
 from pimentowalk.admission import fair_queue
 from pimentowalk.agent import attempts
+from pimentowalk.agent import queued
 from pimentowalk.agent import rules
 from pimentowalk.agent import sequences
 from pimentowalk.core import errors
@@ -329,15 +330,12 @@
 
     def expire(self):
         """Refuse queued attempts that have waited too long."""
-        now_s = self._timers.now_s()
-        for work in self.queue.expire(now_s):
-            code = 'deadline' if work.due_s <= now_s else 'overloaded'
-            self._refuse_queued(work.key, code, 'waited too long')
+        for key, code in queued.expired(self.queue, self._timers.now_s()):
+            self._refuse_queued(key, code, 'waited too long')
 
     def refuse_queued(self, code):
         """Refuse everything that waits."""
-        for key in list(self.queue.waiting):
-            self.queue.remove(key)
+        for key in queued.emptied(self.queue):
             self._refuse_queued(key, code, 'refused while it waited')
 
     def on_entry_lost(self, entry):
--- a/pimentowalk/agent/service_calls.py
+++ b/pimentowalk/agent/service_calls.py
@@ -8,6 +8,7 @@
 import attrs
 
 from pimentowalk.admission import fair_queue
+from pimentowalk.agent import queued
 from pimentowalk.agent import rules
 from pimentowalk.agent import sequences
 from pimentowalk.core import logs
@@ -258,15 +259,12 @@
 
     def expire(self):
         """Refuse queued calls that have waited too long."""
-        now_s = self._timers.now_s()
-        for work in self.queue.expire(now_s):
-            code = 'deadline' if work.due_s <= now_s else 'overloaded'
-            self._refuse(work.key, code, 'waited too long')
+        for key, code in queued.expired(self.queue, self._timers.now_s()):
+            self._refuse(key, code, 'waited too long')
 
     def refuse_queued(self, code):
         """Refuse everything that waits."""
-        for key in list(self.queue.waiting):
-            self.queue.remove(key)
+        for key in queued.emptied(self.queue):
             self._refuse(key, code, 'refused while it waited')
 
     def configure(self, service):
--- /dev/null
+++ b/specs/agent_record.py
@@ -0,0 +1,24 @@
+"""The record of a request at an agent, as the specifications keep it."""
+
+import attrs
+
+from pimentowalk.agent import rules
+
+
+@attrs.frozen
+class Record:
+    """The record that one agent has of one request."""
+
+    highest: int = -1
+    closed: int = -1
+    admitted: frozenset = frozenset()
+
+    def close(self, attempt):
+        """Return the record after a fence."""
+        return attrs.evolve(self, closed=max(self.closed, attempt))
+
+    def for_rules(self):
+        """Return the record as the rules take it."""
+        return rules.RequestRecord(
+            self.highest, self.closed, set(self.admitted)
+        )
--- a/specs/attempts.py
+++ b/specs/attempts.py
@@ -8,6 +8,7 @@
 
 from pimentowalk.agent import rules
 from pimentowalk.wire import messages
+from specs import agent_record
 
 STATES = messages.AttemptState
 TOKENS = 2
@@ -17,19 +18,6 @@
 NONE = frozenset()
 
 
-@attrs.frozen
-class Record:
-    """The record that one agent has of the request."""
-
-    highest: int = -1
-    closed: int = -1
-    admitted: frozenset = NONE
-
-    def close(self, attempt):
-        """Return the record after a fence."""
-        return attrs.evolve(self, closed=max(self.closed, attempt))
-
-
 @attrs.frozen
 class Sequence:
     """An open sequence; `running` is the step in the engine, or -1."""
@@ -47,8 +35,8 @@
     received: int = 0
     queued: tuple = ()
     preparing: tuple = ()
-    head: Record = Record()
-    stage: Record = Record()
+    head: agent_record.Record = agent_record.Record()
+    stage: agent_record.Record = agent_record.Record()
     head_sequence: Sequence | None = None
     stage_sequence: Sequence | None = None
     network: frozenset = NONE
@@ -140,18 +128,12 @@
     return after.send((frame, sequence.attempt, sequence.running))
 
 
-def _rule_record(record):
-    return rules.RequestRecord(
-        record.highest, record.closed, set(record.admitted)
-    )
-
-
 def _run(state, agent, index):
     """Run a step of the open sequence of an agent, if the rules let it."""
     sequence = getattr(state, f'{agent}_sequence')
     record = getattr(state, agent)
     accepted = rules.accepts_step(
-        _rule_record(record),
+        record.for_rules(),
         sequence.attempt,
         sequence.next_index,
         sequence.running,
@@ -215,7 +197,7 @@
 
 
 def _on_open(state, attempt, start):
-    record = _rule_record(state.head)
+    record = state.head.for_rules()
     if not rules.accepts_attempt(record, attempt):
         fenced = attempt <= record.closed
         if fenced and attempt not in record.admitted:
@@ -245,7 +227,7 @@
 
 
 def _on_prepare(state, attempt, start):
-    if not rules.accepts_attempt(_rule_record(state.stage), attempt):
+    if not rules.accepts_attempt(state.stage.for_rules(), attempt):
         return state.send(('refused', attempt))
     after = attrs.evolve(
         state,
@@ -260,7 +242,7 @@
         return state
     start = state.preparing[1]
     allowed = rules.may_admit(
-        _rule_record(state.head), attempt, draining=state.draining, ready=True
+        state.head.for_rules(), attempt, draining=state.draining, ready=True
     )
     if not allowed:
         return _fail(state, attempt)
--- a/specs/service_calls.py
+++ b/specs/service_calls.py
@@ -11,6 +11,7 @@
 
 from pimentowalk.agent import rules
 from pimentowalk.wire import messages
+from specs import agent_record
 
 STATES = messages.AttemptState
 FIRST = 'first'
@@ -19,15 +20,6 @@
 NONE = frozenset()
 
 
-@attrs.frozen
-class Record:
-    """The record that the agent has of one request."""
-
-    highest: int = -1
-    closed: int = -1
-    admitted: frozenset = NONE
-
-
 @attrs.frozen
 class State:
     """The agent, the two entries, the claim and the network."""
@@ -35,7 +27,9 @@
     incarnation: int = 0
     sent: frozenset = NONE
     claimed_by: str = FIRST
-    records: tuple = ((FIRST, Record()), (SECOND, Record()))
+    records: tuple = tuple(
+        (request, agent_record.Record()) for request in (FIRST, SECOND)
+    )
     queued: frozenset = NONE
     running: frozenset = NONE
     left: tuple = ()
@@ -45,15 +39,12 @@
 
     def record(self, request):
         """Return the record of a request as the rules take it."""
-        held = dict(self.records)[request]
-        return rules.RequestRecord(
-            held.highest, held.closed, set(held.admitted)
-        )
+        return dict(self.records)[request].for_rules()
 
     def keep(self, request, record):
         """Return the state with a changed record."""
         held = dict(self.records)
-        held[request] = Record(
+        held[request] = agent_record.Record(
             record.highest, record.closed, frozenset(record.admitted)
         )
         return attrs.evolve(self, records=tuple(held.items()))
