Drive the real gate in the walks of the agent

Cause: the walks over the real roles used a gate of their own, which stood for the real one and repeated two of its methods.

Ruled out: a shared fake gate; the real one needs only a session, the suspicion and a flag.

Change: world.py builds gate.Gate for both agents; a refused preparation is answered by the same method as an accepted one.

Conclusion: the walks now cover the real gate too.

--- a/pimentowalk/agent/tests/world.py
+++ b/pimentowalk/agent/tests/world.py
@@ -3,11 +3,12 @@
 import asyncio
 import types
 
+from pimentowalk.admission import suspicion
 from pimentowalk.agent import engine_client
+from pimentowalk.agent import gate
 from pimentowalk.agent import head
 from pimentowalk.agent import node
 from pimentowalk.agent import preparation
-from pimentowalk.agent import rules
 from pimentowalk.agent import sequences
 from pimentowalk.agent import stage
 from pimentowalk.agent.tests import fakes
@@ -83,7 +84,11 @@
             raise errors.NotRun(body.text, code=body.code)
 
     async def reply(self, envelope, body):
-        answer = self.answers.get(envelope.body.attempt)
+        self.answer(envelope.body, body)
+
+    def answer(self, frame, body):
+        """Answer the call of a frame unless it was answered before."""
+        answer = self.answers.get(frame.attempt)
         if answer is not None and not answer.done():
             answer.set_result(body)
 
@@ -124,18 +129,18 @@
         self.link = Connection(self)
         self.attempt = 0
         self.received = 0
-        self.draining = False
         self.peers = Peers(self)
         self.engines = [Engine(self, place) for place in (0, 1)]
         self.records = [sequences.Records(self.timers) for _ in (0, 1)]
         self.stages = [self._stage(place) for place in (0, 1)]
+        self.gate = self._gate()
         self.head = head.HeadRole(
             self._own(0),
             self.stages[0],
             self.peers,
             self.records[0],
             self.timers,
-            self._gate(0),
+            self.gate,
         )
         self.preparation = preparation.Preparation(
             self._own(1),
@@ -143,7 +148,7 @@
             self.peers,
             self.records[1],
             self.timers,
-            self._gate(1),
+            self._gate(),
         )
 
     def _own(self, place):
@@ -163,34 +168,14 @@
             events,
         )
 
-    def _gate(self, place):
-        world = self
-
-        class Gate:
-            @property
-            def draining(self):
-                return world.draining and place == 0
-
-            def is_suspect(self, fingerprint):
-                return False
-
-            def suspect(self, frame):
-                pass
-
-            def may_admit(self, record, attempt):
-                return rules.may_admit(
-                    record, attempt, draining=self.draining, ready=True
-                )
-
-            def refusal(self, frame):
-                return rules.refusal_code(
-                    draining=self.draining,
-                    ready=True,
-                    stale=False,
-                    quarantined=False,
-                )
-
-        return Gate()
+    def _gate(self):
+        """Return a gate of an agent that is ready and has no suspects."""
+        agent = types.SimpleNamespace(
+            session=fakes.FakeSession(),
+            suspicion=suspicion.Suspicion(),
+            ready=True,
+        )
+        return gate.Gate(agent, self.timers)
 
     def send(self, target, frame):
         """Put a frame on the network, where it stays."""
@@ -212,7 +197,7 @@
             self.wrong.append('a step ran out of order')
         if attempt <= self.fenced[place]:
             self.wrong.append('a fenced attempt ran')
-        if first and self.draining:
+        if first and self.gate.draining:
             self.wrong.append('admitted while draining')
         self.runs.append((place, attempt, index))
 
@@ -239,7 +224,7 @@
             found.append(self.next_attempt)
         if self.stages[1].sequences:
             found.append(self.crash)
-        if not self.draining and self.attempt > 1:
+        if not self.gate.draining and self.attempt > 1:
             found.append(self.drain)
         return found
 
@@ -269,7 +254,7 @@
 
     def drain(self):
         """Begin to drain the head."""
-        self.draining = True
+        self.gate.draining = True
         self.head.refuse_queued('draining')
 
     def deliver(self, target, frame):
@@ -308,18 +293,14 @@
             try:
                 self.preparation.handle(self.link, envelope)
             except errors.NotRun as error:
-                self._refuse(frame, error)
+                failure = messages.Failure(error.code, error.message)
+                self.link.answer(frame, failure)
         elif isinstance(frame, messages.CloseAttempt):
             self.stages[1].close(frame.request_id, frame.attempt)
             self.fenced[1] = max(self.fenced[1], frame.attempt)
         elif isinstance(frame, messages.Step):
             self.stages[1].on_steps(messages.StepBatch([frame]))
 
-    def _refuse(self, frame, error):
-        answer = self.link.answers.get(frame.attempt)
-        if answer is not None and not answer.done():
-            answer.set_result(messages.Failure(error.code, error.message))
-
 
 async def walk(choices):
     """Let the choices pick what happens; return the world at the end.
