Start control instances for tests and benchmarks in one place

Cause: test_daemon.py wrote the settings of a control instance itself in order to choose its voters, and three places turned the launcher's list of control instances into addresses.

Ruled out: voters as a field of Deployment; only one test chooses them.

Change: Deployment.start_control takes the voters, and control_instances gives the addresses.

The tests of control/tests/test_daemon.py, agent/tests/test_processes.py and tools/tests pass; bench.control_nodes runs to its end.

Conclusion: one launcher of control instances.

--- a/bench/control_nodes.py
+++ b/bench/control_nodes.py
@@ -93,10 +93,7 @@
     zones = [f'zone-{number}' for number in range(count)]
     with deployment.Deployment(folder) as run:
         run.start_controls(zones, operators_file)
-        addresses = [
-            instances.Instance(node_id, deployment.LOOPBACK, port)
-            for node_id, port in run.control
-        ]
+        addresses = run.control_instances
         yield [run.processes[a.instance_id] for a in addresses], addresses
 
 
--- a/pimentowalk/agent/tests/test_processes.py
+++ b/pimentowalk/agent/tests/test_processes.py
@@ -10,7 +10,6 @@
 from pimentowalk.control import commands
 from pimentowalk.control.tests import fakes as control_fakes
 from pimentowalk.core import errors
-from pimentowalk.topology import instances
 from pimentowalk.wire import messages
 from tools import deployment
 
@@ -32,12 +31,8 @@
         operators = control_fakes.write_operators(self.folder)
         self.processes.start_controls(['zone-1'], operators)
         self.start_engine()
-        addresses = [
-            instances.Instance(node, '127.0.0.1', port)
-            for node, port in self.processes.control
-        ]
         self.control = client.ControlClient(
-            addresses, token=control_fakes.TOKEN
+            self.processes.control_instances, token=control_fakes.TOKEN
         )
         return await self.start_agent()
 
--- a/pimentowalk/control/tests/test_daemon.py
+++ b/pimentowalk/control/tests/test_daemon.py
@@ -120,12 +120,8 @@
     operators_file = fakes.write_operators(tmp_path)
     with deployment.Deployment(tmp_path) as run:
         run.start_controls(['zone-1', 'zone-2', 'zone-3'], operators_file)
-        addresses = [
-            instances.Instance(node_id, '127.0.0.1', port)
-            for node_id, port in run.control
-        ]
         body = builders.publish('c1', 0)
-        async with harness.client_of(addresses) as caller:
+        async with harness.client_of(run.control_instances) as caller:
             assert not (await caller.request(body, PATIENCE_S)).repeated
             run.processes[await leader_of(caller)].kill()
             result = await caller.request(body, PATIENCE_S)
@@ -138,17 +134,16 @@
 @pytest.mark.processes
 async def test_learner_joins_is_promoted_and_removed(tmp_path):
     """Operators replace a lost instance without a restart of the others."""
-    control = [
-        instances.Instance(f'control-{n}', '127.0.0.1', deployment.free_port())
-        for n in (1, 2)
-    ]
-    operators_file = fakes.write_operators(tmp_path)
     with deployment.Deployment(tmp_path) as run:
+        run.control = [
+            (f'control-{n}', deployment.free_port()) for n in (1, 2)
+        ]
+        control = run.control_instances
         caller = client.ControlClient(control, token=fakes.TOKEN)
-        run.control = [(one.instance_id, one.port) for one in control]
-        start_control(run, control[0], operators_file, 'control-1')
+        common = ['zone-1', fakes.write_operators(tmp_path)]
+        run.start_control(*run.control[0], *common, ['control-1'])
         await caller.request(builders.publish('c1', 0), PATIENCE_S)
-        start_control(run, control[1], operators_file, '')
+        run.start_control(*run.control[1], *common, [])
         add = commands.ChangeMembers('m1', 'anna', 'add_learner', control[1])
         await request_until_accepted(caller, add)
         assert (await caller.request(add, PATIENCE_S)).repeated
@@ -164,21 +159,6 @@
         await caller.close()
 
 
-def start_control(run, instance, operators_file, voters):
-    """Start one control instance with its own list of first voters."""
-    name = instance.instance_id
-    sections = {
-        'process': run.process_section(name, instance.port, 'zone-1'),
-        'control': {
-            'data_folder': run.folder / f'{name}-data',
-            'voters': voters,
-            'operators_file': operators_file,
-        },
-    }
-    settings = run.write_settings(name, sections)
-    run.run(name, 'pimentowalk.control', settings)
-
-
 async def request_until_accepted(caller, body):
     """Repeat a change while the learner starts or is behind."""
     code = 'conflict'
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -16,6 +16,8 @@
 
 import attrs
 
+from pimentowalk.topology import instances
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 LOOPBACK = '127.0.0.1'
 STOP_TIMEOUT_S = 15.0
@@ -142,6 +144,14 @@
             f'{node}@{LOOPBACK}:{port}' for node, port in self.control
         )
 
+    @property
+    def control_instances(self):
+        """Return the control instances as clients take them."""
+        return [
+            instances.Instance(node, LOOPBACK, port)
+            for node, port in self.control
+        ]
+
     def process_section(self, node_id, port, zone):
         """Return the settings that every daemon needs."""
         return {
@@ -161,15 +171,20 @@
         for (node, port), zone in zip(self.control, zones, strict=True):
             self.start_control(node, port, zone, operators_file)
 
-    def start_control(self, node, port, zone, operators_file):
-        """Start a control instance with its own data folder."""
+    def start_control(self, node, port, zone, operators_file, voters=None):
+        """Start a control instance with its own data folder.
+
+        All control instances vote unless `voters` lists their ids.
+        """
+        if voters is None:
+            voters = [name for name, _ in self.control]
         settings = self.write_settings(
             node,
             {
                 'process': self.process_section(node, port, zone),
                 'control': {
                     'data_folder': self.folder / f'{node}-data',
-                    'voters': ', '.join(node for node, _ in self.control),
+                    'voters': ', '.join(voters),
                     'operators_file': operators_file,
                 },
             },
