--- a/pimentowalk/agent/tests/proofs.py
+++ b/pimentowalk/agent/tests/proofs.py
@@ -12,8 +12,8 @@
 from pimentowalk.agent.tests import world
 from pimentowalk.wire import messages
 from specs import attempts
+from specs import explorer
 from specs import service_calls
-from specs.tests import test_attempts
 
 CHOICES = strategies.lists(
     strategies.integers(0, 10_000), min_size=10, max_size=60
@@ -22,14 +22,12 @@
 
 def attempts_specification():
     """Explore the specification of attempts."""
-    wrong, _ = test_attempts.explore(attempts)
-    assert wrong == ''
+    assert not explorer.explore(attempts).violation
 
 
 def calls_specification():
     """Explore the specification of non-idempotent calls."""
-    wrong, _ = test_attempts.explore(service_calls)
-    assert wrong == ''
+    assert not explorer.explore(service_calls).violation
 
 
 @hypothesis.settings(
@@ -49,16 +47,8 @@
 def orders_in_sequence():
     """Send old and repeated orders to the real order handling."""
 
-    class Recorder:
-        sent = []
-
-        async def post_order(self, order):
-            self.sent.append(order['fence'])
-            return 200, ''
-
     async def run():
-        engine = Recorder()
-        engine.sent = []
+        engine = fakes.Recorder()
         control = fakes.FakeControl()
         own = world.World()._own(0)
         subject = orders.Orders(
@@ -66,7 +56,7 @@
         )
         for fence in (2, 1, 2, 3):
             await subject.handle(messages.Order(fence, 'load', b'{}'))
-        assert engine.sent == [2, 3]
+        assert [order['fence'] for order in engine.sent] == [2, 3]
 
     asyncio.run(run())
 
--- a/pimentowalk/control/tests/harness.py
+++ b/pimentowalk/control/tests/harness.py
@@ -49,12 +49,34 @@
 
 
 @contextlib.asynccontextmanager
-async def operator(instances, token=fakes.TOKEN):
-    """Run an operator's client."""
-    caller = client.ControlClient(
-        [instance.address for instance in instances], token=token
-    )
+async def client_of(addresses, token=fakes.TOKEN):
+    """Run an operator's client for some addresses."""
+    caller = client.ControlClient(addresses, token=token)
     try:
         yield caller
     finally:
         await caller.close()
+
+
+def operator(instances, token=fakes.TOKEN):
+    """Run an operator's client for control instances."""
+    return client_of([instance.address for instance in instances], token)
+
+
+@contextlib.asynccontextmanager
+async def desk(count=1, token=fakes.TOKEN):
+    """Run control instances and an operator's client."""
+    async with control(count) as found, operator(found, token) as caller:
+        yield found, caller
+
+
+@contextlib.asynccontextmanager
+async def node(count=1, **options):
+    """Run control instances and a node session."""
+    async with control(count) as found, session(found, **options) as one:
+        yield found, one
+
+
+def agent(instances, announcement):
+    """Return the session of an agent that announces a server."""
+    return session(instances, 'agent-1', 'agent', announcement=announcement)
--- a/pimentowalk/control/tests/test_requests.py
+++ b/pimentowalk/control/tests/test_requests.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import os
 
 import attrs
 import pytest
@@ -14,6 +13,7 @@
 from pimentowalk.control.tests import fakes
 from pimentowalk.control.tests import harness
 from pimentowalk.core import errors
+from pimentowalk.core.tests import error_codes
 from pimentowalk.topology import instances
 from pimentowalk.wire import messages
 
@@ -41,12 +41,10 @@
     queries.append(commands.ClearQuarantine('q1', 'anna', 1))
     one = instances.Instance('control-9', '127.0.0.1', 9)
     queries.append(commands.ChangeMembers('m1', 'a', 'add_learner', one))
-    async with harness.control() as found:
-        async with harness.operator(found, token or 'x') as anna:
-            for query in queries:
-                with pytest.raises(errors.PimentowalkError) as caught:
-                    await anna.request(query)
-                assert caught.value.code == 'unauthorized'
+    async with harness.desk(token=token or 'x') as (found, anna):
+        for query in queries:
+            with error_codes.raises('unauthorized'):
+                await anna.request(query)
         assert found[0].state.index == 0
     assert 'wrong' not in caplog.text
 
@@ -54,11 +52,10 @@
 async def test_author_is_the_owner_of_the_token(caplog):
     """The audit trail must not depend on what a client claims."""
     caplog.set_level(logging.DEBUG)
-    async with harness.control() as found:
-        async with harness.operator(found) as anna:
-            body = attrs.evolve(builders.publish('c1', 0), author='boss')
-            await anna.request(body)
-            result = await anna.request(commands.ReadAudit())
+    async with harness.desk() as (found, anna):
+        body = attrs.evolve(builders.publish('c1', 0), author='boss')
+        await anna.request(body)
+        result = await anna.request(commands.ReadAudit())
     assert [record.author for record in result.records] == ['anna']
     assert fakes.TOKEN not in caplog.text
     assert fakes.TOKEN not in repr(
@@ -68,19 +65,18 @@
 
 async def test_dry_run_checks_without_a_change():
     """Operators validate a publish before they make it."""
-    async with harness.control() as found:
-        async with harness.operator(found) as anna:
-            body = attrs.evolve(builders.publish('c1', 0), dry_run=True)
-            result = await anna.request(body)
-            assert (result.version, result.change_count) == (0, 3)
-            assert found[0].state.index == 0
-            await anna.request(builders.publish('c2', 0))
-            codes = []
-            for expected in (0, 4):
-                query = attrs.evolve(body, expected_version=expected)
-                with pytest.raises(errors.PimentowalkError) as caught:
-                    await anna.request(query)
-                codes.append(caught.value.code)
+    async with harness.desk() as (found, anna):
+        body = attrs.evolve(builders.publish('c1', 0), dry_run=True)
+        result = await anna.request(body)
+        assert (result.version, result.change_count) == (0, 3)
+        assert found[0].state.index == 0
+        await anna.request(builders.publish('c2', 0))
+        codes = []
+        for expected in (0, 4):
+            query = attrs.evolve(body, expected_version=expected)
+            with pytest.raises(errors.PimentowalkError) as caught:
+                await anna.request(query)
+            codes.append(caught.value.code)
         assert codes == ['conflict', 'bad_request']
         assert found[0].state.index == 1
 
@@ -108,9 +104,8 @@
     async with harness.control() as found:
         found[0].replica.failures = failures
         async with harness.operator(found) as anna:
-            with pytest.raises(errors.PimentowalkError) as caught:
+            with error_codes.raises(code):
                 await anna.request(builders.publish('c1', 0), 0.3)
-        assert caught.value.code == code
 
 
 async def test_refusal_after_an_uncertain_try_stays_uncertain():
@@ -135,9 +130,7 @@
     """Operators need to see which version is in force where."""
     server = builders.backend()
     async with harness.control() as found:
-        agent = harness.session(
-            found, 'agent-1', 'agent', announcement=lambda: server
-        )
+        agent = harness.agent(found, lambda: server)
         async with agent, harness.operator(found) as anna:
             await anna.request(builders.publish('c1', 0))
             async with asyncio.timeout(harness.WAIT_S):
@@ -148,9 +141,8 @@
             assert status.nodes[0].node_id == 'agent-1'
             query = commands.FindServer('server-1')
             assert await anna.request(query) == server
-            with pytest.raises(errors.PimentowalkError) as caught:
+            with error_codes.raises('not_found'):
                 await anna.request(commands.FindServer('server-9'))
-            assert caught.value.code == 'not_found'
             read = await anna.request(commands.ReadConfiguration())
             assert read.sources == {'one': builders.source()}
             fence = commands.HighestFence('server-1')
@@ -176,33 +168,24 @@
 
 async def test_quarantine_reaches_nodes_and_expires():
     """A quarantined request must be refused everywhere, for a while."""
-    async with harness.control() as found:
-        async with harness.session(found, services=[]) as node:
-            for name in ('r1', 'r2'):
-                body = commands.ReportCrash(5, 'acc-1', 's', 1, name)
-                result = await node.request(body)
-            assert result.quarantined
-            await harness.until(lambda: node.quarantined == {5})
-            found[0].replica.time_s += 601
-            await harness.until(lambda: node.quarantined == set())
-
-
-def write_operators(path, mode=0o600, value=None):
-    value = value or operators.hash_token('secret')
-    path.write_text(f'[operators]\nanna = {value}\n')
-    os.chmod(path, mode)
+    async with harness.node(services=[]) as (found, node):
+        for name in ('r1', 'r2'):
+            body = commands.ReportCrash(5, 'acc-1', 's', 1, name)
+            result = await node.request(body)
+        assert result.quarantined
+        await harness.until(lambda: node.quarantined == {5})
+        found[0].replica.time_s += 601
+        await harness.until(lambda: node.quarantined == set())
 
 
 def test_operators_file_is_checked(tmp_path):
     """A file that others can read gives the hashes away."""
-    path = tmp_path / 'operators.ini'
-    write_operators(path)
-    assert operators.load(path).authenticate('secret') == 'anna'
-    write_operators(path, 0o644)
+    path = fakes.write_operators(tmp_path)
+    assert operators.load(path).authenticate(fakes.TOKEN) == 'anna'
+    fakes.write_operators(tmp_path, 0o644)
     with pytest.raises(errors.SettingsError, match='others have access'):
         operators.load(path)
-    os.chmod(path, 0o600)
-    write_operators(path, value='secret')
+    fakes.write_operators(tmp_path, value='secret')
     with pytest.raises(errors.SettingsError) as caught:
         operators.load(path)
     assert 'secret' not in str(caught.value)
--- a/specs/service_calls.py
+++ b/specs/service_calls.py
@@ -11,6 +11,7 @@
 
 from pimentowalk.agent import rules
 from pimentowalk.wire import messages
+from specs import agent_record
 
 STATES = messages.AttemptState
 FIRST = 'first'
@@ -19,15 +20,6 @@
 NONE = frozenset()
 
 
-@attrs.frozen
-class Record:
-    """The record that the agent has of one request."""
-
-    highest: int = -1
-    closed: int = -1
-    admitted: frozenset = NONE
-
-
 @attrs.frozen
 class State:
     """The agent, the two entries, the claim and the network."""
@@ -35,7 +27,9 @@
     incarnation: int = 0
     sent: frozenset = NONE
     claimed_by: str = FIRST
-    records: tuple = ((FIRST, Record()), (SECOND, Record()))
+    records: tuple = tuple(
+        (request, agent_record.Record()) for request in (FIRST, SECOND)
+    )
     queued: frozenset = NONE
     running: frozenset = NONE
     left: tuple = ()
@@ -45,15 +39,12 @@
 
     def record(self, request):
         """Return the record of a request as the rules take it."""
-        held = dict(self.records)[request]
-        return rules.RequestRecord(
-            held.highest, held.closed, set(held.admitted)
-        )
+        return dict(self.records)[request].for_rules()
 
     def keep(self, request, record):
         """Return the state with a changed record."""
         held = dict(self.records)
-        held[request] = Record(
+        held[request] = agent_record.Record(
             record.highest, record.closed, frozenset(record.admitted)
         )
         return attrs.evolve(self, records=tuple(held.items()))
@@ -76,12 +67,12 @@
     return State()
 
 
-def successors(state):
-    """Return the labelled states that can follow."""
-    found = list(_steps(state))
+def steps(state):
+    """Yield labels and the states that may follow."""
+    yield from _entry_steps(state)
+    yield from _agent_steps(state)
     for frame in state.network:
-        found.append((f'deliver {frame}', DELIVERIES[frame[0]](state, *frame)))
-    return [(label, after) for label, after in found if after != state]
+        yield f'deliver {frame}', DELIVERIES[frame[0]](state, *frame)
 
 
 def violation(state):
@@ -94,7 +85,7 @@
     return ''
 
 
-def _steps(state):
+def _entry_steps(state):
     if FIRST not in state.sent and may_send(0, state.incarnation):
         after = attrs.evolve(state, sent=state.sent | {FIRST})
         yield 'first entry sends', after.send(('call', FIRST))
@@ -104,6 +95,9 @@
     if state.claimed_by == SECOND and SECOND not in state.sent:
         after = attrs.evolve(state, sent=state.sent | {SECOND})
         yield 'second entry sends', after.send(('call', SECOND))
+
+
+def _agent_steps(state):
     for request in state.queued:
         yield f'admit {request}', _admit(state, request)
     for request in state.running:
