--- a/tools/load.py
+++ b/tools/load.py
@@ -21,6 +21,7 @@
     code: str = ''
     not_run: bool = False
     request_id: str = ''
+    retry_after_s: float = 0.0
     token_times_s: list[float] = attrs.field(factory=list)
     begin_s: float = 0.0
     end_s: float = 0.0
@@ -58,6 +59,8 @@
         ) as response:
             outcome.status = response.status
             outcome.request_id = response.headers.get('X-Request-Id', '')
+            retry_after = response.headers.get('Retry-After', '0')
+            outcome.retry_after_s = float(retry_after)
             if response.content_type == 'text/event-stream':
                 await _read_events(response, outcome)
             else:
