Split the benches and measure the engines without pimentowalk

Ruled out: lowering the bound by a factor, because it would hide the loss.

Change: bench.crest also drives the chains directly; bench/swing.py holds the arrivals, bench/outages.py the arithmetic of recovery with tests.

--- a/bench/crest.py
+++ b/bench/crest.py
@@ -6,131 +6,40 @@
 """
 
 import asyncio
+import contextlib
 import os
-import random
 import tempfile
 import time
 
-import attrs
-
 from bench import common
+from bench import direct
 from bench import fairness
 from bench import path
+from bench import swing
 from tools import demo
 from tools import demo_keys
 from tools import deployment as deployments
 from tools import load
 
-SEED = 20261204
-CHAINS = 2
-ENGINE_TOKENS_PER_S = 600.0
+PLACES = 8
 # Without a fixed time for each iteration and without a prefix cache, the
 # bound is exact: each engine runs this many prompt and answer tokens a
 # second.
 ENGINE = (
-    *('--tokens-per-s', ENGINE_TOKENS_PER_S, '--base-s', 0),
-    *('--cache-tokens', 0, '--max-running', 8),
+    *('--tokens-per-s', swing.ENGINE_TOKENS_PER_S, '--base-s', 0),
+    *('--cache-tokens', 0, '--max-running', PLACES),
 )
-BOUND_TOKENS_PER_S = CHAINS * ENGINE_TOKENS_PER_S
 # A short queue, so that it fills and drains within a run.
 QUEUE_REQUESTS = 60
-# Offered load of the accounts, relative to each other; all have the same
-# weight, and at the crest even the smallest offers more than its share.
-OFFERED = (3, 3, 3, 3, 4, 4, 6, 8, 10)
-LIGHT = 'light'
-LIGHT_REQUESTS_PER_S = 5.0
-LOW_LOAD = 0.3
-CREST_LOAD = 3.0
-LOW_S = 5.0
-RISE_S = 1.0
-CREST_S = 9.0
-FALL_S = 1.0
-CREST_BEGIN_S = LOW_S + RISE_S
-CREST_END_S = CREST_BEGIN_S + CREST_S
-END_S = CREST_END_S + FALL_S
-LONG_SHARE = 0.1
-PROMPT = 'note about one tyre'
-PROMPT_TOKENS = 5
-SHORT = fairness.Uniform(3, 9)
-LONG = fairness.Uniform(220, 340)
-MEAN_COST = (
-    PROMPT_TOKENS + LONG_SHARE * LONG.mean + (1 - LONG_SHARE) * SHORT.mean
-)
 POLICIES = {
     'default': ('fair', 'least_cost'),
     'baseline': ('fifo', 'round_robin'),
 }
 BIN_S = 0.5
-
-
-@attrs.define
-class Arrival:
-    """One request, when it is sent and what became of it."""
-
-    account: str
-    at_s: float
-    tokens: int
-    seed: int
-    long: bool = False
-    outcome: load.Outcome | None = None
-
-    @property
-    def body(self):
-        """Return the completion."""
-        return {
-            'model': demo.MODEL,
-            'prompt': PROMPT,
-            'max_tokens': self.tokens,
-            'seed': self.seed,
-            'temperature': 0.8,
-        }
-
-
-def load_at(time_s):
-    """Return the offered load relative to the bound.
-
-    >>> load_at(0.0), load_at(10.0)
-    (0.3, 3.0)
-    """
-    up = (time_s - LOW_S) / RISE_S
-    down = (END_S - time_s) / FALL_S
-    part = min(1.0, max(0.0, min(up, down)))
-    return LOW_LOAD + part * (CREST_LOAD - LOW_LOAD)
-
-
-def arrivals(seed=SEED):
-    """Return the requests of all accounts, in order of time."""
-    chance = random.Random(seed)
-    found = []
-    peak = CREST_LOAD * BOUND_TOKENS_PER_S / MEAN_COST / sum(OFFERED)
-    for number, offered in enumerate(OFFERED):
-        for at_s in times(chance, offered * peak):
-            # Thinning: of arrivals at the peak rate, keep the share that
-            # the load has at their time.
-            if chance.random() * CREST_LOAD < load_at(at_s):
-                long = chance.random() < LONG_SHARE
-                tokens = LONG(chance) if long else SHORT(chance)
-                found.append(
-                    Arrival(f'office-{number}', at_s, tokens, 0, long)
-                )
-    found.extend(
-        Arrival(LIGHT, at_s, SHORT(chance), 0)
-        for at_s in times(chance, LIGHT_REQUESTS_PER_S)
-    )
-    found.sort(key=lambda one: one.at_s)
-    return [
-        attrs.evolve(one, seed=number + 1) for number, one in enumerate(found)
-    ]
-
-
-def times(chance, per_s):
-    """Return Poisson arrival times up to the end of the swing."""
-    found = []
-    at_s = chance.expovariate(per_s)
-    while at_s < END_S:
-        found.append(at_s)
-        at_s += chance.expovariate(per_s)
-    return found
+DIRECT_S = 2.5
+DIRECT_TOKENS = 60
+# The prompt of `path.body`: one to begin and one a word.
+DIRECT_PROMPT_TOKENS = 7
 
 
 class Site(demo.Hjulverk):
@@ -141,7 +50,7 @@
         for section in self.example.sections():
             if section.startswith('account '):
                 self.example.remove_section(section)
-        for account in (*self.offices(), LIGHT):
+        for account in (*self.offices(), swing.LIGHT):
             self.example[f'account {account}'] = {
                 'key_sha256': demo_keys.key_sha256(self.key(account)),
                 'weight': '1',
@@ -163,10 +72,10 @@
     @staticmethod
     def offices():
         """Return the names of the equal accounts."""
-        return [f'office-{number}' for number in range(len(OFFERED))]
+        return [f'office-{number}' for number in range(len(swing.OFFERED))]
 
 
-async def swing(site, session, requests):
+async def send_all(site, session, requests):
     """Send the requests at their times; return when the run began."""
     begin_s = time.monotonic() + 0.1
 
@@ -188,7 +97,7 @@
     moments = [moment - begin_s for moment in one.outcome.token_times_s]
     inside = sum(from_s <= moment < to_s for moment in moments)
     if moments and from_s <= moments[0] < to_s:
-        inside += PROMPT_TOKENS
+        inside += swing.PROMPT_TOKENS
     return inside
 
 
@@ -203,7 +112,7 @@
 
 def summarize(site, requests, begin_s):
     """Return the figures of one run."""
-    crest = (CREST_BEGIN_S, CREST_END_S)
+    crest = (swing.CREST_BEGIN_S, swing.CREST_END_S)
 
     def at_crest(chosen):
         return sum(served(one, begin_s, *crest) for one in chosen)
@@ -215,14 +124,14 @@
         for account in site.offices()
     ]
     offered = [r for r in requests if crest[0] <= r.at_s < crest[1]]
-    cost = sum(r.tokens + PROMPT_TOKENS for r in offered)
-    long = sum(r.tokens + PROMPT_TOKENS for r in offered if r.long)
+    cost = sum(r.tokens + swing.PROMPT_TOKENS for r in offered)
+    long = sum(r.tokens + swing.PROMPT_TOKENS for r in offered if r.long)
     total = at_crest(complete)
     return {
         'requests': len(requests),
         'wrong': len(wrong),
-        'offered_load': cost / CREST_S / BOUND_TOKENS_PER_S,
-        'goodput_share': total / CREST_S / BOUND_TOKENS_PER_S,
+        'offered_load': cost / swing.CREST_S / swing.BOUND_TOKENS_PER_S,
+        'goodput_share': total / swing.CREST_S / swing.BOUND_TOKENS_PER_S,
         'served_tokens': shares,
         'jain_index': fairness.jain(shares),
         'long_offered_share': long / cost,
@@ -235,11 +144,11 @@
 
 def light_and_short(requests, crest):
     """Return the first-token times of the light account and short work."""
-    light = [one for one in requests if one.account == LIGHT]
-    short = [r for r in requests if not r.long and r.account != LIGHT]
+    light = [one for one in requests if one.account == swing.LIGHT]
+    short = [r for r in requests if not r.long and r.account != swing.LIGHT]
     fields = {}
     for name, chosen in (('light', light), ('short', short)):
-        for phase, span in (('low', (0.0, LOW_S)), ('crest', crest)):
+        for phase, span in (('low', (0.0, swing.LOW_S)), ('crest', crest)):
             values = first_tokens_ms(chosen, *span)
             sent = sum(span[0] <= r.at_s < span[1] for r in chosen)
             fields[f'{name}_{phase}_sent'] = sent
@@ -277,7 +186,7 @@
         'seconds': steps,
         'offered': [
             sum(
-                one.tokens + PROMPT_TOKENS
+                one.tokens + swing.PROMPT_TOKENS
                 for one in requests
                 if begin <= one.at_s < begin + BIN_S
             )
@@ -292,14 +201,63 @@
     }
 
 
+async def drive_chain(chain, callers, end_s):
+    """Keep a chain busy without pimentowalk; return the tokens run."""
+
+    async def call(number):
+        count = 0
+        while time.monotonic() < end_s:
+            body = path.body(number, DIRECT_TOKENS)
+            begin_s = time.monotonic()
+            outcome = await chain.complete(body)
+            ran = len(outcome.token_times_s)
+            # The last answer counts with the part made in time.
+            took_s = outcome.end_s - begin_s
+            inside = min(1.0, (end_s - begin_s) / took_s)
+            count += inside * (ran + DIRECT_PROMPT_TOKENS)
+        return count
+
+    return sum(await load.run_all(call(n) for n in range(callers)))
+
+
+async def measure_direct(site):
+    """Print what the engines give with as many sequences as places."""
+    for callers in (PLACES, site.stages * PLACES):
+        async with contextlib.AsyncExitStack() as stack:
+            chains = []
+            for number in range(1, swing.CHAINS + 1):
+                names = [
+                    f'{demo.MODEL}-{number}-{n}' for n in range(site.stages)
+                ]
+                urls = [
+                    f'http://127.0.0.1:{site.engine_ports[n]}' for n in names
+                ]
+                chain = direct.DirectChain(
+                    urls, site.service['model'], site.service['version']
+                )
+                chains.append(await stack.enter_async_context(chain))
+            end_s = time.monotonic() + DIRECT_S
+            counts = await load.run_all(
+                drive_chain(chain, callers, end_s) for chain in chains
+            )
+        common.emit(
+            'crest.direct',
+            sequences_per_chain=callers,
+            share_of_bound=round(
+                sum(counts) / DIRECT_S / swing.BOUND_TOKENS_PER_S, 3
+            ),
+            load_average=os.getloadavg()[0],
+        )
+
+
 async def run_policy(site, session, name):
     """Run the swing with and without long jobs; return both summaries."""
     queue_policy, chain_policy = POLICIES[name]
     await site.configure(queue_policy, chain_policy)
     found = {}
     for with_long in (True, False):
-        requests = [r for r in arrivals() if with_long or not r.long]
-        begin_s = await swing(site, session, requests)
+        requests = [r for r in swing.arrivals() if with_long or not r.long]
+        begin_s = await send_all(site, session, requests)
         run = {
             'policies': name,
             'queue_policy': queue_policy,
@@ -310,7 +268,7 @@
         common.emit(
             'crest.run',
             **run,
-            seed=SEED,
+            seed=swing.SEED,
             load_average=os.getloadavg()[0],
             **rounded(found[with_long]),
         )
@@ -371,11 +329,14 @@
 
 async def measure(folder):
     """Run both policies on one deployment."""
-    with Site(folder, chains=CHAINS, engine_options=map(str, ENGINE)) as site:
+    with Site(
+        folder, chains=swing.CHAINS, engine_options=map(str, ENGINE)
+    ) as site:
         site.start(entries=2)
         await site.configure(*POLICIES['default'])
         async with load.client_session() as session:
             await site.ready(session)
+            await measure_direct(site)
             found = {
                 name: await run_policy(site, session, name)
                 for name in POLICIES
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -16,6 +16,7 @@
 import attrs
 
 from bench import common
+from bench import outages
 from bench import path
 from pimentowalk.control import client as control_client
 from pimentowalk.control import commands
@@ -32,13 +33,7 @@
 CALLERS = 36
 TOKENS = 40
 ENGINE = ('--tokens-per-s', '300', '--base-s', '0', '--cache-tokens', '0')
-# Rates are counted in windows of this length, moved by `STEP_S`; recovered
-# means that every later window of the observation reaches the target.
-WINDOW_S = 1.0
-STEP_S = 0.1
 TARGET_SHARE = 0.9
-BEFORE_S = 3.0
-OBSERVE_S = 7.0
 # After a restart: announcement, and the ramp-up of a joining server.
 SETTLE_S = 3.0
 RETRY_S = 0.05
@@ -182,35 +177,6 @@
     return {json.loads(row)['request'] for row in rows}
 
 
-def longest_gap_s(times, begin_s, end_s):
-    """Return the longest time without an event.
-
-    >>> longest_gap_s([1.0, 2.0, 9.0], 1.5, 4.0)
-    2.0
-    """
-    inside = [moment for moment in times if begin_s <= moment <= end_s]
-    edges = [begin_s, *inside, end_s]
-    return max(b - a for a, b in itertools.pairwise(edges))
-
-
-def rate_at(times, begin_s):
-    """Return the events a second in a window."""
-    inside = sum(begin_s <= moment < begin_s + WINDOW_S for moment in times)
-    return inside / WINDOW_S
-
-
-def recovery(times, at_s, target):
-    """Return the time until the rate stays at the target, and the lowest.
-
-    The time is None if the rate is not back within the observation.
-    """
-    count = int((OBSERVE_S - WINDOW_S) / STEP_S)
-    rates = [rate_at(times, at_s + n * STEP_S) for n in range(count + 1)]
-    below = [number for number, rate in enumerate(rates) if rate < target]
-    back = below[-1] + 1 if below else 0
-    return back * STEP_S if back <= count else None, min(rates)
-
-
 def concerned(episode, sent):
     """Return the callers whose requests the failed part had."""
     found = set()
@@ -245,12 +211,6 @@
     return {**counts, 'codes': codes}
 
 
-def mean_rate(times, end_s):
-    """Return the events a second in the time before a moment."""
-    inside = sum(end_s - BEFORE_S <= moment < end_s for moment in times)
-    return inside / BEFORE_S
-
-
 def report(site, episode, callers, control, healthy):
     """Print one episode; `healthy` is the rate before the first failure.
 
@@ -258,18 +218,20 @@
     that leave all servers are compared with the rate just before.
     """
     at_s = episode.at_s
-    end_s = at_s + OBSERVE_S
+    end_s = at_s + outages.OBSERVE_S
     times = callers.times()
-    before = mean_rate(times, at_s)
+    before = outages.mean_rate(times, at_s)
     possible = before if episode.share == 1.0 else episode.share * healthy
     target = TARGET_SHARE * possible
-    recovered_s, lowest = recovery(times, at_s, target)
-    after = mean_rate(times, end_s)
+    recovered_s, lowest = outages.recovery(times, at_s, target)
+    after = outages.mean_rate(times, end_s)
     hit = concerned(episode, callers.sent)
-    gaps = [longest_gap_s(callers.times({n}), at_s, end_s) for n in hit]
+    gaps = [
+        outages.longest_gap_s(callers.times({n}), at_s, end_s) for n in hit
+    ]
     fields = {
         'callers_concerned': len(hit),
-        'silence_s': longest_gap_s(callers.times(hit), at_s, end_s),
+        'silence_s': outages.longest_gap_s(callers.times(hit), at_s, end_s),
         'longest_caller_gap_s': max(gaps, default=0.0),
         'healthy_tokens_per_s': healthy,
         'tokens_per_s_before': before,
@@ -281,9 +243,11 @@
         **judge(site, callers.sent, at_s, end_s),
     }
     if episode.part.startswith('control'):
-        leaderless_s = longest_gap_s(control.led_s, at_s, end_s)
+        leaderless_s = outages.longest_gap_s(control.led_s, at_s, end_s)
         fields['leaderless_s'] = leaderless_s
-        fields['no_publish_s'] = longest_gap_s(control.accepted_s, at_s, end_s)
+        fields['no_publish_s'] = outages.longest_gap_s(
+            control.accepted_s, at_s, end_s
+        )
         fields['publish_errors'] = [
             code for when, code in control.failures if at_s <= when < end_s
         ]
@@ -300,24 +264,9 @@
         load_average=episode.load_average,
         **numbers,
     )
-    common.emit('recovery.rates', fault=episode.name, **rates(times, at_s))
-
-
-def rates(times, at_s):
-    """Return the throughput around a failure for the plot."""
-    width_s = 0.25
-    bins = range(int(-BEFORE_S / width_s), int(OBSERVE_S / width_s))
-    return {
-        'seconds': [number * width_s for number in bins],
-        'tokens_per_s': [
-            sum(
-                at_s + n * width_s <= t < at_s + (n + 1) * width_s
-                for t in times
-            )
-            / width_s
-            for n in bins
-        ],
-    }
+    common.emit(
+        'recovery.rates', fault=episode.name, **outages.rates(times, at_s)
+    )
 
 
 def timeline(times, episodes):
@@ -334,7 +283,7 @@
         seconds=seconds,
         tokens_per_s=[count * 2 for count in counts.values()],
         faults={one.name: round(one.at_s - begin_s, 3) for one in episodes},
-        restarts_after_s=OBSERVE_S,
+        restarts_after_s=outages.OBSERVE_S,
     )
 
 
@@ -355,7 +304,7 @@
     for name, part, number, share in plan:
         if part == 'control':
             part = await control.leader()
-        await asyncio.sleep(SETTLE_S + BEFORE_S)
+        await asyncio.sleep(SETTLE_S + outages.BEFORE_S)
         episode = Episode(name, part, share)
         process = site.processes[part]
         server = part.partition('-')[2]
@@ -365,7 +314,7 @@
         episode.at_s = time.monotonic()
         process.signal(number)
         common.note(f'{name}: {part}')
-        await asyncio.sleep(OBSERVE_S)
+        await asyncio.sleep(outages.OBSERVE_S)
         if number == signal.SIGSTOP:
             process.signal(signal.SIGCONT)
         else:
@@ -399,7 +348,7 @@
                 probe.cancel()
             await callers.stop()
             times = callers.times()
-            healthy = mean_rate(times, episodes[0].at_s)
+            healthy = outages.mean_rate(times, episodes[0].at_s)
             for episode in episodes:
                 report(site, episode, callers, control, healthy)
             timeline(times, episodes)
--- /dev/null
+++ b/bench/tests/test_outages.py
@@ -0,0 +1,25 @@
+"""Checks of the arithmetic behind the measurement of recovery."""
+
+from bench import outages
+
+
+def test_gap_includes_both_edges():
+    """Silence up to the end of the interval must count as a gap."""
+    assert outages.longest_gap_s([1.0, 2.0, 9.0], 1.5, 4.0) == 2.0
+    assert outages.longest_gap_s([], 1.0, 4.0) == 3.0
+
+
+def test_recovery_lasts_until_the_last_low_window():
+    """A rate that drops a second time must not count as recovered."""
+    kept = [*range(10), *range(15, 30), *range(35, 100)]
+    # Half a step off the edges of the windows, so that none is ambiguous.
+    times = [n / 10 + 0.05 for n in kept]
+    back_s, lowest = outages.recovery(times, 0.0, 9.0)
+    assert lowest == 5.0
+    assert 3.3 <= back_s <= 3.6
+
+
+def test_no_recovery_is_reported():
+    """A rate that stays low must not get a recovery time."""
+    back_s, _ = outages.recovery([0.1], 0.0, 9.0)
+    assert back_s is None
