Tell the first and the lasting return to the target apart

Ruled out: a lower target, because it would hide real dips.

Change: bench.outages reports both times.

Conclusion: both times go into the table.

--- a/bench/outages.py
+++ b/bench/outages.py
@@ -2,8 +2,9 @@
 
 import itertools
 
-# Rates are counted in windows of this length, moved by `STEP_S`; recovered
-# means that every later window of the observation reaches the target.
+import attrs
+
+# Rates are counted in windows of this length, moved by `STEP_S`.
 WINDOW_S = 1.0
 STEP_S = 0.1
 BEFORE_S = 3.0
@@ -27,16 +28,37 @@
     return inside / WINDOW_S
 
 
-def recovery(times, at_s, target):
-    """Return the time until the rate stays at the target, and the lowest.
+@attrs.frozen
+class Recovery:
+    """When the rate was back at the target after a failure.
 
-    The time is None if the rate is not back within the observation.
+    `first_s` is the first window at the target from the lowest one on,
+    `lasting_s` the time after which no window is below it; None if the
+    observation ends before.
     """
+
+    first_s: float | None
+    lasting_s: float | None
+    lowest: float
+
+
+def recovery(times, at_s, target):
+    """Return when the rate was back at the target after a moment."""
     count = int((OBSERVE_S - WINDOW_S) / STEP_S)
     rates = [rate_at(times, at_s + n * STEP_S) for n in range(count + 1)]
+    low = min(rates)
     below = [number for number, rate in enumerate(rates) if rate < target]
-    back = below[-1] + 1 if below else 0
-    return back * STEP_S if back <= count else None, min(rates)
+    reached = [
+        number
+        for number in range(rates.index(low), len(rates))
+        if rates[number] >= target
+    ]
+    lasting = below[-1] + 1 if below else 0
+    return Recovery(
+        (reached[0] if below else 0) * STEP_S if reached else None,
+        lasting * STEP_S if lasting <= count else None,
+        low,
+    )
 
 
 def mean_rate(times, end_s):
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -223,7 +223,7 @@
     before = outages.mean_rate(times, at_s)
     possible = before if episode.share == 1.0 else episode.share * healthy
     target = TARGET_SHARE * possible
-    recovered_s, lowest = outages.recovery(times, at_s, target)
+    found = outages.recovery(times, at_s, target)
     after = outages.mean_rate(times, end_s)
     hit = concerned(episode, callers.sent)
     gaps = [
@@ -237,9 +237,10 @@
         'tokens_per_s_before': before,
         'remaining_share': episode.share,
         'target_tokens_per_s': target,
-        'lowest_tokens_per_s': lowest,
+        'lowest_tokens_per_s': found.lowest,
         'tokens_per_s_after': after,
-        'back_at_90_percent_s': recovered_s,
+        'back_at_90_percent_s': found.first_s,
+        'lasting_at_90_percent_s': found.lasting_s,
         **judge(site, callers.sent, at_s, end_s),
     }
     if episode.part.startswith('control'):
--- a/bench/tests/test_outages.py
+++ b/bench/tests/test_outages.py
@@ -14,12 +14,14 @@
     kept = [*range(10), *range(15, 30), *range(35, 100)]
     # Half a step off the edges of the windows, so that none is ambiguous.
     times = [n / 10 + 0.05 for n in kept]
-    back_s, lowest = outages.recovery(times, 0.0, 9.0)
-    assert lowest == 5.0
-    assert 3.3 <= back_s <= 3.6
+    found = outages.recovery(times, 0.0, 9.0)
+    assert found.lowest == 5.0
+    assert found.first_s < 1.6
+    assert 3.3 <= found.lasting_s <= 3.6
 
 
 def test_no_recovery_is_reported():
     """A rate that stays low must not get a recovery time."""
-    back_s, _ = outages.recovery([0.1], 0.0, 9.0)
-    assert back_s is None
+    found = outages.recovery([0.1], 0.0, 9.0)
+    assert found.first_s is None
+    assert found.lasting_s is None
