--- a/bench/plots.py
+++ b/bench/plots.py
@@ -44,7 +44,8 @@
         axes.axhline(target, color='grey', linestyle='--', linewidth=0.8)
         axes.axvline(0, color='red', linewidth=0.8)
         axes.set_title(episode['fault'], fontsize=9)
-        axes.set_ylim(bottom=0)
+    # The axes are shared; a limit set in the loop would cut the others off.
+    grid[0, 0].set_ylim(bottom=0)
     figure.supxlabel('seconds after the failure', fontsize=9)
     figure.supylabel('tokens a second', fontsize=9)
     figure.tight_layout()
