--- a/pimentowalk/control/change_results.py
+++ b/pimentowalk/control/change_results.py
@@ -25,7 +25,7 @@
     An operator who lost the reply sends the same change again, but by then
     the version in force is the one that the change has made.
     """
-    if not isinstance(body, commands.Publish):
+    if not isinstance(body, commands.Publish) or 'version' not in result:
         return body
     return attrs.evolve(body, expected_version=result['version'] - 1)
 
