Fill chains of several stages, and let idle accounts rejoin in time

A head admitted as many attempts as one engine has places, although a sequence is at one stage at a time. The fair queue moved its virtual time to the start of the work served, past accounts whose long work had to wait, so that an account back from idle started behind them. A test of orders failed once, because the load of the fencing number at the start overwrote a newer one.

Change: a head admits the places of one engine times the number of stages; the virtual time follows the least backlogged account, in the naive version too; a late answer about the fencing number no longer replaces the known one. The tests that fill all places now open ten attempts instead of six.

--- a/pimentowalk/admission/fair_queue.py
+++ b/pimentowalk/admission/fair_queue.py
@@ -275,10 +275,14 @@
 
     def take(self, work):
         """Move work from waiting to running and charge its cost."""
+        # An account that is passed over, because its long work may not run
+        # now, holds the virtual time back. Otherwise an account that comes
+        # back from idle would start behind it and wait for no reason.
+        least = min(a.virtual for a in self.backlogged.values())
+        self.virtual_now = max(self.virtual_now, least)
         account = self._leave(work)
         account.running += 1
         account.running_cost += work.cost
-        self.virtual_now = max(self.virtual_now, account.virtual)
         account.virtual += work.cost / account.weight
 
     def adopt(self, work):
--- a/pimentowalk/admission/tests/test_fair_queue.py
+++ b/pimentowalk/admission/tests/test_fair_queue.py
@@ -96,7 +96,8 @@
         return short[0] if short else None
 
     def take(self, item):
-        self.now = max(self.now, self.virtual[item.account])
+        least = min(self.virtual[w.account] for w in self.waiting)
+        self.now = max(self.now, least)
         self.virtual[item.account] += item.cost / item.weight
         self.waiting.remove(item)
         self.running.append(item)
--- a/pimentowalk/agent/node.py
+++ b/pimentowalk/agent/node.py
@@ -17,6 +17,7 @@
 from pimentowalk.agent import orders
 from pimentowalk.agent import peers
 from pimentowalk.agent import preparation
+from pimentowalk.agent import rules
 from pimentowalk.agent import sequences
 from pimentowalk.agent import service_calls
 from pimentowalk.agent import stage
@@ -280,7 +281,7 @@
     async def engine_ready(self, hello):
         """Take work: the engine is connected or has loaded something."""
         self.head.queue.limits = attrs.evolve(
-            self.head.queue.limits, max_running=hello.max_running
+            self.head.queue.limits, max_running=rules.head_places(hello)
         )
         again = self._engine_ready.is_set()
         self._engine_ready.set()
--- a/pimentowalk/agent/orders.py
+++ b/pimentowalk/agent/orders.py
@@ -80,7 +80,10 @@
             stored = await asyncio.to_thread(self._file.read)
         if stored is None:
             stored = await self._ask_control()
-        self.highest_fence = stored
+        # The load at the start and that of the first order run side by
+        # side; a late answer must not replace a number already in use.
+        if self.highest_fence is None:
+            self.highest_fence = stored
 
     async def handle(self, order):
         """Carry out an order; return its OrderReply."""
--- a/pimentowalk/agent/rules.py
+++ b/pimentowalk/agent/rules.py
@@ -46,6 +46,17 @@
     return in_sequence and not is_fenced(record, attempt)
 
 
+def head_places(hello):
+    """Return how many attempts a head admits at once.
+
+    A sequence is at one stage of its chain at a time, so that a chain of
+    two stages with the places of one engine leaves half of both empty.
+    """
+    layers = max(1, hello.end_layer - hello.first_layer)
+    stages = max(1, round(hello.total_layers / layers))
+    return hello.max_running * stages
+
+
 def on_probation(isolate, first_index, next_index):
     """Return whether a suspect may still crash the engine."""
     return isolate and next_index <= first_index + PROBATION_TOKENS
--- a/pimentowalk/agent/stage.py
+++ b/pimentowalk/agent/stage.py
@@ -12,7 +12,7 @@
 
 # Engines batch and queue by themselves; beyond this multiple of its places
 # a stage refuses sequences of further heads.
-OVERCOMMIT = 4
+OVERCOMMIT = 2
 
 
 class StageRole:
@@ -72,7 +72,7 @@
             self._refuse('no_chain', 'another model is loaded here')
         if frame.adapter and frame.adapter not in hello.adapters:
             self._refuse('no_chain', 'the adapter is not loaded here')
-        if len(self.sequences) >= OVERCOMMIT * hello.max_running:
+        if len(self.sequences) >= OVERCOMMIT * rules.head_places(hello):
             self._refuse('overloaded', 'too many sequences')
 
     def _refuse(self, code, text):
--- a/pimentowalk/agent/tests/test_drain.py
+++ b/pimentowalk/agent/tests/test_drain.py
@@ -23,12 +23,12 @@
 async def test_drain_finishes_what_runs_and_refuses_the_rest(pair):
     """A planned stop must not interrupt a request in progress."""
     pair.last_engine.held = True
-    frames = [await pair.open() for _ in range(6)]
+    frames = [await pair.open() for _ in range(10)]
     await fakes.reach(
-        lambda: sum(len(i) for _, i in pair.last_engine.waiting) == 4
+        lambda: sum(len(i) for _, i in pair.last_engine.waiting) == 8
     )
     drained = pair.head.lifecycle.begin_drain()
-    for frame in frames[4:]:
+    for frame in frames[8:]:
         await pair.entry.ended(frame, 'refused', 'draining')
     assert pair.head.session.announced == 1
     assert pair.head.announcement().draining
@@ -36,7 +36,7 @@
     assert not drained.done()
     pair.last_engine.held = False
     await pair.last_engine.release()
-    for frame in frames[:4]:
+    for frame in frames[:8]:
         await pair.entry.ended(frame, 'finished')
     await advance_until(pair.timers, drained.done)
 
--- a/pimentowalk/agent/tests/test_failures.py
+++ b/pimentowalk/agent/tests/test_failures.py
@@ -40,12 +40,12 @@
 async def test_crash_of_the_head_engine_refuses_what_waits(pair):
     """Queued work never ran and must be reported so."""
     pair.head_engine.held = True
-    frames = [await pair.open() for _ in range(6)]
+    frames = [await pair.open() for _ in range(10)]
     await fakes.reach(lambda: len(pair.head_engine.waiting) >= 1)
-    await fakes.reach(lambda: len(pair.head.stage.sequences) == 4)
+    await fakes.reach(lambda: len(pair.head.stage.sequences) == 8)
     await pair.head_engine.crash()
     states = [(await pair.entry.ended(f)).state for f in frames]
-    assert states == ['failed'] * 4 + ['refused'] * 2
+    assert states == ['failed'] * 8 + ['refused'] * 2
 
 
 async def test_lost_stage_agent_fails_the_attempt_with_its_name(pair):
@@ -59,9 +59,9 @@
 async def test_ended_entry_cancels_queued_and_running_work(pair):
     """Work that nobody waits for would take places from others."""
     pair.last_engine.held = True
-    for _ in range(6):
+    for _ in range(10):
         await pair.open()
-    await fakes.reach(lambda: len(pair.last.stage.sequences) == 4)
+    await fakes.reach(lambda: len(pair.last.stage.sequences) == 8)
     assert len(pair.head.head.queue.waiting) == 2
     await pair.entry.close()
     await fakes.reach(lambda: not pair.head.is_busy())
