Send plain services only the headers of the caller

Cause: the HTTP library added Accept-Encoding, so that a service could answer compressed to a caller that had not asked for it.

Change: the agent's HTTP sessions add no headers of their own. The new test fails without the change.

--- a/pimentowalk/agent/service_calls.py
+++ b/pimentowalk/agent/service_calls.py
@@ -20,6 +20,9 @@
 STATES = messages.AttemptState
 # A plain service has no hello that says how many calls it runs at once.
 PLAIN_MAX_RUNNING = 64
+# The HTTP library would add these for itself; with Accept-Encoding a service
+# could answer compressed to a caller that did not ask for it.
+LIBRARY_HEADERS = ('Accept', 'Accept-Encoding', 'User-Agent')
 # A reply must fit into one frame with its headers.
 MAX_REPLY_BYTES = 900_000
 # These headers belong to one connection and are not passed on.
@@ -85,11 +88,14 @@
 
     async def start(self):
         """Open the HTTP sessions."""
-        self._keeping = aiohttp.ClientSession(auto_decompress=False)
+        self._keeping = aiohttp.ClientSession(
+            auto_decompress=False, skip_auto_headers=LIBRARY_HEADERS
+        )
         # aiohttp repeats a request whose kept connection had just ended,
         # for some methods. A new connection for each call rules that out.
         self._single = aiohttp.ClientSession(
             auto_decompress=False,
+            skip_auto_headers=LIBRARY_HEADERS,
             connector=aiohttp.TCPConnector(force_close=True),
         )
 
--- a/pimentowalk/agent/tests/fakes.py
+++ b/pimentowalk/agent/tests/fakes.py
@@ -219,6 +219,7 @@
     async def _serve(self, request):
         body = await request.read()
         self.calls.append((request.method, request.path_qs, body))
+        self.received_headers = dict(request.headers)
         await self.gate.wait()
         if self.cut:
             request.transport.abort()
--- a/pimentowalk/agent/tests/test_service_calls.py
+++ b/pimentowalk/agent/tests/test_service_calls.py
@@ -36,6 +36,17 @@
         assert len(desk.service.calls) == count
 
 
+async def test_service_gets_only_the_headers_of_its_caller(desk):
+    """An added Accept-Encoding could get the caller a compressed reply."""
+    headers = [messages.Header('X-Note', 'tyre')]
+    for method in ('GET', 'POST'):
+        call = fakes.service_call(method=method, headers=headers)
+        assert (await desk.entry.ask(call)).state == 'finished'
+        names = {name.lower() for name in desk.service.received_headers}
+        assert 'x-note' in names
+        assert not names & {'accept', 'accept-encoding', 'user-agent'}
+
+
 async def test_service_that_is_away_refuses_the_call(desk):
     """Without a connection nothing has left, so the call may be repeated."""
     await desk.service.stop()
