Name the handling of suspects and repeated commands in plain terms

Change: clear_suspect, crash_candidates, complete_with_retries, book_with_retries and until_accepted replace figurative names. No behaviour changes.

--- a/bench/control_log.py
+++ b/bench/control_log.py
@@ -30,7 +30,7 @@
 PROPOSE_FOR_S = 3.0
 COMMAND = b'x' * 200
 BEHIND = (1_000, 4_000, 16_000)
-PATIENCE_S = 30.0
+TIMEOUT_S = 30.0
 
 
 class Count:
@@ -173,7 +173,7 @@
 
     async def find_leader(self, numbers=(0, 1, 2)):
         """Return the server that commits; ask each every 5 ms."""
-        async with asyncio.timeout(PATIENCE_S):
+        async with asyncio.timeout(TIMEOUT_S):
             while True:
                 for number in numbers:
                     if await self.propose(number, 0.5):
@@ -190,7 +190,7 @@
 
     async def reach(self, number, index):
         """Wait until a server has a record; ask every 5 ms."""
-        async with asyncio.timeout(PATIENCE_S):
+        async with asyncio.timeout(TIMEOUT_S):
             while True:
                 if await self.last_index(number) >= index:
                     return
--- a/pimentowalk/admission/fair_queue.py
+++ b/pimentowalk/admission/fair_queue.py
@@ -165,7 +165,7 @@
     def _runs_suspect(self):
         return any(work.isolate for work in self.running.values())
 
-    def acquit(self, key):
+    def clear_suspect(self, key):
         """Let the next suspect run beside running work."""
         work = self.running.get(key)
         if work is not None:
--- a/pimentowalk/admission/tests/test_fair_queue.py
+++ b/pimentowalk/admission/tests/test_fair_queue.py
@@ -147,9 +147,9 @@
 
     @stateful.precondition(lambda self: self.naive.running)
     @stateful.rule(data=strategies.data())
-    def acquit(self, data):
+    def clear_suspect(self, data):
         item = data.draw(strategies.sampled_from(self.naive.running))
-        self.queue.acquit(item.key)
+        self.queue.clear_suspect(item.key)
         assert not item.isolate
 
     @stateful.invariant()
--- a/pimentowalk/agent/head.py
+++ b/pimentowalk/agent/head.py
@@ -209,7 +209,7 @@
         )
         if attempt.sequence.isolate and not attempt.sequence.on_probation:
             attempt.sequence.isolate = False
-            self.queue.acquit(attempt.key)
+            self.queue.clear_suspect(attempt.key)
             self.admit()
 
     def _finish(self, attempt):
--- a/pimentowalk/agent/rules.py
+++ b/pimentowalk/agent/rules.py
@@ -9,7 +9,7 @@
 STALE_AFTER_S = 2.0
 ATTEMPT_LEASE_S = 10.0
 # A request that crashes engines does so again near the token at which it
-# did before. A suspect that gets this far beyond it is acquitted, which
+# did before. A suspect that gets this far beyond it is cleared, which
 # frees the way for the next one long before its answer is complete.
 PROBATION_TOKENS = 4
 
@@ -62,7 +62,7 @@
     return isolate and next_index <= first_index + PROBATION_TOKENS
 
 
-def blamed(sequences):
+def crash_candidates(sequences):
     """Return the sequences that may have crashed their engine.
 
     Only a step that the engine had can have done it, and a suspect on
--- a/pimentowalk/agent/stage.py
+++ b/pimentowalk/agent/stage.py
@@ -207,16 +207,16 @@
     def on_engine_lost(self):
         """Fail all sequences; return those that may be the cause."""
         lost = list(self.sequences.values())
-        blamed = rules.blamed(lost)
+        candidates = rules.crash_candidates(lost)
         for sequence in lost:
             self.fail(
                 sequence,
                 'peer_lost',
                 'the engine ended its connection',
                 'engine',
-                engine_crashed=sequence in blamed,
+                engine_crashed=sequence in candidates,
             )
-        return blamed
+        return candidates
 
     def fail(
         self, sequence, code, text, step, peer='', *, engine_crashed=False
--- a/pimentowalk/agent/tests/proofs.py
+++ b/pimentowalk/agent/tests/proofs.py
@@ -103,7 +103,7 @@
     while queue.pop(0.0) is not None:
         pass
     assert list(queue.running) == [0, 1]
-    queue.acquit(0)
+    queue.clear_suspect(0)
     assert queue.pop(0.0).key == 2
     assert queue.pop(0.0) is None
     assert rules.on_probation(True, 3, 3 + rules.PROBATION_TOKENS)
--- a/pimentowalk/agent/tests/test_failures.py
+++ b/pimentowalk/agent/tests/test_failures.py
@@ -274,7 +274,7 @@
     await fakes.reach(lambda: not pair.last.suspicion.is_suspect(6))
 
 
-async def test_acquitted_suspect_makes_way_before_its_end(pair):
+async def test_cleared_suspect_admits_the_next_before_its_end(pair):
     """Suspects of a crash must not wait for each other's whole answers."""
     first = fakes.open_attempt(
         pair.chain, fingerprint=6, isolate=True, max_tokens=10_000
--- a/pimentowalk/agent/tests/test_faults.py
+++ b/pimentowalk/agent/tests/test_faults.py
@@ -118,7 +118,7 @@
     'older version accepted': ((rules, 'is_stale', _false), LEASES),
     'no reserved places': ((LIMITS, 'max_long_running', ALL_RUNNING), SHARES),
     'suspects run together': ((QUEUE, '_runs_suspect', _false), SUSPECTS),
-    'suspect acquitted at once': ((rules, 'on_probation', _false), SUSPECTS),
+    'suspect cleared at once': ((rules, 'on_probation', _false), SUSPECTS),
     'predictions not corrected': (
         (fair_queue.FairQueue, 'correct', _uncorrected),
         SHARES,
--- a/pimentowalk/control/tests/cluster.py
+++ b/pimentowalk/control/tests/cluster.py
@@ -12,7 +12,7 @@
 
 # Real elections end within about a second; a test that needs this long has
 # failed.
-PATIENCE_S = 20.0
+TIMEOUT_S = 20.0
 
 
 class Register:
@@ -135,7 +135,7 @@
 
     async def leader(self, *, without=()):
         """Return the node that leads and holds its lease."""
-        async with asyncio.timeout(PATIENCE_S):
+        async with asyncio.timeout(TIMEOUT_S):
             while True:
                 for node in self.nodes.values():
                     if node.replica.is_leader and node.node_id not in without:
@@ -144,7 +144,7 @@
 
     async def propose(self, command, *, without=()):
         """Propose until a leader takes it; only proven refusals repeat."""
-        async with asyncio.timeout(PATIENCE_S):
+        async with asyncio.timeout(TIMEOUT_S):
             while True:
                 node = await self.leader(without=without)
                 try:
@@ -155,7 +155,7 @@
 
     async def agree(self, expected):
         """Wait until all nodes have applied exactly these commands."""
-        async with asyncio.timeout(PATIENCE_S):
+        async with asyncio.timeout(TIMEOUT_S):
             for node in self.nodes.values():
                 while node.register.applied != expected:
                     await node.replica.wait_applied_change()
--- a/pimentowalk/control/tests/test_daemon.py
+++ b/pimentowalk/control/tests/test_daemon.py
@@ -19,7 +19,7 @@
 from pimentowalk.topology import instances
 from tools import deployment
 
-PATIENCE_S = 20
+TIMEOUT_S = 20
 
 
 def write_settings(folder, count, voters):
@@ -67,7 +67,7 @@
 async def outcome(caller, body):
     """Return the version that a publish created, or its error code."""
     try:
-        result = await caller.request(body, PATIENCE_S)
+        result = await caller.request(body, TIMEOUT_S)
     except errors.PimentowalkError as error:
         return error.code
     return getattr(result, 'version', result)
@@ -110,7 +110,7 @@
 
 async def leader_of(caller):
     """Return the id of the leader."""
-    listed = await caller.request(commands.ListMembers(), PATIENCE_S)
+    listed = await caller.request(commands.ListMembers(), TIMEOUT_S)
     return listed.leader_id
 
 
@@ -122,9 +122,9 @@
         run.start_controls(['zone-1', 'zone-2', 'zone-3'], operators_file)
         body = builders.publish('c1', 0)
         async with harness.client_of(run.control_instances) as caller:
-            assert not (await caller.request(body, PATIENCE_S)).repeated
+            assert not (await caller.request(body, TIMEOUT_S)).repeated
             run.processes[await leader_of(caller)].kill()
-            result = await caller.request(body, PATIENCE_S)
+            result = await caller.request(body, TIMEOUT_S)
             assert (result.version, result.repeated) == (1, True)
             leader = run.processes[await leader_of(caller)]
             leader.signal(signal.SIGTERM)
@@ -142,18 +142,18 @@
         caller = client.ControlClient(control, token=fakes.TOKEN)
         common = ['zone-1', fakes.write_operators(tmp_path)]
         run.start_control(*run.control[0], *common, ['control-1'])
-        await caller.request(builders.publish('c1', 0), PATIENCE_S)
+        await caller.request(builders.publish('c1', 0), TIMEOUT_S)
         run.start_control(*run.control[1], *common, [])
         add = commands.ChangeMembers('m1', 'anna', 'add_learner', control[1])
         await request_until_accepted(caller, add)
-        assert (await caller.request(add, PATIENCE_S)).repeated
+        assert (await caller.request(add, TIMEOUT_S)).repeated
         promote = attrs.evolve(add, change_id='m2', action='promote')
         await request_until_accepted(caller, promote)
-        listed = await caller.request(commands.ListMembers(), PATIENCE_S)
+        listed = await caller.request(commands.ListMembers(), TIMEOUT_S)
         assert [m.voter for m in listed.members] == [True, True]
         remove = attrs.evolve(add, change_id='m3', action='remove')
-        await caller.request(remove, PATIENCE_S)
-        audit = await caller.request(commands.ReadAudit(), PATIENCE_S)
+        await caller.request(remove, TIMEOUT_S)
+        audit = await caller.request(commands.ReadAudit(), TIMEOUT_S)
         told = [record.change_id for record in audit.records]
         assert told == ['c1', 'm1', 'm2', 'm3']
         await caller.close()
@@ -162,7 +162,7 @@
 async def request_until_accepted(caller, body):
     """Repeat a change while the learner starts or is behind."""
     code = 'conflict'
-    async with asyncio.timeout(PATIENCE_S):
+    async with asyncio.timeout(TIMEOUT_S):
         while code in ('conflict', 'peer_lost'):
             code = await outcome(caller, body)
             await timers.TimerService().sleep(0.1)
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -234,7 +234,7 @@
     return found
 
 
-async def complete_patiently(session, url, key, body):
+async def complete_with_retries(session, url, key, body):
     """Send a completion again while it is refused as not run."""
     for attempt in range(MAX_ATTEMPTS):
         outcome = await load.complete(session, url, key, body)
@@ -247,7 +247,7 @@
 async def run_completions(demo, session, requests):
     """Send all requests at once over the entries in turn."""
     return await load.run_all(
-        complete_patiently(
+        complete_with_retries(
             session,
             demo.entries[number % len(demo.entries)],
             demo.key(request.account),
@@ -257,7 +257,7 @@
     )
 
 
-async def book_patiently(session, url, key, booking, idempotency_key):
+async def book_with_retries(session, url, key, booking, idempotency_key):
     """Send a booking again while it is refused or still in progress."""
     for attempt in range(MAX_ATTEMPTS):
         outcome = await load.book(
@@ -275,7 +275,7 @@
     """Send each booking through every entry with the same key."""
     accounts = demo.accounts('verkstad')
     return await load.run_all(
-        book_patiently(
+        book_with_retries(
             session,
             url,
             demo.key(accounts[number % len(accounts)]),
--- a/tools/tests/test_control_failures.py
+++ b/tools/tests/test_control_failures.py
@@ -50,7 +50,7 @@
             self.example.write(file)
         return self.operate('publish', folder, '--change-id', change_id)
 
-    async def patiently(self, function, *arguments):
+    async def until_accepted(self, function, *arguments):
         """Repeat an operator's command until it is accepted."""
 
         def attempt():
@@ -73,7 +73,7 @@
                 raise RuntimeError('no leader yet')
             return self.processes[leader_id]
 
-        return await self.patiently(ask)
+        return await self.until_accepted(ask)
 
 
 async def test_full_restart_keeps_what_was_accepted(tmp_path):
@@ -81,35 +81,37 @@
     with Controls(tmp_path) as site:
         site.start_all()
         for number in (1, 2, 3):
-            await site.patiently(
+            await site.until_accepted(
                 site.publish_weight, number, f'change-{number}'
             )
-        before = await site.patiently(site.audit)
+        before = await site.until_accepted(site.audit)
         assert before == ['change-1', 'change-2', 'change-3']
         for node, _ in site.control:
             site.processes[node].kill()
         for node, _ in reversed(site.control):
             site.restart(node)
-        assert await site.patiently(site.audit) == before
-        repeated = await site.patiently(site.publish_weight, 3, 'change-3')
+        assert await site.until_accepted(site.audit) == before
+        repeated = await site.until_accepted(
+            site.publish_weight, 3, 'change-3'
+        )
         assert 'version 3' in repeated
-        assert await site.patiently(site.audit) == before
+        assert await site.until_accepted(site.audit) == before
 
 
-async def test_frozen_leader_loses_its_office(tmp_path):
+async def test_frozen_leader_no_longer_leads(tmp_path):
     """A leader that was frozen must not answer from its old state."""
     with Controls(tmp_path) as site:
         site.start_all()
-        await site.patiently(site.publish_weight, 1, 'change-1')
+        await site.until_accepted(site.publish_weight, 1, 'change-1')
         old = await site.leader()
         old.signal(signal.SIGSTOP)
-        await site.patiently(site.publish_weight, 2, 'change-2')
+        await site.until_accepted(site.publish_weight, 2, 'change-2')
         old.signal(signal.SIGCONT)
         for _ in range(3):
-            audit = await site.patiently(site.audit)
+            audit = await site.until_accepted(site.audit)
             assert audit == ['change-1', 'change-2']
-        await site.patiently(site.publish_weight, 3, 'change-3')
-        assert await site.patiently(site.audit) == [
+        await site.until_accepted(site.publish_weight, 3, 'change-3')
+        assert await site.until_accepted(site.audit) == [
             'change-1',
             'change-2',
             'change-3',
@@ -120,17 +122,17 @@
     """Each accepted publish must survive the loss of its leader."""
     with Controls(tmp_path) as site:
         site.start_all()
-        await site.patiently(site.publish_weight, 1, 'change-1')
+        await site.until_accepted(site.publish_weight, 1, 'change-1')
         for number in (2, 3, 4):
             leader = await site.leader()
             change = f'change-{number}'
             publishing = asyncio.ensure_future(
-                site.patiently(site.publish_weight, number, change)
+                site.until_accepted(site.publish_weight, number, change)
             )
             leader.kill()
             await publishing
             site.restart(leader.name)
-        audit = await site.patiently(site.audit)
+        audit = await site.until_accepted(site.audit)
         assert audit == [f'change-{number}' for number in (1, 2, 3, 4)]
 
 
@@ -138,7 +140,7 @@
     """A repaired voter must have caught up before it counts again."""
     with Controls(tmp_path) as site:
         site.start_all()
-        await site.patiently(site.publish_weight, 1, 'change-1')
+        await site.until_accepted(site.publish_weight, 1, 'change-1')
         for node, port in site.control[:2]:
             process = site.processes[node]
             process.kill()
@@ -146,10 +148,13 @@
             data.rename(site.folder / f'{node}-lost')
             site.restart(node)
             address = f'{node}@{deployments.LOOPBACK}:{port}'
-            await site.patiently(
+            await site.until_accepted(
                 site.operate, 'members', 'add-learner', address
             )
-            await site.patiently(site.operate, 'members', 'promote', node)
-        await site.patiently(site.publish_weight, 2, 'change-2')
+            await site.until_accepted(site.operate, 'members', 'promote', node)
+        await site.until_accepted(site.publish_weight, 2, 'change-2')
         site.processes[site.control[2][0]].kill()
-        assert await site.patiently(site.audit) == ['change-1', 'change-2']
+        assert await site.until_accepted(site.audit) == [
+            'change-1',
+            'change-2',
+        ]
--- a/tools/tests/test_failures.py
+++ b/tools/tests/test_failures.py
@@ -47,7 +47,7 @@
     """Send requests at once over all entries."""
     accounts = accounts or site.accounts(demo.MODEL)[:3]
     return await load.run_all(
-        demo.complete_patiently(
+        demo.complete_with_retries(
             session,
             site.entries[number % len(site.entries)],
             site.key(accounts[number % len(accounts)]),
