Wait for the subscription before the test freezes a home

Links can be open before the home has a subscriber, and a connection that subscribes after the freeze is still answered, so the home never falls silent.

Ruled out: a longer timeout, since the home would answer for ever.

Change: the test waits until the home to be frozen has its subscriber. Its assertion is the same.

Conclusion: the race was in the test.

--- a/pimentowalk/control/tests/test_homes.py
+++ b/pimentowalk/control/tests/test_homes.py
@@ -137,9 +137,12 @@
     async with harness.node(3) as (found, node):
         await harness.until(lambda: all(link.is_open for link in node.links()))
         frozen = next(i for i in found if i.node_id == node.homes[0])
+        # A connection that subscribes later would still be answered.
+        subscribers = frozen.server.pushes._subscribers
+        await harness.until(lambda: subscribers)
         opened = [link.peer for link in node.links() if link.is_home]
         frozen.server._on_frame = ignore
-        for peer in list(frozen.server.pushes._subscribers):
+        for peer in list(subscribers):
             peer.on_frame = ignore
         await harness.until(lambda: any(p.closed for p in opened))
 
