--- /dev/null
+++ b/pimentowalk/control/documents.py
@@ -0,0 +1,95 @@
+"""The configuration document: the highest version is in force."""
+
+import base64
+
+import attrs
+
+from pimentowalk.control import commands
+from pimentowalk.control import parts
+from pimentowalk.control import requests
+
+
+@attrs.frozen
+class DocumentVersion:
+    """The version in force after a command, or at a query."""
+
+    version: int
+    replaced: bool = False
+
+
+@attrs.frozen
+class StoredDocument:
+    """A document in force as it was sent; version 0 is none."""
+
+    version: int
+    content: bytes
+
+
+@commands.command('PutDocument', DocumentVersion, logged=True)
+@attrs.frozen
+class PutDocument:
+    """Put a document in force if its version is higher than the held one.
+
+    `content` is the text as the operator sent it, compressed.
+    """
+
+    version: int
+    content: bytes
+
+
+@commands.command('CheckVersion', DocumentVersion)
+@attrs.frozen
+class CheckVersion:
+    """Ask the leader for the version in force."""
+
+
+@commands.command('ReadDocument', StoredDocument)
+@attrs.frozen
+class ReadDocument:
+    """Ask the leader for the document in force."""
+
+
+@parts.part('document')
+class DocumentPart(parts.Part):
+    """Hold the document in force."""
+
+    def __init__(self):
+        self.version = 0
+        self.content = b''
+
+    def snapshot(self):
+        """Return version and content as JSON data."""
+        text = base64.b64encode(self.content).decode()
+        return {'version': self.version, 'content': text}
+
+    def restore(self, data):
+        """Replace version and content."""
+        self.version = data['version']
+        self.content = base64.b64decode(data['content'])
+
+
+@parts.handles('PutDocument')
+def put_document(state, body, context):
+    """Replace the document by a higher version; keep it otherwise."""
+    part = state.part('document')
+    if body.version <= part.version:
+        # A repeated or overtaken change is acknowledged without effect.
+        context.changed = False
+        return DocumentVersion(part.version)
+    context.detail = f'document {part.version} -> {body.version}'
+    part.version = body.version
+    part.content = body.content
+    return DocumentVersion(part.version, replaced=True)
+
+
+@requests.QUERIES.register('CheckVersion')
+def check_version(handler, body):
+    """Return the version in force at the leader."""
+    return DocumentVersion(handler.state.part('document').version)
+
+
+@requests.QUERIES.register('ReadDocument')
+def read_document(handler, body):
+    """Return the document in force at the leader."""
+    part = handler.state.part('document')
+    return StoredDocument(part.version, part.content)
--- a/pimentowalk/control/state.py
+++ b/pimentowalk/control/state.py
@@ -6,6 +6,7 @@
 from pimentowalk.control import change_results  # noqa: F401 registers a part
 from pimentowalk.control import claims  # noqa: F401 registers a part
 from pimentowalk.control import commands
+from pimentowalk.control import documents  # noqa: F401 registers a part
 from pimentowalk.control import fences  # noqa: F401 registers a part
 from pimentowalk.control import member_changes  # noqa: F401 registers a handler
 from pimentowalk.control import parts
@@ -140,7 +141,9 @@
         raise ValueError('lines are missing')
     fresh = {name: cls() for name, cls in parts.PARTS.entries()}
     for name, part in fresh.items():
-        part.restore(header['parts'][name])
+        # A snapshot from before a part existed leaves it empty.
+        if name in header['parts']:
+            part.restore(header['parts'][name])
     begin = 0
     # The lines of the parts are in the order of the header.
     for name, count in header['lines'].items():
--- a/pimentowalk/core/logs.py
+++ b/pimentowalk/core/logs.py
@@ -6,12 +6,12 @@
 from pythonjsonlogger import json as json_logger
 
 
-def configure(program, level='INFO'):
-    """Write the logs of this process to stderr as JSON lines.
+def configure(program, level='INFO', stream=None):
+    """Write the logs of this process to stderr, or a stream, as JSON lines.
 
     Calls pass `extra={'request_id': ..., 'step': ..., 'peer': ...}`.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(
         json_logger.JsonFormatter(
             '{asctime}{levelname}{name}{message}',
@@ -27,6 +27,8 @@
 
 def fields(*, request_id=b'', step='', peer='', **others):
     """Return the `extra` argument of a log call, without empty fields."""
-    values = {'request_id': request_id.hex(), 'step': step, 'peer': peer}
+    if isinstance(request_id, bytes):
+        request_id = request_id.hex()
+    values = {'request_id': request_id, 'step': step, 'peer': peer}
     values.update(others)
     return {name: value for name, value in values.items() if value != ''}
--- a/pimentowalk/core/timers.py
+++ b/pimentowalk/core/timers.py
@@ -31,8 +31,12 @@
     """Monotonic time, sleeps and subscriptions in seconds."""
 
     def now_s(self):
-        """Return monotonic seconds."""
-        return time.monotonic()
+        """Return seconds that also count while the machine is suspended.
+
+        Leases are compared with this clock: the monotonic clock stands
+        still in a suspended machine, so that a lease would outlive its end.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     async def sleep(self, delay_s):
         """Suspend the calling task."""
--- /dev/null
+++ b/pimentowalk/dispatch/__init__.py
@@ -0,0 +1,4 @@
+"""Send requests to backend servers that are called without agents.
+
+Public parts: `calls.Call`, `calls.Answer`, `dispatcher.Dispatcher`.
+"""
--- /dev/null
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -0,0 +1,133 @@
+"""Choose a service for a call and run it there."""
+
+import logging
+import random
+
+from pimentowalk.core import errors
+from pimentowalk.core import logs
+from pimentowalk.dispatch import plain
+from pimentowalk.dispatch import stream
+from pimentowalk.routing import hops as routing_hops
+from pimentowalk.wire import node_messages
+
+LOG = logging.getLogger(__name__)
+
+# Nodes exchange their work this often. A request lasts about a second, so
+# that most of it is known elsewhere while it runs.
+REPORT_S = 0.2
+# Runs without progress are looked at this often.
+WATCH_S = 0.1
+
+
+class Dispatcher:
+    """Run calls at the backend servers that a node knows.
+
+    `transport` speaks to backend servers; see `transport.Transport`.
+    """
+
+    def __init__(
+        self,
+        node,
+        transport,
+        timers,
+        *,
+        book,
+        budget,
+        crashes,
+        metrics,
+        zone,
+        rng=None,
+        path_policy='cheapest',
+    ):
+        self.node = node
+        self.transport = transport
+        self.timers = timers
+        self.book = book
+        self.budget = budget
+        self.crashes = crashes
+        self.metrics = metrics
+        self.zone = zone
+        self.rng = rng or random.Random()
+        self.paths = routing_hops.POLICIES.get(path_policy)(book, self.rng)
+        self.runs = set()
+        self._reported = False
+        node.subscribe(node_messages.LoadNews, book.take)
+        node.on_document(self._take_document)
+
+    def start(self):
+        """Start the periodic work."""
+        self.timers.every(REPORT_S, self._report)
+        self.timers.every(WATCH_S, self._watch)
+
+    def _take_document(self, document):
+        self.book.set_engines(
+            {s.name: s.engine for s in document.services.values() if s.engine}
+        )
+
+    def _report(self):
+        body = self.book.report()
+        # One empty report tells that the work has ended.
+        if body.loads or self._reported:
+            self.node.publish(body)
+        self._reported = bool(body.loads)
+
+    def _watch(self):
+        now_s = self.timers.now_s()
+        for run in list(self.runs):
+            run.watch(now_s)
+
+    def suspect(self, backend, reason):
+        """Leave a server out of new work, here and at the other nodes."""
+        if self.node.backends.suspect(
+            backend.server_id, backend.born_ms, reason
+        ):
+            self.metrics.count('suspicions')
+            self.node.publish(
+                node_messages.Suspicion(
+                    backend.server_id, backend.born_ms, reason
+                )
+            )
+
+    def service_of(self, route):
+        """Return the service that a call on a route goes to."""
+        names = [name for name, _ in route.backends]
+        weights = [weight for _, weight in route.backends]
+        name = names[0]
+        if len(names) > 1:
+            name = self.rng.choices(names, weights)[0]
+        return self.node.document.services[name]
+
+    async def handle(self, call, responder):
+        """Answer a call; raise PimentowalkError if nothing was answered."""
+        if self.crashes.is_quarantined(call.fingerprint):
+            raise errors.PimentowalkError(
+                'this request crashed its backend servers before',
+                code='quarantined',
+                step='admit',
+            )
+        service = self.service_of(call.route)
+        self.budget.count_request(service.name)
+        kind = stream.StreamRun if service.engine else plain.PlainRun
+        run = kind(self, call, service, responder)
+        self.runs.add(run)
+        try:
+            await run.run()
+        finally:
+            self.runs.discard(run)
+
+    def log_failed_try(self, call, target, error):
+        """Log why a try failed."""
+        self.metrics.count(f'failed_tries_{error.code}')
+        LOG.info(
+            'try failed: %s',
+            error.message,
+            extra=logs.fields(
+                step=error.step,
+                peer=target.backend.address,
+                request_id=call.request_id,
+                culprit=getattr(error, 'culprit', ''),
+                code=error.code,
+                outcome=type(error).__name__,
+                hops=len(target.hops),
+            ),
+        )
--- /dev/null
+++ b/pimentowalk/dispatch/events.py
@@ -0,0 +1,72 @@
+"""Server-sent events of a stream that may go on at another server."""
+
+import re
+
+ID_LINE = re.compile(rb'^id:[ ]?(\d+)[ ]*\r?$', re.MULTILINE)
+# A longer event is not one; it bounds what is held back.
+MAX_EVENT_BYTES = 1 << 20
+
+
+class EventFilter:
+    """Cut a byte stream into whole events, each passed on once.
+
+    A server may stop in the middle of an event, and another one that goes
+    on may repeat events. Only whole events with a higher id than the last
+    one are passed on; events without an id pass.
+
+    >>> events = EventFilter(0)
+    >>> events.feed(b'id: 1\\ndata: a\\n\\nid: 2\\n')
+    b'id: 1\\ndata: a\\n\\n'
+    >>> events.last_id
+    1
+    """
+
+    def __init__(self, last_id):
+        self.last_id = last_id
+        self.count = 0
+        self._partial = b''
+
+    def restart(self):
+        """Drop the part of an event that a server left behind."""
+        self._partial = b''
+
+    @property
+    def holds_partial(self):
+        """Return whether the stream stands in the middle of an event."""
+        return bool(self._partial.strip())
+
+    def feed(self, data):
+        """Return the whole events that the data completes."""
+        data = self._partial + data
+        end = _end_of_events(data)
+        if end == 0:
+            if len(data) > MAX_EVENT_BYTES:
+                raise ValueError('an event is too long')
+            self._partial = data
+            return b''
+        self._partial = data[end:]
+        whole = data[:end]
+        ids = [int(found) for found in ID_LINE.findall(whole)]
+        self.count += 1
+        if not ids:
+            return whole
+        if ids[0] > self.last_id:
+            self.last_id = ids[-1]
+            return whole
+        return self._without_repeats(whole)
+
+    def _without_repeats(self, whole):
+        kept = []
+        for event in re.split(rb'(?<=\n\n)|(?<=\r\n\r\n)', whole):
+            found = ID_LINE.search(event)
+            if found is None:
+                kept.append(event)
+            elif int(found[1]) > self.last_id:
+                self.last_id = int(found[1])
+                kept.append(event)
+        return b''.join(kept)
+
+
+def _end_of_events(data):
+    ends = (data.rfind(b'\n\n') + 2, data.rfind(b'\r\n\r\n') + 4)
+    return max(ends[0] if ends[0] > 1 else 0, ends[1] if ends[1] > 3 else 0)
--- /dev/null
+++ b/pimentowalk/dispatch/plain.py
@@ -0,0 +1,166 @@
+"""Run a call at one server of a plain service."""
+
+import asyncio
+
+from pimentowalk.core import errors
+from pimentowalk.dispatch import calls
+
+# Tries that prove that nothing ran are not bounded by the route, but each
+# costs the server and the caller time.
+MAX_TRIES = 4
+# A safe call that is silent for this share of its time is tried elsewhere.
+SAFE_PATIENCE_SHARE = 0.45
+LEAST_PATIENCE_S = 0.15
+SERVER_FAULT = 500
+# A server in another zone is chosen if it has this much less of its slots
+# in use.
+ZONE_SHARE = 0.15
+RETRY_AFTER_S = 0.3
+
+
+def choose_server(backends, book, *, zone, avoid, rng):
+    """Return the server with the least work for its slots, or None."""
+    best = None
+    for backend in backends:
+        if backend.server_id in avoid:
+            continue
+        load = book.requests(backend.server_id) / max(backend.slots, 1)
+        load += 0 if backend.zone == zone else ZONE_SHARE
+        load += rng.random() * 0.05
+        if best is None or load < best[0]:
+            best = load, backend
+    return best[1] if best else None
+
+
+class PlainRun:
+    """One call of a plain service with its tries."""
+
+    def __init__(self, dispatcher, call, service, responder):
+        self._dispatcher = dispatcher
+        self._call = call
+        self._service = service
+        self._responder = responder
+        self._avoid = set()
+        self._runs = 0
+
+    def watch(self, now_s):
+        """Do nothing; each try has a timeout."""
+
+    async def run(self):
+        """Try until an answer can be passed on."""
+        failure = None
+        for tries in range(MAX_TRIES):
+            if tries and not self._may_repeat():
+                break
+            target = self._choose()
+            if target is None:
+                break
+            try:
+                await self._try(target, last=self._is_last())
+                return
+            except calls.TryFailed as error:
+                self._note(target, error)
+                failure = error
+                if not self._may_go_on(error):
+                    break
+        raise self._final(failure)
+
+    def _choose(self):
+        dispatcher = self._dispatcher
+        backend = choose_server(
+            dispatcher.node.backends.usable(self._service.name),
+            dispatcher.book,
+            zone=dispatcher.zone,
+            avoid=self._avoid,
+            rng=dispatcher.rng,
+        )
+        return calls.Target(backend) if backend else None
+
+    def _may_repeat(self):
+        dispatcher = self._dispatcher
+        if dispatcher.timers.now_s() >= self._call.ends_s:
+            return False
+        return dispatcher.budget.take(
+            self._service.name, dispatcher.node.live_nodes
+        )
+
+    def _is_last(self):
+        route = self._call.route
+        return not route.is_repeatable or self._runs + 1 >= route.attempts
+
+    def _may_go_on(self, error):
+        if isinstance(error, calls.Refused):
+            return True
+        self._runs += 1
+        route = self._call.route
+        return route.is_repeatable and self._runs < route.attempts
+
+    async def _try(self, target, *, last):
+        dispatcher = self._dispatcher
+        call = self._call
+        left_s = call.ends_s - dispatcher.timers.now_s()
+        patience_s = left_s
+        if not last:
+            patience_s = max(left_s * SAFE_PATIENCE_SHARE, LEAST_PATIENCE_S)
+        ids = [target.backend.server_id]
+        dispatcher.book.begin(ids, 0)
+        answer = None
+        try:
+            async with asyncio.timeout(patience_s):
+                answer = await dispatcher.transport.open(
+                    call, target, self._remaining_ms(), 0
+                )
+                if answer.status >= SERVER_FAULT and not last:
+                    raise calls.Broken(
+                        f'status {answer.status}', peer=target.backend.address
+                    )
+                # The whole body is read first, so that an answer that
+                # breaks off can still be replaced by another one.
+                body = await _read_all(answer)
+            await self._responder.start(answer)
+            await self._responder.write(body)
+            await self._responder.finish()
+        except TimeoutError:
+            raise calls.Broken(
+                f'no answer within {patience_s:.2f} s',
+                peer=target.backend.address,
+            ) from None
+        finally:
+            dispatcher.book.end(ids, 0)
+            if answer is not None:
+                answer.close()
+
+    def _remaining_ms(self):
+        left_s = self._call.deadline_s - self._dispatcher.timers.now_s()
+        return max(1, int(left_s * 1000))
+
+    def _note(self, target, error):
+        dispatcher = self._dispatcher
+        self._avoid.add(target.backend.server_id)
+        dispatcher.log_failed_try(self._call, target, error)
+        if isinstance(error, calls.Unreachable):
+            dispatcher.suspect(target.backend, error.message)
+
+    def _final(self, failure):
+        call = self._call
+        if self._dispatcher.timers.now_s() >= call.ends_s:
+            return errors.PimentowalkError(
+                'no answer in time', code='deadline', step='forward'
+            )
+        if failure is None or not self._runs:
+            return errors.PimentowalkError(
+                'no backend server took the call',
+                code='not_run',
+                step='forward',
+                peer=failure.peer if failure else '',
+            )
+        return errors.OutcomeUnknown(
+            failure.message, step=failure.step, peer=failure.peer
+        )
+
+
+async def _read_all(answer):
+    pieces = []
+    while piece := await answer.read():
+        pieces.append(piece)
+    return b''.join(pieces)
--- /dev/null
+++ b/pimentowalk/dispatch/stream.py
@@ -0,0 +1,295 @@
+"""Run a stream on a path of servers, and go on elsewhere if one fails."""
+
+import asyncio
+
+from pimentowalk.core import errors
+from pimentowalk.dispatch import calls
+from pimentowalk.dispatch import events
+from pimentowalk.routing import hops as routing_hops
+
+MAX_TRIES = 4
+SERVER_FAULT = 500
+SUCCESS = 300
+# Without an event for this long the head is asked which server stands
+# still. Events usually follow each other within 100 ms.
+SILENCE_S = 0.45
+# The first event may take longer: the prompt is read before it.
+FIRST_SILENCE_S = 0.7
+# The head is asked again after this time.
+ASK_AGAIN_S = 0.5
+# A silent run on a path with a suspect is moved without a question.
+SUSPECT_SILENCE_S = 0.25
+
+
+class StreamRun:
+    """One streamed call with its tries."""
+
+    def __init__(self, dispatcher, call, service, responder):
+        self._dispatcher = dispatcher
+        self._call = call
+        self._service = service
+        self._responder = responder
+        self._avoid = set()
+        self._runs = 0
+        self._target = None
+        self._try_task = None
+        self._interruption = None
+        self._progress_s = 0.0
+        self._asking = None
+        self._events = events.EventFilter(call.last_event_id)
+        self._tokens = call.prompt_tokens + call.expected_answer_tokens
+        self._first_event_s = None
+
+    async def run(self):
+        """Try until the stream is complete."""
+        failure = None
+        for tries in range(MAX_TRIES):
+            if tries and not self._may_repeat():
+                break
+            self._target = self._choose()
+            if self._target is None:
+                break
+            try:
+                await self._run_try()
+                self._record()
+                return
+            except calls.TryFailed as error:
+                failure = error
+                self._note(error)
+                if not self._may_go_on(error):
+                    break
+        raise self._final(failure)
+
+    def _record(self):
+        metrics = self._dispatcher.metrics
+        if self._first_event_s is not None:
+            metrics.record_s(
+                'first_event', self._first_event_s - self._call.received_s
+            )
+
+    def _choose(self):
+        dispatcher = self._dispatcher
+        hops = dispatcher.paths.choose(
+            dispatcher.node.backends.usable(self._service.name),
+            routing_hops.PathQuery(
+                self._service.engine.total_layers,
+                self._tokens,
+                dispatcher.zone,
+                frozenset(self._avoid),
+            ),
+        )
+        if not hops:
+            return None
+        return calls.Target(hops[0].backend, tuple(hops))
+
+    def _may_repeat(self):
+        dispatcher = self._dispatcher
+        if dispatcher.timers.now_s() >= self._call.ends_s:
+            return False
+        return dispatcher.budget.take(
+            self._service.name, dispatcher.node.live_nodes
+        )
+
+    def _may_go_on(self, error):
+        if isinstance(error, calls.Refused):
+            return True
+        route = self._call.route
+        return route.is_repeatable and self._runs < route.attempts
+
+    async def _run_try(self):
+        dispatcher = self._dispatcher
+        self._progress_s = dispatcher.timers.now_s()
+        self._interruption = None
+        ids = [server.server_id for server in self._target.servers]
+        dispatcher.book.begin(ids, self._tokens)
+        self._try_task = asyncio.ensure_future(self._try())
+        left_s = self._call.ends_s - dispatcher.timers.now_s()
+        try:
+            async with asyncio.timeout(left_s):
+                await self._try_task
+        except TimeoutError:
+            raise calls.Broken('no complete answer in time') from None
+        except asyncio.CancelledError:
+            if self._interruption is None:
+                raise
+            raise self._interruption from None
+        finally:
+            self._try_task.cancel()
+            if self._asking is not None:
+                self._asking.cancel()
+                self._asking = None
+            dispatcher.book.end(ids, self._tokens)
+
+    async def _try(self):
+        dispatcher = self._dispatcher
+        call = self._call
+        began = False
+        left_s = call.deadline_s - dispatcher.timers.now_s()
+        answer = await dispatcher.transport.open(
+            call,
+            self._target,
+            max(1, int(left_s * 1000)),
+            self._events.last_id,
+        )
+        try:
+            if answer.status >= SUCCESS:
+                await self._pass_failure(answer)
+                return
+            self._events.restart()
+            while data := await answer.read():
+                self._progress_s = dispatcher.timers.now_s()
+                if not began:
+                    began = True
+                    self._runs += 1
+                await self._pass(answer, data)
+            if self._events.holds_partial:
+                raise calls.Broken(
+                    'the stream ended within an event',
+                    peer=self._target.backend.address,
+                )
+            await self._start(answer)
+            await self._responder.finish()
+        finally:
+            answer.close()
+
+    async def _pass(self, answer, data):
+        try:
+            whole = self._events.feed(data)
+        except ValueError as error:
+            raise calls.Broken(
+                str(error), peer=self._target.backend.address
+            ) from None
+        if whole:
+            if self._first_event_s is None:
+                self._first_event_s = self._progress_s
+            await self._start(answer)
+            await self._responder.write(whole)
+
+    async def _start(self, answer):
+        if not self._responder.started:
+            await self._responder.start(answer)
+
+    async def _pass_failure(self, answer):
+        address = self._target.backend.address
+        self._runs += 1
+        route = self._call.route
+        again = route.is_repeatable and self._runs < route.attempts
+        if self._responder.started or (
+            answer.status >= SERVER_FAULT and again
+        ):
+            raise calls.Broken(f'status {answer.status}', peer=address)
+        body = []
+        while data := await answer.read():
+            body.append(data)
+        await self._responder.start(answer)
+        await self._responder.write(b''.join(body))
+        await self._responder.finish()
+
+    def watch(self, now_s):
+        """Look for the cause of a silence, see `Dispatcher.start`."""
+        if self._try_task is None or self._try_task.done():
+            return
+        silent_s = now_s - self._progress_s
+        if silent_s < SUSPECT_SILENCE_S:
+            return
+        gone = self._missing_server()
+        if gone is not None:
+            self._interrupt(
+                calls.Stalled(
+                    'a server of the path failed',
+                    peer=self._target.backend.address,
+                    culprit=gone.address,
+                )
+            )
+            return
+        limit_s = SILENCE_S if self._first_event_s else FIRST_SILENCE_S
+        if silent_s >= limit_s and self._asking is None:
+            self._asking = asyncio.ensure_future(self._ask())
+
+    def _missing_server(self):
+        usable = {
+            backend.server_id: backend
+            for backend in self._dispatcher.node.backends.usable(
+                self._service.name
+            )
+        }
+        draining = self._dispatcher.node.backends
+        for server in self._target.servers:
+            known = usable.get(server.server_id)
+            if known is None:
+                left = draining.get(server.server_id)
+                if left is None or left.state == server.state:
+                    return server
+            elif known.born_ms != server.born_ms:
+                return server
+        return None
+
+    async def _ask(self):
+        """Ask the head which server stands still."""
+        dispatcher = self._dispatcher
+        head = self._target.backend
+        try:
+            stalled = await dispatcher.transport.stalled(head)
+        except calls.TryFailed as error:
+            dispatcher.suspect(head, error.message)
+            self._interrupt(
+                calls.Stalled(
+                    error.message, peer=head.address, culprit=head.address
+                )
+            )
+            return
+        address = stalled.get(self._call.request_id)
+        if address is None:
+            await dispatcher.timers.sleep(ASK_AGAIN_S)
+            self._asking = None
+            return
+        culprit = dispatcher.node.backends.at_address(address)
+        if culprit is not None:
+            dispatcher.suspect(culprit, 'a request stands still')
+        self._interrupt(
+            calls.Stalled(
+                'the path stands still', peer=head.address, culprit=address
+            )
+        )
+
+    def _interrupt(self, error):
+        if self._try_task is not None and not self._try_task.done():
+            self._interruption = error
+            self._try_task.cancel()
+
+    def _note(self, error):
+        dispatcher = self._dispatcher
+        target = self._target
+        dispatcher.log_failed_try(self._call, target, error)
+        at_fault = error.culprit or target.backend.address
+        for server in target.servers:
+            if server.address == at_fault:
+                self._avoid.add(server.server_id)
+                if isinstance(error, calls.Unreachable):
+                    dispatcher.suspect(server, error.message)
+
+    def _final(self, failure):
+        if self._responder.started:
+            return errors.OutcomeUnknown(
+                f'stream cut: {failure.message if failure else "no path"}',
+                step='forward',
+                peer=failure.peer if failure else '',
+            )
+        if self._dispatcher.timers.now_s() >= self._call.ends_s:
+            return errors.PimentowalkError(
+                'no answer in time', code='deadline', step='forward'
+            )
+        if failure is None:
+            return errors.PimentowalkError(
+                'no path holds all layers', code='no_chain', step='choose'
+            )
+        if isinstance(failure, calls.Refused) or not self._runs:
+            return errors.PimentowalkError(
+                failure.message,
+                code='not_run',
+                step=failure.step,
+                peer=failure.peer,
+            )
+        return errors.OutcomeUnknown(
+            failure.message, step=failure.step, peer=failure.peer
+        )
--- /dev/null
+++ b/pimentowalk/dispatch/transport.py
@@ -0,0 +1,54 @@
+"""What dispatch needs of the protocol to backend servers and callers."""
+
+import abc
+
+
+class Answer(abc.ABC):
+    """The answer of a backend server, whose body is read in pieces.
+
+    `status` is the HTTP status; `load` is (running, waiting, slots) or None.
+    """
+
+    status = 0
+    load = None
+
+    @abc.abstractmethod
+    async def read(self):
+        """Return the next piece, empty at the end; raise Broken."""
+
+    @abc.abstractmethod
+    def close(self):
+        """Close the connection; a server stops work that goes on."""
+
+
+class Transport(abc.ABC):
+    """Send calls to backend servers."""
+
+    @abc.abstractmethod
+    async def open(self, call, target, remaining_ms, last_event_id):
+        """Send a call and return the `Answer`; raise `calls.TryFailed`."""
+
+    @abc.abstractmethod
+    async def stalled(self, backend):
+        """Return {request id: address at fault} of calls that stand still.
+
+        Raises `calls.TryFailed` if the server does not answer.
+        """
+
+
+class Responder(abc.ABC):
+    """Pass an answer on to the caller."""
+
+    started = False
+
+    @abc.abstractmethod
+    async def start(self, answer):
+        """Send status and headers of an answer."""
+
+    @abc.abstractmethod
+    async def write(self, data):
+        """Send a piece of the body."""
+
+    @abc.abstractmethod
+    async def finish(self):
+        """End the body."""
--- /dev/null
+++ b/pimentowalk/mesh/__init__.py
@@ -0,0 +1,5 @@
+"""How gateway nodes find control, hear of changes and ask the leader.
+
+Public parts: `node.MeshNode`, `hub.Hub`, `links.ControlLink`,
+`leader.LeaderClient` and `freshness.Freshness`.
+"""
--- /dev/null
+++ b/pimentowalk/mesh/hub.py
@@ -0,0 +1,193 @@
+"""The connections that other nodes open to this one."""
+
+import asyncio
+import logging
+
+import attrs
+
+from pimentowalk.control import receiver
+from pimentowalk.core import errors
+from pimentowalk.core import logs
+from pimentowalk.core import registry
+from pimentowalk.wire import connection as wire
+from pimentowalk.wire import messages
+from pimentowalk.wire import node_messages
+
+LOG = logging.getLogger(__name__)
+
+FRAMES = registry.Registry('frame of a node')
+# Three missed status reports, see `links.STATUS_S`.
+NODE_SILENT_S = 1.5
+# A connection that has been silent this long is cut; its node dials again.
+NODE_EXPIRY_S = 5.0
+EXPIRY_CHECK_S = 0.5
+
+
+@attrs.define(eq=False)
+class NodeRecord:
+    """The last status of a connected node."""
+
+    node_id: str
+    status: node_messages.NodeStatus
+    heard_s: float
+    sent_version: int = 0
+    sent_backends: bool = False
+
+
+class Hub:
+    """Answer the nodes that connect, and pass on what they announce.
+
+    `node` is the owning `node.MeshNode`; `replica` and `requests` are None
+    on an instance without a disk.
+    """
+
+    def __init__(self, node, hello, host, port, timers):
+        self.node = node
+        self.replica = None
+        self.requests = None
+        self._timers = timers
+        self._records = {}
+        self._tasks = set()
+        self._peers = wire.PeerServer(
+            host,
+            port,
+            hello,
+            self._accept,
+            version=lambda: node.document_version,
+        )
+
+    async def start(self):
+        """Listen for connections."""
+        await self._peers.start()
+        self._timers.every(EXPIRY_CHECK_S, self._expire)
+
+    async def stop(self):
+        """Close all connections."""
+        await self._peers.stop()
+
+    @property
+    def port(self):
+        """Return the port that the hub listens on."""
+        return self._peers.port
+
+    def records(self):
+        """Return the newest record of each node that was heard lately."""
+        now_s = self._timers.now_s()
+        newest = {}
+        for record in self._records.values():
+            known = newest.get(record.node_id)
+            if known is None or known.heard_s < record.heard_s:
+                newest[record.node_id] = record
+        return [
+            record
+            for record in newest.values()
+            if now_s - record.heard_s < NODE_SILENT_S
+        ]
+
+    def _accept(self, peer):
+        peer.on_frame = self._on_frame
+        peer.on_close = lambda closed: self._records.pop(closed, None)
+
+    def _expire(self):
+        now_s = self._timers.now_s()
+        for peer, record in list(self._records.items()):
+            if now_s - record.heard_s > NODE_EXPIRY_S:
+                LOG.info(
+                    'node is silent',
+                    extra=logs.fields(step='mesh', peer=record.node_id),
+                )
+                self._records.pop(peer, None)
+                peer.abort()
+
+    async def _on_frame(self, peer, envelope):
+        if isinstance(envelope.body, receiver.FRAMES):
+            if self.replica is None:
+                raise errors.PimentowalkError(
+                    'no replica runs here', code='not_leader', step='receive'
+                )
+            await self.replica.handle(peer, envelope)
+            return
+        await FRAMES.get(envelope.body.FRAME_NAME)(self, peer, envelope)
+
+    def note_status(self, peer, status):
+        """Record a node and send what it subscribed to."""
+        record = self._records.get(peer)
+        now_s = self._timers.now_s()
+        if record is None:
+            record = NodeRecord(peer.hello.node_id, status, now_s)
+            self._records[peer] = record
+        record.status = status
+        record.heard_s = now_s
+        record.sent_version = max(record.sent_version, status.version)
+        if status.subscribed:
+            self._push_document(peer, record)
+            if not record.sent_backends:
+                record.sent_backends = True
+                peer.post(node_messages.BackendNews(self.node.backends.aged()))
+        else:
+            record.sent_backends = False
+
+    def push_document(self):
+        """Send the document in force to the nodes that lack it."""
+        for peer, record in self._records.items():
+            self._push_document(peer, record)
+
+    def _push_document(self, peer, record):
+        version, content = self.node.stored_document
+        if version > record.sent_version:
+            record.sent_version = version
+            peer.post(node_messages.DocumentPush(version, content))
+
+    def relay(self, body, origin=None):
+        """Pass a frame on to the subscribed nodes but the sender."""
+        for peer, record in self._records.items():
+            if peer is not origin and record.status.subscribed:
+                peer.post(body)
+
+    def run_request(self, peer, envelope):
+        """Answer a control request without holding up the connection."""
+        task = asyncio.ensure_future(self._answer(peer, envelope))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, peer, envelope):
+        reply = await self.answer(envelope.body, peer.peer)
+        try:
+            await peer.reply(envelope, reply)
+        except errors.PeerLost as error:
+            LOG.info(
+                'reply not sent: %s',
+                error,
+                extra=logs.fields(step='control request', peer=peer.peer),
+            )
+
+    async def answer(self, request, peer):
+        """Return the `ControlReply` to a request."""
+        if self.requests is None:
+            return messages.ControlReply(
+                'not_leader', 'no replica runs here', b'', ''
+            )
+        return await self.requests.answer(request, peer)
+
+
+@FRAMES.register('nodeStatus')
+async def on_status(hub, peer, envelope):
+    """Record a node; answer with what is known of control."""
+    hub.note_status(peer, envelope.body)
+    if envelope.call_id:
+        await peer.reply(envelope, hub.node.control_news())
+
+
+@FRAMES.register('controlRequest')
+async def on_request(hub, peer, envelope):
+    """Answer a command or query."""
+    hub.run_request(peer, envelope)
+
+
+async def _take_and_relay(hub, peer, envelope):
+    hub.node.take(envelope.body)
+    hub.relay(envelope.body, origin=peer)
+
+
+for _name in ('backendNews', 'suspicion', 'loadNews', 'crashNote'):
+    FRAMES.register(_name)(_take_and_relay)
--- /dev/null
+++ b/pimentowalk/mesh/links.py
@@ -0,0 +1,121 @@
+"""The connection of a node to one control instance."""
+
+import asyncio
+import logging
+
+from pimentowalk.core import errors
+from pimentowalk.core import logs
+from pimentowalk.core import timers as core_timers
+from pimentowalk.wire import connection as wire
+from pimentowalk.wire import messages
+
+LOG = logging.getLogger(__name__)
+
+# The period of status reports; three missed ones make a node silent.
+STATUS_S = 0.4
+# A control instance that does not answer within this time is dialled anew,
+# which finds connections that went silent without a reset.
+STATUS_TIMEOUT_S = 1.0
+FIRST_RETRY_S = 0.1
+LONGEST_RETRY_S = 0.8
+
+
+class ControlLink:
+    """Dial one control instance again and again, and report to it."""
+
+    def __init__(self, address, node, timers):
+        self.address = address
+        self.news = None
+        self._node = node
+        self._timers = timers
+        self._peer = None
+        self._reader = None
+        self._was_open = False
+
+    @property
+    def is_open(self):
+        """Return whether the instance answered on this connection."""
+        return (
+            self._peer is not None
+            and not self._peer.closed
+            and self.news is not None
+        )
+
+    def post(self, body):
+        """Queue a frame if the connection is open."""
+        if self._peer is not None and not self._peer.closed:
+            self._peer.post(body)
+
+    async def call(self, body, timeout_s):
+        """Return the answer to a frame; raise PeerLost or TimeoutError."""
+        if not self.is_open:
+            raise errors.PeerLost('not connected', peer=self.address.node_id)
+        return await self._peer.call(body, timeout_s)
+
+    async def run(self):
+        """Keep the connection until cancelled."""
+        delay_s = FIRST_RETRY_S
+        while True:
+            try:
+                await self._open()
+                delay_s = FIRST_RETRY_S
+                await self._report()
+            except (errors.PimentowalkError, TimeoutError) as error:
+                self._note_lost(error)
+            finally:
+                await self._close()
+            await self._timers.sleep(delay_s)
+            delay_s = min(delay_s * 2, LONGEST_RETRY_S)
+
+    async def _open(self):
+        node = self._node
+        peer = await wire.dial(
+            self.address.host,
+            self.address.port,
+            node.hello,
+            version=lambda: node.document_version,
+        )
+        peer.on_frame = self._on_frame
+        self._peer = peer
+        self._reader = asyncio.ensure_future(peer.run())
+
+    async def _close(self):
+        if self._peer is None:
+            return
+        peer, self._peer = self._peer, None
+        self.news = None
+        peer.abort()
+        await core_timers.cancel_all([self._reader])
+        self._node.links_changed()
+
+    async def _report(self):
+        while True:
+            status = self._node.status(self)
+            self.news = await self._peer.call(status, STATUS_TIMEOUT_S)
+            if not self._was_open:
+                self._was_open = True
+                LOG.info(
+                    'connected to control',
+                    extra=logs.fields(step='mesh', peer=self.address.node_id),
+                )
+            self._node.links_changed()
+            await self._timers.sleep(STATUS_S)
+
+    def _note_lost(self, error):
+        if self._was_open:
+            self._was_open = False
+            LOG.warning(
+                'lost a control instance: %s',
+                error or 'no answer',
+                extra=logs.fields(step='mesh', peer=self.address.node_id),
+            )
+
+    async def _on_frame(self, peer, envelope):
+        if isinstance(envelope.body, messages.Failure):
+            LOG.warning(
+                'the control instance closes: %s',
+                envelope.body.text,
+                extra=logs.fields(step='mesh', peer=peer.peer),
+            )
+            return
+        self._node.take(envelope.body)
--- /dev/null
+++ b/pimentowalk/mesh/node.py
@@ -0,0 +1,224 @@
+"""One gateway node: its links to control, its hub and what it knows."""
+
+import asyncio
+import logging
+
+from pimentowalk.core import errors
+from pimentowalk.core import identifiers
+from pimentowalk.core import logs
+from pimentowalk.core import registry
+from pimentowalk.core import timers as core_timers
+from pimentowalk.mesh import hub as mesh_hub
+from pimentowalk.mesh import links as mesh_links
+from pimentowalk.wire import node_messages
+
+LOG = logging.getLogger(__name__)
+
+# Two instances push changes to a node, so that a slow one delays nothing.
+HOMES = 2
+TAKERS = registry.Registry('frame for a node')
+
+
+class MeshNode:
+    """Keep in touch with every control instance.
+
+    `seeds()` returns the addresses to try while no control instance is
+    known. `decode(content)` returns the `Document` of stored content.
+    """
+
+    def __init__(
+        self, hello, host, port, timers, *, seeds, decode, backend_table
+    ):
+        self.hello = hello
+        self.node_id = hello.node_id
+        self.host = host
+        self.backends = backend_table
+        self.document = None
+        self.stored_document = (0, b'')
+        self.draining = False
+        self.live_nodes = 1
+        self.replica = None
+        self._seeds = seeds
+        self._decode = decode
+        self._timers = timers
+        self._links = {}
+        self._tasks = {}
+        self._callbacks = {}
+        self._document_callbacks = []
+        self.hub = mesh_hub.Hub(self, hello, host, port, timers)
+
+    @property
+    def document_version(self):
+        """Return the version in force here, 0 before the first."""
+        return self.document.version if self.document else 0
+
+    @property
+    def leads(self):
+        """Return whether this node leads control now."""
+        return self.replica is not None and self.replica.is_leader
+
+    def subscribe(self, frame_class, callback):
+        """Call `callback(body)` for each frame of a class."""
+        self._callbacks.setdefault(frame_class, []).append(callback)
+
+    def on_document(self, callback):
+        """Call `callback(document)` after each new document."""
+        self._document_callbacks.append(callback)
+
+    async def start(self):
+        """Listen, and connect to control in the background."""
+        await self.hub.start()
+        self._timers.every(mesh_links.STATUS_S, self.links_changed)
+        self.links_changed()
+
+    async def stop(self):
+        """Close all connections."""
+        await core_timers.cancel_all(list(self._tasks.values()))
+        await self.hub.stop()
+
+    def link(self, node_id):
+        """Return the open link to a node, or None."""
+        link = self._links.get(node_id)
+        return link if link is not None and link.is_open else None
+
+    def open_links(self):
+        """Return the ids of the control instances that answer."""
+        return [i for i, link in self._links.items() if link.is_open]
+
+    def leader_hints(self):
+        """Return the leaders that the control instances name."""
+        hints = [
+            link.news.leader_id for link in self._links.values() if link.news
+        ]
+        return list(dict.fromkeys(hint for hint in hints if hint))
+
+    def members(self):
+        """Return the addresses of all control instances known."""
+        found = {}
+        if self.replica is not None:
+            for member in self.replica.members():
+                found[member.node_id] = node_messages.ControlAddress(
+                    member.node_id, member.host, member.port
+                )
+        for link in self._links.values():
+            if link.news is not None:
+                for address in link.news.members:
+                    found.setdefault(address.node_id, address)
+        return list(found.values())
+
+    def control_news(self):
+        """Return what this node tells others of control."""
+        leader_id = self.replica.leader_id if self.replica else ''
+        if self.replica is None:
+            leader_id = next(iter(self.leader_hints()), '')
+        return node_messages.ControlNews(
+            self.members(),
+            leader_id,
+            self.document_version,
+            len(self.hub.records()) + 1,
+        )
+
+    def status(self, link):
+        """Return the status that a link reports."""
+        return node_messages.NodeStatus(
+            self.host,
+            self.hub.port,
+            self.replica.identity if self.replica else '',
+            link.address.node_id in self._homes(),
+            self.document_version,
+            self.draining,
+        )
+
+    def _homes(self):
+        ranked = sorted(
+            self.open_links(),
+            key=lambda i: identifiers.hash64(self.node_id, i),
+        )
+        return ranked[:HOMES]
+
+    def links_changed(self):
+        """Start and end links as control instances come and go."""
+        wanted = {a.node_id: a for a in self.members()}
+        if not self.open_links():
+            for address in self._seeds():
+                wanted.setdefault(address.node_id, address)
+        wanted.pop(self.node_id, None)
+        for node_id in self._links.keys() - wanted.keys():
+            if not self._links[node_id].is_open:
+                del self._links[node_id]
+                self._tasks.pop(node_id).cancel()
+        for node_id in wanted.keys() - self._links.keys():
+            link = mesh_links.ControlLink(wanted[node_id], self, self._timers)
+            self._links[node_id] = link
+            self._tasks[node_id] = asyncio.ensure_future(link.run())
+        counts = [x.news.live_nodes for x in self._links.values() if x.news]
+        self.live_nodes = max([len(self.hub.records()) + 1, *counts])
+
+    def publish(self, body):
+        """Tell all nodes, by way of the control instances."""
+        for link in self._links.values():
+            link.post(body)
+        self.hub.relay(body)
+
+    def take(self, body):
+        """Apply a frame from another node."""
+        TAKERS.get(body.FRAME_NAME)(self, body)
+        for callback in self._callbacks.get(type(body), ()):
+            callback(body)
+
+    def take_document(self, version, content):
+        """Put a committed document in force if its version is higher."""
+        if version <= self.document_version:
+            return
+        try:
+            document = self._decode(content)
+        except errors.PimentowalkError as error:
+            # Only a program of another release can have accepted it.
+            LOG.error(
+                'committed document not understood: %s',
+                error,
+                extra=logs.fields(step='document', version=version),
+            )
+            return
+        LOG.info(
+            'document in force',
+            extra=logs.fields(
+                step='document',
+                version=version,
+                replaces=self.document_version,
+            ),
+        )
+        self.stored_document = (version, content)
+        self.document = document
+        self.hub.push_document()
+        for callback in self._document_callbacks:
+            callback(document)
+
+
+@TAKERS.register('documentPush')
+def take_document_push(node, body):
+    """Apply a pushed document."""
+    node.take_document(body.version, body.content)
+
+
+@TAKERS.register('backendNews')
+def take_backends(node, body):
+    """Apply announcements."""
+    for backend in body.backends:
+        node.backends.apply(backend, backend.heard_ms / 1000)
+
+
+@TAKERS.register('suspicion')
+def take_suspicion(node, body):
+    """Leave a server out that failed at another node."""
+    node.backends.suspect(body.server_id, body.born_ms, body.reason)
+
+
+@TAKERS.register('loadNews')
+def take_load(node, body):
+    """Leave loads to the subscribers."""
+
+
+@TAKERS.register('crashNote')
+def take_crash(node, body):
+    """Leave crashes to the subscribers."""
--- /dev/null
+++ b/pimentowalk/placement/__init__.py
@@ -0,0 +1,4 @@
+"""Which backend server holds which layers.
+
+Public parts: `planner.plan` and `executor.Executor`.
+"""
--- /dev/null
+++ b/pimentowalk/placement/planner.py
@@ -0,0 +1,152 @@
+"""Choose layer ranges for backend servers, changing as little as possible.
+
+Each availability zone is covered on its own, because activations are large
+and the links between zones are shared. What memory is left after that is
+spent on second copies, so that a lost server has stand-ins nearby.
+"""
+
+import attrs
+
+# The share of an accelerator's memory that layers may take. The rest holds
+# the caches of requests: see docs/platform.md for the sums.
+LAYER_MEMORY_SHARE = 0.62
+# The worth of one more copy of a layer by the copies there are. A layer
+# without a copy stops the whole zone, so it outweighs any number of others.
+COPY_WORTH = (1000.0, 10.0, 1.0, 0.1)
+
+
+@attrs.frozen
+class Holder:
+    """A backend server as the planner sees it."""
+
+    server_id: str
+    zone: str
+    accelerator: str
+    first_layer: int = 0
+    end_layer: int = 0
+
+    @property
+    def is_empty(self):
+        """Return whether it holds no layers."""
+        return self.first_layer >= self.end_layer
+
+
+@attrs.frozen
+class Assignment:
+    """The range that a backend server is to hold."""
+
+    server_id: str
+    first_layer: int
+    end_layer: int
+
+
+def layer_capacity(engine, accelerator, share=LAYER_MEMORY_SHARE):
+    """Return how many layers an accelerator is given, 0 if unknown."""
+    kind = engine.accelerators.get(accelerator)
+    if kind is None or engine.layer_mb <= 0:
+        return 0
+    most = int(kind.memory_mb // engine.layer_mb)
+    wanted = int(kind.memory_mb * share // engine.layer_mb)
+    # A server of one layer is still of use; at most all of its memory goes.
+    return min(max(wanted, min(most, 1)), engine.total_layers)
+
+
+def coverage(holders, total_layers):
+    """Return the number of copies of each layer."""
+    copies = [0] * total_layers
+    for holder in holders:
+        for layer in range(holder.first_layer, holder.end_layer):
+            copies[layer] += 1
+    return copies
+
+
+def _worth(copies):
+    last = len(COPY_WORTH) - 1
+    return COPY_WORTH[min(copies, last)]
+
+
+def best_window(copies, size):
+    """Return (worth, first layer) of the window that is needed most.
+
+    Of equal windows the first is taken, so that ranges line up.
+    """
+    worths = [_worth(count) for count in copies]
+    total = sum(worths[:size])
+    best, first = total, 0
+    for start in range(1, len(copies) - size + 1):
+        total += worths[start + size - 1] - worths[start - 1]
+        if total > best + 1e-9:
+            best, first = total, start
+    return best, first
+
+
+def plan(holders, engine, share=LAYER_MEMORY_SHARE):
+    """Return the assignments that differ from what the servers hold.
+
+    Empty servers take the ranges that their zone needs most. Then, while a
+    zone lacks a layer, the server whose range is covered best by others is
+    moved there.
+    """
+    found = []
+    zones = {}
+    for holder in holders:
+        zones.setdefault(holder.zone, []).append(holder)
+    for zone in sorted(zones):
+        found += _plan_zone(zones[zone], engine, share)
+    return found
+
+
+def _plan_zone(holders, engine, share):
+    held = [holder for holder in holders if not holder.is_empty]
+    copies = coverage(held, engine.total_layers)
+    found = []
+    empty = [
+        (layer_capacity(engine, h.accelerator, share), h)
+        for h in holders
+        if h.is_empty
+    ]
+    # The largest come first: the others then fill the rest.
+    empty.sort(key=lambda pair: (-pair[0], pair[1].server_id))
+    for size, holder in empty:
+        if size > 0:
+            found.append(_assign(holder, copies, size))
+    while 0 in copies:
+        moved = _move(held, copies, engine, share)
+        if moved is None:
+            break
+        held = [h for h in held if h.server_id != moved.server_id]
+        found.append(moved)
+    return found
+
+
+def _assign(holder, copies, size):
+    _, first = best_window(copies, size)
+    for layer in range(first, first + size):
+        copies[layer] += 1
+    return Assignment(holder.server_id, first, first + size)
+
+
+def _move(held, copies, engine, share):
+    """Return the move that covers most missing layers, or None."""
+    best = None
+    missing = copies.count(0)
+    for holder in held:
+        size = layer_capacity(engine, holder.accelerator, share)
+        if not size:
+            continue
+        without = list(copies)
+        for layer in range(holder.first_layer, holder.end_layer):
+            without[layer] -= 1
+        _, first = best_window(without, size)
+        for layer in range(first, first + size):
+            without[layer] += 1
+        gained = missing - without.count(0)
+        # Of equal gains the smallest server moves: it loads the least.
+        key = (gained, -size, holder.server_id)
+        if gained > 0 and (best is None or key > best[0]):
+            best = key, holder, first, size, without
+    if best is None:
+        return None
+    _, holder, first, size, without = best
+    copies[:] = without
+    return Assignment(holder.server_id, first, first + size)
--- /dev/null
+++ b/pimentowalk/platform/engines.py
@@ -0,0 +1,244 @@
+"""Speak to backend servers: requests, reports and orders."""
+
+import asyncio
+import functools
+import json
+
+import aiohttp
+from aiohttp import client_proto
+import yarl
+
+from pimentowalk.core import errors
+from pimentowalk.dispatch import calls
+from pimentowalk.dispatch import transport
+from pimentowalk.platform import names
+
+# A server on the local network accepts within milliseconds; one that is
+# dark does not answer at all.
+CONNECT_TIMEOUT_S = 0.5
+# A report or an order that is not answered within this time counts as
+# lost.
+CONTROL_CALL_TIMEOUT_S = 0.8
+MAX_LINE_BYTES = 32768
+PIECE_BYTES = 1 << 16
+REPORT_PATH = '/v1/report'
+ORDER_PATH = '/v1/order'
+MISDIRECTED = 421
+UNAVAILABLE = 503
+CONFLICT = 409
+ACCEPTED = (200, 202)
+
+
+class StrictResponseHandler(client_proto.ResponseHandler):
+    """Fail a body without a length if its connection is reset.
+
+    The parser takes the end of the connection for the end of such a body,
+    also where a reset cut it off.
+    """
+
+    def connection_lost(self, exc):
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(
+                aiohttp.ClientPayloadError(f'connection reset: {exc!r}')
+            )
+        super().connection_lost(exc)
+
+
+class StrictConnector(aiohttp.TCPConnector):
+    """Open one connection for each request.
+
+    A server may send bytes after a complete answer, or drop an idle
+    connection without notice; neither can then meet another request.
+    """
+
+    def __init__(self):
+        super().__init__(force_close=True, limit=0, use_dns_cache=False)
+        self._factory = functools.partial(
+            StrictResponseHandler, loop=asyncio.get_running_loop()
+        )
+
+
+class EngineAnswer(transport.Answer):
+    """An answer whose body is read from its connection."""
+
+    def __init__(self, response, load, peer):
+        self.status = response.status
+        self.headers = response.headers
+        self.load = load
+        self._response = response
+        self._peer = peer
+
+    async def read(self):
+        """Return the next piece of the body; raise Broken."""
+        try:
+            return await self._response.content.readany()
+        except (aiohttp.ClientError, OSError) as error:
+            raise calls.Broken(
+                f'the answer broke off: {error!r}', peer=self._peer
+            ) from None
+
+    def close(self):
+        """Close the connection."""
+        self._response.close()
+
+
+class EngineClient(transport.Transport):
+    """Send calls, report requests and orders to backend servers."""
+
+    def __init__(self):
+        self._session = None
+
+    async def start(self):
+        """Create the session inside the running loop."""
+        self._session = aiohttp.ClientSession(
+            connector=StrictConnector(),
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=CONNECT_TIMEOUT_S
+            ),
+            skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+            read_bufsize=PIECE_BYTES,
+        )
+
+    async def stop(self):
+        """Close all connections."""
+        await self._session.close()
+
+    async def open(self, call, target, remaining_ms, last_event_id):
+        """Send a call; raise `calls.TryFailed`."""
+        backend = target.backend
+        peer = backend.address
+        headers = [
+            *call.passed_headers,
+            (names.DEADLINE_MS, str(remaining_ms)),
+            (names.EXPECT_INSTANCE, backend.server_id),
+        ]
+        if call.account is not None:
+            headers.append((names.TENANT, call.account.name))
+        if last_event_id:
+            headers.append((names.LAST_EVENT_ID, str(last_event_id)))
+        if target.hops:
+            headers.append((names.HOPS, _hop_list(target.hops)))
+            headers.append((names.URGENCY, str(min(call.priority, 9))))
+        url = yarl.URL(f'http://{peer}{call.target}', encoded=True)
+        try:
+            response = await self._session.request(
+                call.method,
+                url,
+                headers=headers,
+                data=call.body or None,
+                allow_redirects=False,
+                skip_auto_headers=('Content-Type',),
+            )
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
+            raise calls.Unreachable(
+                f'cannot connect: {error!r}', peer=peer, culprit=peer
+            ) from None
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise calls.Broken(f'no answer: {error!r}', peer=peer) from None
+        return self._checked(call, response, peer)
+
+    def _checked(self, call, response, peer):
+        """Return the answer, or raise if it is no answer to this call."""
+        headers = response.headers
+        if names.NOT_EXECUTED in headers or response.status == MISDIRECTED:
+            culprit = headers.get(names.AT_SERVER, '')
+            response.close()
+            raise calls.Refused(
+                f'refused with {response.status}', peer=peer, culprit=culprit
+            )
+        if headers.get(names.REQUEST_ID) != call.request_id:
+            response.close()
+            raise calls.Broken('the answer names another request', peer=peer)
+        return EngineAnswer(response, _load(headers.get(names.LOAD)), peer)
+
+    async def stalled(self, backend):
+        """Return the requests that stand still at a head."""
+        report = await self.report(backend)
+        return {
+            str(item.get('id')): str(item.get('address', ''))
+            for item in report.get('stalled') or ()
+            if isinstance(item, dict)
+        }
+
+    async def report(self, backend):
+        """Return the state that a server reports; raise TryFailed."""
+        status, data = await self._control_call(backend, 'GET', REPORT_PATH)
+        if status != 200 or not isinstance(data, dict):
+            raise calls.Broken(
+                f'report answered with {status}', peer=backend.address
+            )
+        return data
+
+    async def order_layers(self, backend, assignment, fence):
+        """Order a server to hold a range; raise PimentowalkError.
+
+        The expected number of accepted orders keeps an order that arrives
+        late from undoing a newer one.
+        """
+        report = await self.report(backend)
+        body = {
+            'operation': 'place',
+            'from': assignment.first_layer,
+            'to': assignment.end_layer,
+            'method': 'queue',
+            'fence': fence,
+            # The number of orders accepted, not that of announcements.
+            'precondition': report.get('sequence', 0),
+        }
+        status, data = await self._control_call(
+            backend, 'POST', ORDER_PATH, body
+        )
+        if status not in ACCEPTED:
+            raise errors.Conflict(
+                f'order refused with {status}: {data}',
+                step='place',
+                peer=backend.address,
+            )
+
+    async def _control_call(self, backend, method, path, body=None):
+        peer = backend.address
+        headers = {names.EXPECT_INSTANCE: backend.server_id}
+        try:
+            async with (
+                asyncio.timeout(CONTROL_CALL_TIMEOUT_S),
+                self._session.request(
+                    method, f'http://{peer}{path}', headers=headers, json=body
+                ) as response,
+            ):
+                text = await response.read()
+        except TimeoutError:
+            raise calls.Unreachable(
+                f'no answer to {path}', peer=peer, culprit=peer
+            ) from None
+        except (aiohttp.ClientError, OSError) as error:
+            raise calls.Unreachable(
+                f'{path}: {error!r}', peer=peer, culprit=peer
+            ) from None
+        try:
+            return response.status, json.loads(text) if text else None
+        except ValueError:
+            raise calls.Broken(f'{path}: not JSON', peer=peer) from None
+
+
+def _hop_list(hops):
+    return ','.join(
+        f'{hop.backend.address}={hop.first_layer}-{hop.end_layer}'
+        for hop in hops
+    )
+
+
+def _load(text):
+    """Return (running, waiting, slots), or None."""
+    try:
+        running, waiting, slots = (int(part) for part in text.split(','))
+    except (AttributeError, ValueError):
+        return None
+    return running, waiting, slots
--- /dev/null
+++ b/pimentowalk/routing/work.py
@@ -0,0 +1,115 @@
+"""The work that all nodes have at backend servers, known a little late."""
+
+import collections
+
+from pimentowalk.wire import node_messages
+
+# Work that a node reported this long ago has ended or the node is gone.
+REPORT_EXPIRY_S = 2.0
+DEFAULT_STEP_S = 0.005
+MB = 1e6
+# Choosing a path that starts in another zone sends each event across.
+ZONE_COST_S = 0.25
+
+
+class WorkBook:
+    """Count requests and tokens at each server, here and elsewhere."""
+
+    def __init__(self, node_id, now_s):
+        self._node_id = node_id
+        self._now_s = now_s
+        self._own_requests = collections.Counter()
+        self._own_tokens = collections.Counter()
+        self._others = {}
+        self._sums = {}
+        self._engines = {}
+
+    def set_engines(self, engines):
+        """Set the engine of each service."""
+        self._engines = dict(engines)
+
+    def begin(self, server_ids, tokens):
+        """Count a request at some servers."""
+        for server_id in server_ids:
+            self._own_requests[server_id] += 1
+            self._own_tokens[server_id] += tokens
+
+    def end(self, server_ids, tokens):
+        """Stop counting a request."""
+        for server_id in server_ids:
+            self._own_requests[server_id] -= 1
+            self._own_tokens[server_id] -= tokens
+            if self._own_requests[server_id] <= 0:
+                del self._own_requests[server_id]
+                del self._own_tokens[server_id]
+
+    def report(self):
+        """Return the work of this node, to publish."""
+        return node_messages.LoadNews(
+            self._node_id,
+            [
+                node_messages.ServerLoad(
+                    server_id, requests, max(0, self._own_tokens[server_id])
+                )
+                for server_id, requests in self._own_requests.items()
+            ],
+        )
+
+    def take(self, body):
+        """Take the report of another node."""
+        if body.node_id != self._node_id:
+            loads = {x.server_id: (x.requests, x.tokens) for x in body.loads}
+            self._others[body.node_id] = self._now_s(), loads
+            self._sum()
+
+    def _sum(self):
+        oldest_s = self._now_s() - REPORT_EXPIRY_S
+        sums = {}
+        for node_id, (heard_s, loads) in list(self._others.items()):
+            if heard_s < oldest_s:
+                del self._others[node_id]
+                continue
+            for server_id, (requests, tokens) in loads.items():
+                known = sums.get(server_id, (0, 0))
+                sums[server_id] = known[0] + requests, known[1] + tokens
+        self._sums = sums
+
+    def requests(self, server_id):
+        """Return the requests at a server."""
+        others = self._sums.get(server_id, (0, 0))[0]
+        return self._own_requests[server_id] + others
+
+    def tokens(self, server_id):
+        """Return the tokens of the requests at a server."""
+        others = self._sums.get(server_id, (0, 0))[1]
+        return self._own_tokens[server_id] + others
+
+    def capacity_tokens(self, backend):
+        """Return the tokens whose caches fit beside a server's layers."""
+        engine = self._engines.get(backend.service)
+        kind = engine and engine.accelerators.get(backend.accelerator)
+        if not kind or not engine.kv_token_bytes:
+            return 0
+        free_mb = kind.memory_mb - backend.layer_count * engine.layer_mb
+        layer_bytes = engine.kv_token_bytes / engine.total_layers
+        return max(0.0, free_mb * MB / layer_bytes / backend.layer_count)
+
+    def memory_share(self, backend, more_tokens=0):
+        """Return the share of a server's cache that would be in use."""
+        capacity = self.capacity_tokens(backend)
+        if capacity <= 0:
+            return 1.0
+        return (self.tokens(backend.server_id) + more_tokens) / capacity
+
+    def step_s(self, backend):
+        """Return the time of one layer for the tokens of a usual answer."""
+        engine = self._engines.get(backend.service)
+        kind = engine and engine.accelerators.get(backend.accelerator)
+        if not kind:
+            return DEFAULT_STEP_S
+        step_s = engine.step_ms / 1000 * kind.step_factor
+        return step_s / engine.total_layers * engine.usual_answer_tokens
+
+    def zone_cost_s(self, zone):
+        """Return the cost of starting in another zone."""
+        return ZONE_COST_S
--- /dev/null
+++ b/pimentowalk/settings/gateway.py
@@ -0,0 +1,138 @@
+"""Settings of `pimentowalk-gateway`: one INI file for each process."""
+
+import attrs
+
+from pimentowalk.core import errors
+from pimentowalk.settings import ini
+from pimentowalk.settings import values
+
+MAX_SEEDS = 16
+MAX_TOLERATED = 4
+
+
+@attrs.frozen
+class Address:
+    """A numeric IP address and a port."""
+
+    host: str
+    port: int
+
+
+@attrs.frozen
+class GatewaySettings:
+    """What a gateway is told about itself and its surroundings.
+
+    `front`, `ready` and `control` are listening addresses. `seeds` are
+    control addresses of some nodes. `first_start` is true only when the
+    whole system starts with empty disks. `data_folder` is empty on an
+    instance without a disk. `tolerated_losses` is the number of instances
+    with a disk that may be lost at once.
+    """
+
+    node_id: str
+    name: str
+    zone: str
+    host: str
+    peer_port: int
+    front: Address
+    ready: Address
+    control: Address
+    seeds: tuple[Address, ...]
+    first_start: bool = False
+    data_folder: str = ''
+    tolerated_losses: int = 1
+    metrics_port: int = 0
+    log_level: str = 'INFO'
+    announcement_period_ms: float = 1000.0
+
+
+@attrs.frozen
+class BoundSettings:
+    """The bounds of time and number that the deployment sets."""
+
+    revocation_ms: float = 5000.0
+    stop_ms: float = 8000.0
+    retry_window_s: float = 10.0
+    retry_ratio: float = 0.2
+    retry_extra: float = 100.0
+
+
+def address(text):
+    """Return the address that `host:port` names.
+
+    >>> address('127.0.0.1:80')
+    Address(host='127.0.0.1', port=80)
+    """
+    host, _, port = text.rpartition(':')
+    return Address(values.ip(host), values.integer(1, values.MAX_PORT)(port))
+
+
+def seeds(text):
+    """Return the addresses of a comma-separated list."""
+    found = values.list_of(address)(text)
+    if not 1 <= len(found) <= MAX_SEEDS:
+        raise ValueError(f'{len(found)} seeds; expected 1 to {MAX_SEEDS}')
+    return tuple(found)
+
+
+def flag(text):
+    """Return whether a text is `true`."""
+    return values.choice(('true', 'false', ''))(text) == 'true'
+
+
+def _folder(text):
+    if '\0' in text:
+        raise ValueError(f'{text!r} is not a path')
+    return text
+
+
+_MS = values.number(0, 86_400_000, 'milliseconds')
+
+GATEWAY_READERS = {
+    'node_id': values.ip,
+    'name': values.name,
+    'zone': values.name,
+    'host': values.ip,
+    'peer_port': values.integer(1, values.MAX_PORT),
+    'front': address,
+    'ready': address,
+    'control': address,
+    'seeds': seeds,
+    'first_start': flag,
+    'data_folder': _folder,
+    'tolerated_losses': values.integer(0, MAX_TOLERATED),
+    'metrics_port': values.integer(0, values.MAX_PORT),
+    'log_level': values.choice(values.LOG_LEVELS),
+    'announcement_period_ms': _MS,
+}
+BOUND_READERS = {
+    'revocation_ms': _MS,
+    'stop_ms': _MS,
+    'retry_window_s': values.number(0.1, 3600, 'seconds'),
+    'retry_ratio': values.number(0, 10),
+    'retry_extra': values.number(0, 1e9),
+}
+
+
+def load(path):
+    """Return gateway and bound settings; raise SettingsError."""
+    document = ini.read(path)
+    found = None
+    if document.sections:
+        for name in document.sections:
+            if name not in ('gateway', 'bounds'):
+                document.report(
+                    name, '', 'unknown section; known: bounds, gateway'
+                )
+        gateway = ini.build(
+            GatewaySettings, document, 'gateway', GATEWAY_READERS
+        )
+        bounds = ini.build(BoundSettings, document, 'bounds', BOUND_READERS)
+        found = gateway, bounds
+    if document.problems or found is None:
+        raise errors.SettingsError(
+            '\n'.join(str(problem) for problem in document.problems)
+            or f'{path}: is empty',
+            step='read settings',
+        )
+    return found
--- /dev/null
+++ b/pimentowalk/topology/documents.py
@@ -0,0 +1,134 @@
+"""The contracts of a deployment whose configuration is one document.
+
+A document replaces the whole configuration; the highest version is in
+force. Services, routes and client accounts are immutable.
+"""
+
+import attrs
+
+SAFE = 'safe'
+NON_IDEMPOTENT = 'non_idempotent'
+STREAMING = 'streaming'
+KINDS = (SAFE, NON_IDEMPOTENT, STREAMING)
+
+
+@attrs.frozen
+class Accelerator:
+    """A kind of accelerator; the factors multiply the engine's times."""
+
+    name: str
+    memory_mb: float
+    step_factor: float = 1.0
+    read_factor: float = 1.0
+
+
+@attrs.frozen
+class Engine:
+    """What the engines of a model service can do.
+
+    `kv_token_bytes` is the cache of one token in all layers, `load_s` the
+    time to load all layers, `activation_bytes` what a stage hands to the
+    next one for each token.
+    """
+
+    model: str
+    total_layers: int
+    layer_mb: float
+    kv_token_bytes: float
+    load_s: float
+    loads_at_once: int = 1
+    step_ms: float = 1.0
+    read_tokens_per_s: float = 1e5
+    activation_bytes: float = 0.0
+    zone_link_mbps: float = 0.0
+    usual_prompt_tokens: int = 0
+    usual_answer_tokens: int = 0
+    accelerators: dict[str, Accelerator] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class DirectService:
+    """A service whose backend servers are called without agents."""
+
+    name: str
+    health_path: str = ''
+    max_connections: int = 0
+    engine: Engine | None = None
+
+
+@attrs.frozen
+class HostRoute:
+    """A route by host and path prefix to one or more services.
+
+    `backends` holds (service, weight) pairs. `attempts` bounds the backend
+    servers to which one request may be sent.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    backends: tuple[tuple[str, float], ...]
+    timeout_s: float
+    objective_s: float = 0.0
+    priority: int = 0
+    attempts: int = 1
+    is_public: bool = False
+    is_resumable: bool = False
+    longest_pause_s: float = 0.0
+
+    @property
+    def is_repeatable(self):
+        """Return whether a request may run more than once."""
+        return self.kind == SAFE or self.is_resumable
+
+
+@attrs.frozen
+class KeyedAccount:
+    """A client account with its keys."""
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None = None
+
+
+@attrs.frozen
+class Limits:
+    """What callers may send, and how long they may take or stay idle."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4194304
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+class Document:
+    """One version of the configuration, indexed for look-ups."""
+
+    def __init__(self, version, services, routes, accounts, limits):
+        self.version = version
+        self.services = {service.name: service for service in services}
+        self.routes = list(routes)
+        self.accounts = list(accounts)
+        self.limits = limits
+        self.has_accounts = bool(self.accounts)
+        self._by_key = {
+            key: account for account in accounts for key in account.keys
+        }
+        self._by_place = {(r.host, r.path_prefix): r for r in routes}
+
+    def route(self, host, path):
+        """Return the route with the longest matching prefix, or None."""
+        end = len(path)
+        while end > 0:
+            end = path.rfind('/', 0, end)
+            if end < 0:
+                return None
+            found = self._by_place.get((host, path[: end + 1]))
+            if found is not None:
+                return found
+        return None
+
+    def account_of(self, key):
+        """Return the client account that holds a key, or None."""
+        return self._by_key.get(key)
--- a/pimentowalk/wire/codec.py
+++ b/pimentowalk/wire/codec.py
@@ -8,6 +8,7 @@
 
 from pimentowalk.core import errors
 from pimentowalk.wire import messages
+from pimentowalk.wire import node_messages  # noqa: F401 registers frames
 from pimentowalk.wire import schema
 
 capnp.remove_import_hook()
--- a/pimentowalk/wire/frames.capnp
+++ b/pimentowalk/wire/frames.capnp
@@ -366,6 +366,79 @@
   answer @0 :Bool;
 }
 
+struct NodeStatus {
+  host @0 :Text;
+  port @1 :UInt64;
+  identity @2 :Text;
+  subscribed @3 :Bool;
+  version @4 :UInt64;
+  draining @5 :Bool;
+}
+
+struct ControlAddress {
+  nodeId @0 :Text;
+  host @1 :Text;
+  port @2 :UInt64;
+}
+
+struct ControlNews {
+  members @0 :List(ControlAddress);
+  leaderId @1 :Text;
+  version @2 :UInt64;
+  liveNodes @3 :UInt64;
+}
+
+struct DocumentPush {
+  version @0 :UInt64;
+  content @1 :Data;
+}
+
+struct Backend {
+  serverId @0 :Text;
+  bornMs @1 :UInt64;
+  sequence @2 :UInt64;
+  service @3 :Text;
+  host @4 :Text;
+  port @5 :UInt64;
+  zone @6 :Text;
+  state @7 :Text;
+  slots @8 :UInt64;
+  accelerator @9 :Text;
+  model @10 :Text;
+  firstLayer @11 :UInt64;
+  endLayer @12 :UInt64;
+  weightsVersion @13 :UInt64;
+  warmUpMs @14 :UInt64;
+  heardMs @15 :UInt64;
+}
+
+struct BackendNews {
+  backends @0 :List(Backend);
+}
+
+struct Suspicion {
+  serverId @0 :Text;
+  bornMs @1 :UInt64;
+  reason @2 :Text;
+}
+
+struct ServerLoad {
+  serverId @0 :Text;
+  requests @1 :UInt64;
+  tokens @2 :UInt64;
+}
+
+struct LoadNews {
+  nodeId @0 :Text;
+  loads @1 :List(ServerLoad);
+}
+
+struct CrashNote {
+  fingerprint @0 :UInt64;
+  serverId @1 :Text;
+  bornMs @2 :UInt64;
+}
+
 struct Frame {
   configVersion @0 :UInt64;
   callId @1 :UInt64;
@@ -406,5 +479,12 @@
     identityRequest @35 :IdentityRequest;
     identityReply @36 :IdentityReply;
     probe @37 :Probe;
+    nodeStatus @38 :NodeStatus;
+    controlNews @39 :ControlNews;
+    documentPush @40 :DocumentPush;
+    backendNews @41 :BackendNews;
+    suspicion @42 :Suspicion;
+    loadNews @43 :LoadNews;
+    crashNote @44 :CrashNote;
   }
 }
--- a/pimentowalk/wire/schema.py
+++ b/pimentowalk/wire/schema.py
@@ -10,6 +10,7 @@
 import attrs
 
 from pimentowalk.wire import messages
+from pimentowalk.wire import node_messages  # noqa: F401 registers frames
 
 FILE_ID = '0xf953a6f252e6b438'
 SCALARS = {
