Batch what nodes pass on, and test the new decisions without a network

Cause: each frame between nodes cost a system call; repeats of announcements and loads were relayed one by one. Frames of one turn now leave together, and repeats wait for a batch.

--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -14,7 +14,7 @@
 
 # Nodes exchange their work this often. A request lasts about a second, so
 # that most of it is known elsewhere while it runs.
-REPORT_S = 0.2
+REPORT_S = 0.25
 # Runs without progress are looked at this often.
 WATCH_S = 0.1
 
@@ -68,7 +68,7 @@
         body = self.book.report()
         # One empty report tells that the work has ended.
         if body.loads or self._reported:
-            self.node.publish(body)
+            self.node.publish_load(body)
         self._reported = bool(body.loads)
 
     def _watch(self):
--- a/pimentowalk/membership/backends.py
+++ b/pimentowalk/membership/backends.py
@@ -214,5 +214,10 @@
         )
 
 
+def is_same_use(known, backend):
+    """Return whether an announcement changes nothing but its time."""
+    return known is not None and _usable_part(known) == _usable_part(backend)
+
+
 def _usable_part(backend):
     return attrs.evolve(backend, sequence=0, heard_ms=0, warm_up_ms=0)
--- a/pimentowalk/mesh/hub.py
+++ b/pimentowalk/mesh/hub.py
@@ -21,6 +21,9 @@
 # A connection that has been silent this long is cut; its node dials again.
 NODE_EXPIRY_S = 5.0
 EXPIRY_CHECK_S = 0.5
+# Repeated announcements and loads are passed on together after this time;
+# what changes the use of a server goes at once.
+BATCH_S = 0.25
 
 
 @attrs.define(eq=False)
@@ -48,6 +51,8 @@
         self._timers = timers
         self._records = {}
         self._tasks = set()
+        self._waiting_backends = {}
+        self._waiting_loads = {}
         self._peers = wire.PeerServer(
             host,
             port,
@@ -60,6 +65,7 @@
         """Listen for connections."""
         await self._peers.start()
         self._timers.every(EXPIRY_CHECK_S, self._expire)
+        self._timers.every(BATCH_S, self._send_waiting)
 
     async def stop(self):
         """Close all connections."""
@@ -144,6 +150,22 @@
             if peer is not origin and record.status.subscribed:
                 peer.post(body)
 
+    def relay_later(self, body):
+        """Pass on repeated announcements or a load with the next batch."""
+        if isinstance(body, node_messages.LoadNews):
+            self._waiting_loads[body.node_id] = body
+            return
+        for backend in body.backends:
+            self._waiting_backends[backend.server_id] = backend
+
+    def _send_waiting(self):
+        loads, self._waiting_loads = self._waiting_loads, {}
+        backends, self._waiting_backends = self._waiting_backends, {}
+        if backends:
+            self.relay(node_messages.BackendNews(list(backends.values())))
+        for body in loads.values():
+            self.relay(body)
+
     def run_request(self, peer, envelope):
         """Answer a control request without holding up the connection."""
         task = asyncio.ensure_future(self._answer(peer, envelope))
@@ -184,10 +206,23 @@
     hub.run_request(peer, envelope)
 
 
+@FRAMES.register('backendNews')
+async def on_backends(hub, peer, envelope):
+    """Apply announcements; pass on at once what is news."""
+    hub.node.pass_on_backends(envelope.body, origin=peer)
+
+
+@FRAMES.register('loadNews')
+async def on_load(hub, peer, envelope):
+    """Take the load of a node; pass it on with the next batch."""
+    hub.node.take(envelope.body)
+    hub.relay_later(envelope.body)
+
+
 async def _take_and_relay(hub, peer, envelope):
     hub.node.take(envelope.body)
     hub.relay(envelope.body, origin=peer)
 
 
-for _name in ('backendNews', 'suspicion', 'loadNews', 'crashNote'):
+for _name in ('suspicion', 'crashNote'):
     FRAMES.register(_name)(_take_and_relay)
--- a/pimentowalk/mesh/node.py
+++ b/pimentowalk/mesh/node.py
@@ -8,6 +8,7 @@
 from pimentowalk.core import logs
 from pimentowalk.core import registry
 from pimentowalk.core import timers as core_timers
+from pimentowalk.membership import backends as membership
 from pimentowalk.mesh import hub as mesh_hub
 from pimentowalk.mesh import links as mesh_links
 from pimentowalk.wire import node_messages
@@ -160,6 +161,30 @@
             link.post(body)
         self.hub.relay(body)
 
+    def pass_on_backends(self, body, origin=None):
+        """Apply announcements; tell the subscribers at once of news."""
+        for backend in body.backends:
+            known = self.backends.get(backend.server_id)
+            self.backends.apply(backend, backend.heard_ms / 1000)
+            one = node_messages.BackendNews([backend])
+            if membership.is_same_use(known, backend):
+                self.hub.relay_later(one)
+            else:
+                self.hub.relay(one, origin=origin)
+
+    def announce(self, backend):
+        """Apply an announcement made here and tell all nodes."""
+        body = node_messages.BackendNews([backend])
+        for link in self._links.values():
+            link.post(body)
+        self.pass_on_backends(body)
+
+    def publish_load(self, body):
+        """Tell all nodes the work of this one."""
+        for link in self._links.values():
+            link.post(body)
+        self.hub.relay_later(body)
+
     def take(self, body):
         """Apply a frame from another node."""
         TAKERS.get(body.FRAME_NAME)(self, body)
--- /dev/null
+++ b/pimentowalk/placement/tests/test_planner.py
@@ -0,0 +1,115 @@
+"""Guard the plan of layer ranges."""
+
+import pytest
+
+from pimentowalk.placement import planner
+from pimentowalk.topology import documents
+
+ENGINE = documents.Engine(
+    model='m',
+    total_layers=80,
+    layer_mb=1750.0,
+    kv_token_bytes=1_180_000,
+    load_s=14.0,
+    accelerators={
+        'a100': documents.Accelerator('a100', 72000.0, 2.4, 3.2),
+        'v100': documents.Accelerator('v100', 14400.0, 5.3, 7.9),
+        'l4': documents.Accelerator('l4', 21600.0, 16.0, 8.2),
+    },
+)
+# One availability zone as the first deployment has it.
+ZONE = {'a100': 1, 'v100': 10, 'l4': 4}
+
+
+def _empty(zone='z1', counts=None):
+    return [
+        planner.Holder(f'{zone}-{kind}-{n}', zone, kind)
+        for kind, count in (counts or ZONE).items()
+        for n in range(count)
+    ]
+
+
+def _after(holders, assignments):
+    changed = {a.server_id: a for a in assignments}
+    return [
+        planner.Holder(
+            h.server_id,
+            h.zone,
+            h.accelerator,
+            changed[h.server_id].first_layer,
+            changed[h.server_id].end_layer,
+        )
+        if h.server_id in changed
+        else h
+        for h in holders
+    ]
+
+
+def _full(**kwargs):
+    holders = _empty(**kwargs)
+    return _after(holders, planner.plan(holders, ENGINE))
+
+
+def test_first_plan_covers_every_layer_of_each_zone():
+    """A layer without a copy stops all requests of its zone."""
+    held = _full()
+    assert min(planner.coverage(held, 80)) >= 1
+
+
+def test_plan_fits_into_memory():
+    """A server that is ordered to hold more than its memory crashes."""
+    for holder in _full():
+        size = holder.end_layer - holder.first_layer
+        memory_mb = ENGINE.accelerators[holder.accelerator].memory_mb
+        assert 0 < size * ENGINE.layer_mb <= memory_mb
+
+
+def test_plan_in_force_is_stable():
+    """Orders and loads have a price, so nothing moves without a cause."""
+    assert planner.plan(_full(), ENGINE) == []
+
+
+def test_joining_server_takes_what_is_covered_least():
+    """A server that comes back empty restores the copies that it had."""
+    held = _full()
+    copies = planner.coverage(held, 80)
+    joined = [*held, planner.Holder('new', 'z1', 'v100')]
+    (assignment,) = planner.plan(joined, ENGINE)
+    chosen = copies[assignment.first_layer : assignment.end_layer]
+    assert sum(chosen) <= min(
+        sum(copies[at : at + len(chosen)])
+        for at in range(80 - len(chosen) + 1)
+    )
+
+
+@pytest.mark.parametrize('lost', range(15))
+def test_any_lost_server_is_replaced_by_moves(lost):
+    """The loss of one server must not leave a zone without a layer."""
+    held = _full()
+    del held[lost]
+    after = _after(held, planner.plan(held, ENGINE))
+    missing = planner.coverage(held, 80).count(0)
+    assert planner.coverage(after, 80).count(0) < max(missing, 1)
+
+
+def test_move_takes_few_servers():
+    """Each move unloads a working server for the time of a load."""
+    held = _full()
+    lost = next(h for h in held if h.accelerator == 'v100')
+    rest = [h for h in held if h is not lost]
+    assert len(planner.plan(rest, ENGINE)) <= 2
+
+
+def test_zones_are_planned_alone():
+    """A zone must not rely on layers behind a shared link."""
+    holders = _empty('z1') + _empty('z2')
+    held = _after(holders, planner.plan(holders, ENGINE))
+    for zone in ('z1', 'z2'):
+        own = [h for h in held if h.zone == zone]
+        assert min(planner.coverage(own, 80)) >= 1
+
+
+def test_unknown_accelerator_gets_nothing():
+    """Without a size, any number of layers could be too many."""
+    holders = [planner.Holder('s', 'z1', 'other')]
+    assert planner.plan(holders, ENGINE) == []
--- a/pimentowalk/platform/control_api.py
+++ b/pimentowalk/platform/control_api.py
@@ -11,7 +11,6 @@
 from pimentowalk.platform import announcements
 from pimentowalk.platform import documents
 from pimentowalk.topology import backends
-from pimentowalk.wire import node_messages
 
 LOG = logging.getLogger(__name__)
 
@@ -92,8 +91,7 @@
 
     def _take(self, backend):
         self._metrics.count('announcements')
-        self._node.backends.apply(backend)
-        self._node.publish(node_messages.BackendNews([backend]))
+        self._node.announce(backend)
 
     def _refused(self, error, text, peer=''):
         self._metrics.count(f'control_errors_{error.code}')
--- /dev/null
+++ b/pimentowalk/routing/tests/test_hops.py
@@ -0,0 +1,156 @@
+"""Guard the choice of paths through ranges of layers."""
+
+import random
+
+import pytest
+
+from pimentowalk.routing import hops
+from pimentowalk.routing import work
+from pimentowalk.topology import backends
+from pimentowalk.topology import documents
+
+ENGINE = documents.Engine(
+    model='m',
+    total_layers=80,
+    layer_mb=1750.0,
+    kv_token_bytes=1_180_000,
+    load_s=14.0,
+    usual_answer_tokens=216,
+    accelerators={
+        'a100': documents.Accelerator('a100', 72000.0, 2.4, 3.2),
+        'v100': documents.Accelerator('v100', 14400.0, 5.3, 7.9),
+    },
+)
+
+
+def _server(name, first, end, zone='z1', kind='v100'):
+    return backends.Backend(
+        name,
+        1,
+        1,
+        'svc',
+        '10.0.0.1',
+        80,
+        zone,
+        accelerator=kind,
+        first_layer=first,
+        end_layer=end,
+    )
+
+
+def _book():
+    book = work.WorkBook('n1', lambda: 0.0)
+    book.set_engines({'svc': ENGINE})
+    return book
+
+
+def _policy(book=None, name='cheapest'):
+    return hops.POLICIES.get(name)(book or _book(), random.Random(1))
+
+
+def _query(**changes):
+    return hops.PathQuery(80, 1000, 'z1', **changes)
+
+
+def _chain(zone, size=8):
+    return [
+        _server(f'{zone}-{at}', at, at + size, zone)
+        for at in range(0, 80, size)
+    ]
+
+
+def _names(path):
+    return [hop.backend.server_id for hop in path]
+
+
+@pytest.mark.parametrize('name', ['cheapest', 'first_fit'])
+def test_path_runs_each_layer_once_and_in_order(name):
+    """A token made on any other path is wrong."""
+    servers = [
+        _server('a', 0, 30),
+        _server('b', 20, 50),
+        _server('c', 50, 80),
+        _server('d', 45, 70),
+    ]
+    path = _policy(name=name).choose(servers, _query())
+    assert hops.tiles(path, 80)
+
+
+@pytest.mark.parametrize('name', ['cheapest', 'first_fit'])
+def test_missing_layer_gives_no_path(name):
+    """A request that cannot be served is refused at once."""
+    servers = [_server('a', 0, 30), _server('b', 31, 80)]
+    assert _policy(name=name).choose(servers, _query()) is None
+
+
+def test_path_stays_in_the_zone_of_the_caller():
+    """Activations are large and the links between zones are shared."""
+    path = _policy().choose(_chain('z1') + _chain('z2'), _query())
+    assert {hop.backend.zone for hop in path} == {'z1'}
+
+
+def test_gap_in_a_zone_is_passed_with_one_crossing():
+    """A zone that lost a range goes on in another one, and stays there."""
+    servers = [s for s in _chain('z1') if s.first_layer != 40] + _chain('z2')
+    path = _policy().choose(servers, _query())
+    zones = [hop.backend.zone for hop in path]
+    crossings = sum(a != b for a, b in zip(zones, zones[1:], strict=False))
+    assert hops.tiles(path, 80)
+    assert crossings <= 1
+
+
+def test_avoided_server_is_left_out():
+    """A request that failed at a server must not meet it again."""
+    servers = [*_chain('z1'), _server('twin', 0, 8)]
+    path = _policy().choose(servers, _query(avoid=frozenset({'z1-0'})))
+    assert path[0].backend.server_id == 'twin'
+
+
+def test_full_server_is_left_to_its_work():
+    """A full cache preempts requests that are running."""
+    book = _book()
+    servers = [*_chain('z1'), _server('twin', 0, 8)]
+    capacity = int(book.capacity_tokens(servers[0]))
+    book.begin(['z1-0'], capacity)
+    path = _policy(book).choose(servers, _query())
+    assert path[0].backend.server_id == 'twin'
+
+
+def test_work_of_other_nodes_counts():
+    """Nodes that see only their own work choose the same servers."""
+    book, other = _book(), work.WorkBook('n2', lambda: 0.0)
+    servers = [*_chain('z1'), _server('twin', 0, 8)]
+    other.begin(['z1-0'], int(book.capacity_tokens(servers[0])))
+    book.take(other.report())
+    path = _policy(book).choose(servers, _query())
+    assert path[0].backend.server_id == 'twin'
+
+
+def test_equal_servers_share_the_work():
+    """Nodes with the same knowledge must not all choose one server."""
+    policy = _policy()
+    servers = [*_chain('z1'), _server('twin', 0, 8)]
+    heads = {_names(policy.choose(servers, _query()))[0] for _ in range(50)}
+    assert heads == {'z1-0', 'twin'}
+
+
+def test_ended_work_is_forgotten():
+    """Work that stays counted would keep a server empty for ever."""
+    book = _book()
+    book.begin(['s'], 100)
+    book.end(['s'], 100)
+    assert (book.requests('s'), book.tokens('s')) == (0, 0)
+    assert book.report().loads == []
+
+
+def test_silent_node_is_forgotten():
+    """A node that died has no work any more."""
+    now = [0.0]
+    book = work.WorkBook('n1', lambda: now[0])
+    other = work.WorkBook('n2', lambda: now[0])
+    third = work.WorkBook('n3', lambda: now[0])
+    other.begin(['s'], 100)
+    book.take(other.report())
+    now[0] = work.REPORT_EXPIRY_S + 1
+    book.take(third.report())
+    assert book.tokens('s') == 0
--- a/pimentowalk/wire/connection.py
+++ b/pimentowalk/wire/connection.py
@@ -45,6 +45,7 @@
         self._calls = {}
         self._call_ids = itertools.count(1)
         self._closed = asyncio.Event()
+        self._unsent = []
         self.hello = None
         self.on_frame = ignore_frame
         self.on_close = None
@@ -96,7 +97,15 @@
             body, config_version=self._version(), call_id=call_id
         )
         self.sent_bytes += len(frame)
-        self._writer.write(frame)
+        # Frames of one turn of the loop leave with one system call.
+        if not self._unsent:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._unsent.append(frame)
+
+    def _flush(self):
+        frames, self._unsent = self._unsent, []
+        if frames and not self._writer.is_closing():
+            self._writer.write(b''.join(frames))
 
     async def send(self, body, *, call_id=0):
         """Send a frame; raise PeerLost if the connection has ended."""
@@ -105,6 +114,7 @@
                 'the connection ended', step='send', peer=self.peer
             )
         self.post(body, call_id=call_id)
+        self._flush()
         try:
             await self._writer.drain()
         except ConnectionError:
@@ -202,6 +212,7 @@
 
     def close(self):
         """End the connection after what was queued has been sent."""
+        self._flush()
         self._writer.close()
 
     def abort(self):
@@ -212,6 +223,7 @@
         if self.closed:
             return
         self._closed.set()
+        self._flush()
         self._writer.close()
         for future in self._calls.values():
             if not future.done():
