Find failed servers at once, keep seeds linked, and close idle callers at a stop

All nodes now dial the seeds, which name the instances with disks; the drain shuts kept connections down; a full disk is waited for; a named server is asked, and a stream asks after 0.15 s. A stream whose head lives goes on over other hops by an order to the head.

--- a/pimentowalk/control/files.py
+++ b/pimentowalk/control/files.py
@@ -3,14 +3,46 @@
 Tests replace `Files` with a version that loses and cuts unsynced writes.
 """
 
+import errno
+import logging
 import os
+import time
+
+LOG = logging.getLogger(__name__)
+
+# A full disk refuses writes but loses nothing, so the write is tried again
+# after this time. Until then nothing that depends on it is answered.
+FULL_RETRY_S = 0.2
+
+
+def retry_while_full(operation, *arguments):
+    """Return the result of an operation, waiting while the disk is full.
+
+    A failed sync is not repeated: what it left on the disk is unknown.
+    """
+    is_noted = False
+    while True:
+        try:
+            result = operation(*arguments)
+        except OSError as error:
+            if error.errno != errno.ENOSPC:
+                raise
+            if not is_noted:
+                is_noted = True
+                LOG.warning('the disk is full; waiting for room')
+            time.sleep(FULL_RETRY_S)
+        else:
+            if is_noted:
+                LOG.info('the disk has room again')
+            return result
 
 
 class File:
     """An open file that is written at given offsets."""
 
     def __init__(self, path):
-        self._fd = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
+        flags = os.O_RDWR | os.O_CREAT
+        self._fd = retry_while_full(os.open, path, flags, 0o600)
 
     def write_at(self, offset, data):
         """Write some of the data and return how many bytes were written."""
@@ -61,7 +93,7 @@
 
     def replace(self, source, target):
         """Rename a file over another."""
-        os.replace(self._path(source), self._path(target))
+        retry_while_full(os.replace, self._path(source), self._path(target))
 
     def remove(self, name):
         """Remove a file."""
@@ -84,7 +116,7 @@
     """Write all of the data, however short the single writes are."""
     view = memoryview(data)
     while view:
-        count = file.write_at(offset, view)
+        count = retry_while_full(file.write_at, offset, view)
         if count <= 0:
             raise OSError('a write made no progress')
         offset += count
--- /dev/null
+++ b/pimentowalk/dispatch/checks.py
@@ -0,0 +1,55 @@
+"""Ask backend servers for their state when requests fail there."""
+
+import asyncio
+
+from pimentowalk.dispatch import calls
+
+# An answer serves all runs that ask within this time, since each question
+# costs the server work.
+FRESH_S = 0.12
+
+
+class ServerChecks:
+    """Share questions among the runs that have them at the same time.
+
+    `suspect(backend, reason)` is called for a server that cannot be
+    reached.
+    """
+
+    def __init__(self, transport, timers, suspect):
+        self._transport = transport
+        self._timers = timers
+        self._suspect = suspect
+        self._asked = {}
+        self._tasks = set()
+
+    async def stalled(self, backend):
+        """Return the calls that stand still at a head; raise TryFailed."""
+        now_s = self._timers.now_s()
+        asked_s, task = self._asked.get(backend.server_id, (0.0, None))
+        if task is None or (task.done() and now_s - asked_s > FRESH_S):
+            task = asyncio.ensure_future(self._ask(backend))
+            self._asked[backend.server_id] = now_s, task
+        # A run that is cancelled must not end the question of the others.
+        return await asyncio.shield(task)
+
+    async def _ask(self, backend):
+        try:
+            return await self._transport.stalled(backend)
+        except calls.Unreachable as error:
+            self._suspect(backend, error.message)
+            raise
+
+    def check(self, backend):
+        """Find out in the background whether a server works."""
+        task = asyncio.ensure_future(self._check(backend))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _check(self, backend):
+        try:
+            await self.stalled(backend)
+        except calls.TryFailed:
+            # `_ask` has reported a server that cannot be reached; one that
+            # answers in another way works.
+            return
--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -5,6 +5,7 @@
 
 from pimentowalk.core import errors
 from pimentowalk.core import logs
+from pimentowalk.dispatch import checks as dispatch_checks
 from pimentowalk.dispatch import plain
 from pimentowalk.dispatch import stream
 from pimentowalk.routing import hops as routing_hops
@@ -16,7 +17,7 @@
 # that most of it is known elsewhere while it runs.
 REPORT_S = 0.25
 # Runs without progress are looked at this often.
-WATCH_S = 0.1
+WATCH_S = 0.05
 
 
 class Dispatcher:
@@ -49,6 +50,9 @@
         self.zone = zone
         self.rng = rng or random.Random()
         self.paths = routing_hops.POLICIES.get(path_policy)(book, self.rng)
+        self.checks = dispatch_checks.ServerChecks(
+            transport, timers, self.suspect
+        )
         self.runs = set()
         self._reported = False
         node.subscribe(node_messages.LoadNews, book.take)
@@ -112,9 +116,25 @@
         self.runs.add(run)
         try:
             await run.run()
+            self._log_done(call, run)
         finally:
             self.runs.discard(run)
 
+    def _log_done(self, call, run):
+        elapsed_s = self.timers.now_s() - call.received_s
+        self.metrics.record_s('request', elapsed_s)
+        LOG.info(
+            'answered',
+            extra=logs.fields(
+                step='answer',
+                request_id=call.request_id,
+                route=call.route.name,
+                elapsed_ms=int(elapsed_s * 1000),
+                version=self.node.document_version,
+                **run.summary(),
+            ),
+        )
+
     def log_failed_try(self, call, target, error):
         """Log why a try failed."""
         self.metrics.count(f'failed_tries_{error.code}')
--- a/pimentowalk/dispatch/plain.py
+++ b/pimentowalk/dispatch/plain.py
@@ -42,6 +42,12 @@
         self._responder = responder
         self._avoid = set()
         self._runs = 0
+        self._tries = 0
+        self._peer = ''
+
+    def summary(self):
+        """Return what the log says of an answered call."""
+        return {'peer': self._peer, 'tries': self._tries}
 
     def watch(self, now_s):
         """Do nothing; each try has a timeout."""
@@ -50,11 +56,13 @@
         """Try until an answer can be passed on."""
         failure = None
         for tries in range(MAX_TRIES):
+            self._tries = tries + 1
             if tries and not self._may_repeat():
                 break
             target = self._choose()
             if target is None:
                 break
+            self._peer = target.backend.address
             try:
                 await self._try(target, last=self._is_last())
                 return
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -11,14 +11,17 @@
 SERVER_FAULT = 500
 SUCCESS = 300
 # Without an event for this long the head is asked which server stands
-# still. Events usually follow each other within 100 ms.
-SILENCE_S = 0.45
-# The first event may take longer: the prompt is read before it.
-FIRST_SILENCE_S = 0.7
-# The head is asked again after this time.
-ASK_AGAIN_S = 0.5
-# A silent run on a path with a suspect is moved without a question.
-SUSPECT_SILENCE_S = 0.25
+# still. Events follow each other within 40 ms, and a pause above 250 ms
+# makes an answer late.
+SILENCE_S = 0.15
+# The first event may take longer: the prompt is read before it. Asked by
+# now, a request can still begin elsewhere within its objective.
+FIRST_SILENCE_S = 0.25
+# The head is asked again after this time; its report lags by 200 ms.
+ASK_AGAIN_S = 0.1
+# A run on a path with a suspect is moved without a question unless an
+# event came just now.
+SUSPECT_SILENCE_S = 0.06
 
 
 class StreamRun:
@@ -36,14 +39,19 @@
         self._interruption = None
         self._progress_s = 0.0
         self._asking = None
+        self._recovering = None
         self._events = events.EventFilter(call.last_event_id)
         self._tokens = call.prompt_tokens + call.expected_answer_tokens
         self._first_event_s = None
+        self._last_event_s = 0.0
+        self._longest_pause_s = 0.0
+        self._tries = 0
 
     async def run(self):
         """Try until the stream is complete."""
         failure = None
         for tries in range(MAX_TRIES):
+            self._tries = tries + 1
             if tries and not self._may_repeat():
                 break
             self._target = self._choose()
@@ -63,24 +71,48 @@
     def _record(self):
         metrics = self._dispatcher.metrics
         if self._first_event_s is not None:
-            metrics.record_s(
-                'first_event', self._first_event_s - self._call.received_s
-            )
+            metrics.record_s('first_event', self._first_event_wait_s())
+
+    def _first_event_wait_s(self):
+        return (self._first_event_s or 0.0) - self._call.received_s
+
+    def summary(self):
+        """Return what the log says of a complete stream."""
+        hops = self._target.hops
+        zones = [hop.backend.zone for hop in hops]
+        pairs = zip(zones, zones[1:], strict=False)
+        return {
+            'peer': self._target.backend.address,
+            'tries': self._tries,
+            'first_event_ms': int(self._first_event_wait_s() * 1000),
+            'longest_pause_ms': int(self._longest_pause_s * 1000),
+            'hops': len(hops),
+            'zone': zones[0],
+            'crossings': sum(a != b for a, b in pairs),
+            'path': ','.join(
+                f'{hop.backend.address}={hop.first_layer}-{hop.end_layer}'
+                for hop in hops
+            ),
+        }
 
     def _choose(self):
+        hops = self._choose_hops()
+        if not hops:
+            return None
+        return calls.Target(hops[0].backend, tuple(hops))
+
+    def _choose_hops(self, head=None):
         dispatcher = self._dispatcher
-        hops = dispatcher.paths.choose(
+        return dispatcher.paths.choose(
             dispatcher.node.backends.usable(self._service.name),
             routing_hops.PathQuery(
                 self._service.engine.total_layers,
                 self._tokens,
                 dispatcher.zone,
                 frozenset(self._avoid),
+                head,
             ),
         )
-        if not hops:
-            return None
-        return calls.Target(hops[0].backend, tuple(hops))
 
     def _may_repeat(self):
         dispatcher = self._dispatcher
@@ -100,8 +132,8 @@
         dispatcher = self._dispatcher
         self._progress_s = dispatcher.timers.now_s()
         self._interruption = None
-        ids = [server.server_id for server in self._target.servers]
-        dispatcher.book.begin(ids, self._tokens)
+        self._recovering = None
+        dispatcher.book.begin(_ids(self._target), self._tokens)
         self._try_task = asyncio.ensure_future(self._try())
         left_s = self._call.ends_s - dispatcher.timers.now_s()
         try:
@@ -115,10 +147,11 @@
             raise self._interruption from None
         finally:
             self._try_task.cancel()
-            if self._asking is not None:
-                self._asking.cancel()
-                self._asking = None
-            dispatcher.book.end(ids, self._tokens)
+            for task in (self._asking, self._recovering):
+                if task is not None:
+                    task.cancel()
+            self._asking = None
+            dispatcher.book.end(_ids(self._target), self._tokens)
 
     async def _try(self):
         dispatcher = self._dispatcher
@@ -162,6 +195,10 @@
         if whole:
             if self._first_event_s is None:
                 self._first_event_s = self._progress_s
+            else:
+                pause_s = self._progress_s - self._last_event_s
+                self._longest_pause_s = max(self._longest_pause_s, pause_s)
+            self._last_event_s = self._progress_s
             await self._start(answer)
             await self._responder.write(whole)
 
@@ -192,15 +229,11 @@
         silent_s = now_s - self._progress_s
         if silent_s < SUSPECT_SILENCE_S:
             return
+        if self._recovering is not None:
+            return
         gone = self._missing_server()
         if gone is not None:
-            self._interrupt(
-                calls.Stalled(
-                    'a server of the path failed',
-                    peer=self._target.backend.address,
-                    culprit=gone.address,
-                )
-            )
+            self._recover(gone.address, 'a server of the path failed')
             return
         limit_s = SILENCE_S if self._first_event_s else FIRST_SILENCE_S
         if silent_s >= limit_s and self._asking is None:
@@ -229,9 +262,8 @@
         dispatcher = self._dispatcher
         head = self._target.backend
         try:
-            stalled = await dispatcher.transport.stalled(head)
+            stalled = await dispatcher.checks.stalled(head)
         except calls.TryFailed as error:
-            dispatcher.suspect(head, error.message)
             self._interrupt(
                 calls.Stalled(
                     error.message, peer=head.address, culprit=head.address
@@ -246,11 +278,48 @@
         culprit = dispatcher.node.backends.at_address(address)
         if culprit is not None:
             dispatcher.suspect(culprit, 'a request stands still')
-        self._interrupt(
-            calls.Stalled(
-                'the path stands still', peer=head.address, culprit=address
+        self._recover(address, 'the path stands still')
+
+    def _recover(self, address, reason):
+        """Leave a failed server: by another path, or by another run."""
+        if self._recovering is None:
+            self._recovering = asyncio.ensure_future(
+                self._leave(address, reason)
+            )
+
+    async def _leave(self, address, reason):
+        for server in self._target.servers:
+            if server.address == address:
+                self._avoid.add(server.server_id)
+        if address == self._target.backend.address or not await self._move():
+            self._interrupt(
+                calls.Stalled(
+                    reason, peer=self._target.backend.address, culprit=address
+                )
             )
-        )
+
+    async def _move(self):
+        """Go on over other hops from the same head; return whether so."""
+        dispatcher = self._dispatcher
+        old = self._target
+        hops = self._choose_hops(head=old.hops[0])
+        if hops is None:
+            return False
+        target = calls.Target(old.backend, tuple(hops))
+        try:
+            await dispatcher.transport.move(
+                old.backend, self._call.request_id, hops
+            )
+        except calls.TryFailed as error:
+            dispatcher.log_failed_try(self._call, target, error)
+            return False
+        dispatcher.metrics.count('moved_paths')
+        dispatcher.book.end(_ids(old), self._tokens)
+        dispatcher.book.begin(_ids(target), self._tokens)
+        self._target = target
+        self._progress_s = dispatcher.timers.now_s()
+        self._recovering = None
+        return True
 
     def _interrupt(self, error):
         if self._try_task is not None and not self._try_task.done():
@@ -267,6 +336,9 @@
                 self._avoid.add(server.server_id)
                 if isinstance(error, calls.Unreachable):
                     dispatcher.suspect(server, error.message)
+                elif not isinstance(error, calls.Stalled):
+                    # It may be dead, or only short of memory.
+                    dispatcher.checks.check(server)
 
     def _final(self, failure):
         if self._responder.started:
@@ -293,3 +365,7 @@
         return errors.OutcomeUnknown(
             failure.message, step=failure.step, peer=failure.peer
         )
+
+
+def _ids(target):
+    return [server.server_id for server in target.servers]
--- a/pimentowalk/dispatch/transport.py
+++ b/pimentowalk/dispatch/transport.py
@@ -35,6 +35,13 @@
         Raises `calls.TryFailed` if the server does not answer.
         """
 
+    @abc.abstractmethod
+    async def move(self, backend, request_id, hops):
+        """Let a running call go on over other hops from the same head.
+
+        Raises `calls.TryFailed` if the head refuses or does not answer.
+        """
+
 
 class Responder(abc.ABC):
     """Pass an answer on to the caller."""
--- a/pimentowalk/mesh/node.py
+++ b/pimentowalk/mesh/node.py
@@ -105,6 +105,16 @@
             if link.news is not None:
                 for address in link.news.members:
                     found.setdefault(address.node_id, address)
+        # A seed may be a node without a disk; it names the instances with
+        # one that report to it.
+        for record in self.hub.records():
+            if record.status.identity:
+                found.setdefault(
+                    record.node_id,
+                    node_messages.ControlAddress(
+                        record.node_id, record.status.host, record.status.port
+                    ),
+                )
         return list(found.values())
 
     def control_news(self):
@@ -140,9 +150,10 @@
     def links_changed(self):
         """Start and end links as control instances come and go."""
         wanted = {a.node_id: a for a in self.members()}
-        if not self.open_links():
-            for address in self._seeds():
-                wanted.setdefault(address.node_id, address)
+        # The seeds are dialled by all nodes, so that one that starts and
+        # knows nobody else finds control through any of them.
+        for address in self._seeds():
+            wanted.setdefault(address.node_id, address)
         wanted.pop(self.node_id, None)
         for node_id in self._links.keys() - wanted.keys():
             if not self._links[node_id].is_open:
--- a/pimentowalk/platform/daemon.py
+++ b/pimentowalk/platform/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import os
 import signal
 import sys
 
@@ -65,6 +66,7 @@
         self.drain = entry_drain.Drain(self.timers)
         self._runners = []
         self._tasks = []
+        self._closing = []
         self._stop = asyncio.Event()
         hello = messages.Hello(
             settings.node_id,
@@ -217,6 +219,7 @@
             self.front.application(control_api.MAX_BODY_BYTES),
             cancels=True,
         )
+        self._front_runner = self._runners[-1]
         if settings.metrics_port:
             await self._listen(
                 gateway_settings.Address(settings.host, settings.metrics_port),
@@ -289,13 +292,27 @@
         if self.replica is not None:
             handing_over = asyncio.ensure_future(self._hand_over())
         await self.drain.run(
-            self._front_site.stop,
+            self._refuse_callers,
             self._bounds.stop_ms / 1000 - STOP_MARGIN_S,
             notice_s=NOTICE_S,
         )
         if handing_over is not None:
             handing_over.cancel()
 
+    async def _refuse_callers(self):
+        """Close the listening socket and the connections that are idle.
+
+        A request that came on a kept connection after this would have less
+        time than it may need.
+        """
+        await self._front_site.stop()
+        left_s = self._bounds.stop_ms / 1000 - STOP_MARGIN_S - NOTICE_S
+        # `close` of a connection would leave an idle one open, unread.
+        self._closing = [
+            asyncio.ensure_future(connection.shutdown(left_s))
+            for connection in self._front_runner.server.connections
+        ]
+
     async def _hand_over(self):
         try:
             await self.replica.transfer_leadership()
@@ -308,7 +325,7 @@
 
     async def close(self):
         """Close connections and files."""
-        await core_timers.cancel_all(self._tasks)
+        await core_timers.cancel_all(self._tasks + self._closing)
         for runner in self._runners:
             await runner.cleanup()
         await self.node.stop()
@@ -318,24 +335,55 @@
         LOG.info('stopped', extra=logs.fields(step='stop'))
 
 
-async def serve(settings_path):
-    """Run a gateway until a signal stops it."""
-    settings, bounds = gateway_settings.load(settings_path)
-    logs.configure(settings.name, settings.log_level, stream=sys.stdout)
+class SeedFile:
+    """The seeds in the settings file, which may change at any time."""
+
+    def __init__(self, path, seeds):
+        self._path = path
+        self._seeds = seeds
+        self._seen = self._stamp()
+
+    def _stamp(self):
+        try:
+            found = os.stat(self._path)
+        except OSError as error:
+            LOG.warning(
+                'settings file not found: %s',
+                error,
+                extra=logs.fields(step='reload'),
+            )
+            return None
+        return found.st_mtime_ns, found.st_size, found.st_ino
 
-    def read_seeds():
-        # The file may change at any time, with or without a signal.
+    def read(self):
+        """Return the seeds, read again where the file has changed."""
+        stamp = self._stamp()
+        if stamp is None or stamp == self._seen:
+            return self._seeds
+        self._seen = stamp
         try:
-            return gateway_settings.load(settings_path)[0].seeds
+            self._seeds = gateway_settings.load(self._path)[0].seeds
         except errors.PimentowalkError as error:
             LOG.warning(
                 'settings not read again: %s',
                 error,
                 extra=logs.fields(step='reload'),
             )
-            return settings.seeds
+        else:
+            LOG.info(
+                'settings read again',
+                extra=logs.fields(step='reload', seeds=len(self._seeds)),
+            )
+        return self._seeds
+
+
+async def serve(settings_path):
+    """Run a gateway until a signal stops it."""
+    settings, bounds = gateway_settings.load(settings_path)
+    logs.configure(settings.name, settings.log_level, stream=sys.stdout)
 
-    gateway = Gateway(settings, bounds, read_seeds)
+    seeds = SeedFile(settings_path, settings.seeds)
+    gateway = Gateway(settings, bounds, seeds.read)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, gateway.request_stop)
--- a/pimentowalk/platform/engines.py
+++ b/pimentowalk/platform/engines.py
@@ -168,6 +168,26 @@
             if isinstance(item, dict)
         }
 
+    async def move(self, backend, request_id, hops):
+        """Order a head to run a request over other hops."""
+        status, data = await self._control_call(
+            backend,
+            'POST',
+            ORDER_PATH,
+            {
+                'operation': 'repath',
+                'id': request_id,
+                'path': _hop_list(hops),
+            },
+        )
+        if status not in ACCEPTED:
+            culprit = data.get('address') if isinstance(data, dict) else ''
+            raise calls.Broken(
+                f'new path refused with {status}: {data}',
+                peer=backend.address,
+                culprit=culprit or '',
+            )
+
     async def report(self, backend):
         """Return the state that a server reports; raise TryFailed."""
         status, data = await self._control_call(backend, 'GET', REPORT_PATH)
--- a/pimentowalk/platform/front.py
+++ b/pimentowalk/platform/front.py
@@ -108,7 +108,6 @@
                 call = await self._decode(request, request_id, received_s)
                 await self._dispatcher.handle(call, responder)
                 response = responder.response
-                self._log_done(call, response)
             except errors.PimentowalkError as error:
                 response = self._failed(
                     request_id, error, responder, received_s
@@ -129,21 +128,6 @@
                 response = responder.response or web.Response(status=499)
         return response
 
-    def _log_done(self, call, response):
-        elapsed_s = self._timers.now_s() - call.received_s
-        self._metrics.record_s('request', elapsed_s)
-        LOG.info(
-            'answered',
-            extra=logs.fields(
-                step='answer',
-                request_id=call.request_id,
-                route=call.route.name,
-                status=response.status,
-                elapsed_ms=int(elapsed_s * 1000),
-                version=self._node.document_version,
-            ),
-        )
-
     def _failed(self, request_id, error, responder, received_s):
         self._metrics.count(f'errors_{error.code}')
         elapsed_s = self._timers.now_s() - received_s
--- a/pimentowalk/routing/hops.py
+++ b/pimentowalk/routing/hops.py
@@ -40,13 +40,15 @@
 class PathQuery:
     """What a path must serve, and where it starts.
 
-    `avoid` holds ids of servers that must not be used.
+    `avoid` holds ids of servers that must not be used; `head` is the first
+    hop of a path that is to keep it.
     """
 
     total_layers: int
     tokens: int
     zone: str
     avoid: frozenset = frozenset()
+    head: Hop | None = None
 
 
 def hop_cost_s(backend, layers, query, loads):
@@ -105,6 +107,21 @@
     def _search(self, fit, query):
         ends = []
         final = None
+        if query.head is not None:
+            if query.head.end_layer >= query.total_layers:
+                return None
+            kept = attrs.evolve(
+                query.head.backend,
+                first_layer=0,
+                end_layer=query.head.end_layer,
+            )
+            ends.append(_Best(0.0, 1, None, kept))
+            fit = [
+                b
+                for b in fit
+                if b.server_id != kept.server_id
+                and b.end_layer > kept.end_layer
+            ]
         for backend in fit:
             found = self._extend(ends, backend, query)
             if found is None:
@@ -120,7 +137,7 @@
         """Return the cheapest way to the end of a server's range."""
         jitter = 1 + self._rng.random() * JITTER_SHARE
         best = None
-        if backend.first_layer == 0:
+        if backend.first_layer == 0 and query.head is None:
             layers = backend.end_layer
             cost_s = hop_cost_s(backend, layers, query, self._loads) * jitter
             if backend.zone != query.zone:
