Infer failed servers from silent streams, bound logs, and count crashes

Causes: the report of a head lags by 200 ms, so a dead stage was known after 0.41 s and each of its streams paused for longer than 250 ms; a stream moved to other hops waited 1.4 to 1.8 s until its stalled step was given up.

Streams that fall silent together now point to the server that they share and no moving stream uses; it is asked, or suspected if it is the only one. A new run goes on where the route has an attempt left; the order to the head is for the rest. Requests whose servers crash are counted over all nodes. Log lines have a rate and never block.

--- a/pimentowalk/admission/crashes.py
+++ b/pimentowalk/admission/crashes.py
@@ -2,8 +2,9 @@
 
 import collections
 
-# After this many crashes a request is refused; one more could only harm.
-QUARANTINE_CRASHES = 2
+# After this many crashes a request is refused. Requests that were only in
+# flight beside it at a crash are seldom so unlucky three times.
+QUARANTINE_CRASHES = 3
 KEPT_S = 120.0
 MAX_KEPT = 10_000
 
@@ -11,9 +12,8 @@
 class CrashBook:
     """Count the distinct incarnations that a request crashed.
 
-    A crash is a broken connection whose server was then found dead; one
-    crash under several requests counts for each of them, so that two are
-    needed before one is refused.
+    A crash is a failed run whose server was then found dead. It counts for
+    all requests that ran there.
     """
 
     def __init__(self, now_s):
--- a/pimentowalk/dispatch/checks.py
+++ b/pimentowalk/dispatch/checks.py
@@ -7,6 +7,8 @@
 # An answer serves all runs that ask within this time, since each question
 # costs the server work.
 FRESH_S = 0.12
+# A server that is only looked at in passing is asked this often at most.
+CHECK_AGAIN_S = 0.6
 
 
 class ServerChecks:
@@ -42,6 +44,9 @@
 
     def check(self, backend):
         """Find out in the background whether a server works."""
+        asked_s, _ = self._asked.get(backend.server_id, (-CHECK_AGAIN_S, None))
+        if self._timers.now_s() - asked_s < CHECK_AGAIN_S:
+            return
         task = asyncio.ensure_future(self._check(backend))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -7,6 +7,7 @@
 from pimentowalk.core import logs
 from pimentowalk.dispatch import checks as dispatch_checks
 from pimentowalk.dispatch import plain
+from pimentowalk.dispatch import silence
 from pimentowalk.dispatch import stream
 from pimentowalk.routing import hops as routing_hops
 from pimentowalk.wire import node_messages
@@ -18,6 +19,8 @@
 REPORT_S = 0.25
 # Runs without progress are looked at this often.
 WATCH_S = 0.05
+# By then a server that crashed under a request is known to be dead.
+CRASH_CHECK_S = 0.6
 
 
 class Dispatcher:
@@ -77,7 +80,14 @@
 
     def _watch(self):
         now_s = self.timers.now_s()
-        for run in list(self.runs):
+        streams = [r for r in self.runs if isinstance(r, stream.StreamRun)]
+        found, count = silence.candidates(streams, now_s)
+        if silence.is_certain(found, count):
+            self.suspect(found[0], f'{count} streams fell silent')
+        else:
+            for backend in found:
+                self.checks.check(backend)
+        for run in streams:
             run.watch(now_s)
 
     def suspect(self, backend, reason):
@@ -92,6 +102,23 @@
                 )
             )
 
+    def note_failed_run(self, call, server):
+        """Count a crash if the server of a failed run is found dead."""
+        self.timers.after(
+            CRASH_CHECK_S, lambda: self._count_crash(call.fingerprint, server)
+        )
+
+    def _count_crash(self, fingerprint, server):
+        if self.node.backends.works(server):
+            return
+        if self.crashes.note(fingerprint, server.server_id, server.born_ms):
+            self.metrics.count('crashed_runs')
+            self.node.publish(
+                node_messages.CrashNote(
+                    fingerprint, server.server_id, server.born_ms
+                )
+            )
+
     def service_of(self, route):
         """Return the service that a call on a route goes to."""
         names = [name for name, _ in route.backends]
@@ -116,6 +143,7 @@
         self.runs.add(run)
         try:
             await run.run()
+            self.crashes.cleared(call.fingerprint)
             self._log_done(call, run)
         finally:
             self.runs.discard(run)
--- a/pimentowalk/dispatch/plain.py
+++ b/pimentowalk/dispatch/plain.py
@@ -49,9 +49,6 @@
         """Return what the log says of an answered call."""
         return {'peer': self._peer, 'tries': self._tries}
 
-    def watch(self, now_s):
-        """Do nothing; each try has a timeout."""
-
     async def run(self):
         """Try until an answer can be passed on."""
         failure = None
@@ -148,6 +145,9 @@
         dispatcher.log_failed_try(self._call, target, error)
         if isinstance(error, calls.Unreachable):
             dispatcher.suspect(target.backend, error.message)
+        elif not isinstance(error, calls.Refused):
+            dispatcher.checks.check(target.backend)
+            dispatcher.note_failed_run(self._call, target.backend)
 
     def _final(self, failure):
         call = self._call
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -37,7 +37,7 @@
         self._target = None
         self._try_task = None
         self._interruption = None
-        self._progress_s = 0.0
+        self.progress_s = 0.0
         self._asking = None
         self._recovering = None
         self._events = events.EventFilter(call.last_event_id)
@@ -46,6 +46,7 @@
         self._last_event_s = 0.0
         self._longest_pause_s = 0.0
         self._tries = 0
+        self._has_begun = False
 
     async def run(self):
         """Try until the stream is complete."""
@@ -68,6 +69,16 @@
                     break
         raise self._final(failure)
 
+    @property
+    def has_begun(self):
+        """Return whether the current try has brought an event."""
+        return self._has_begun
+
+    @property
+    def servers(self):
+        """Return the servers of the current path."""
+        return self._target.servers if self._target else ()
+
     def _record(self):
         metrics = self._dispatcher.metrics
         if self._first_event_s is not None:
@@ -130,9 +141,10 @@
 
     async def _run_try(self):
         dispatcher = self._dispatcher
-        self._progress_s = dispatcher.timers.now_s()
+        self.progress_s = dispatcher.timers.now_s()
         self._interruption = None
         self._recovering = None
+        self._has_begun = False
         dispatcher.book.begin(_ids(self._target), self._tokens)
         self._try_task = asyncio.ensure_future(self._try())
         left_s = self._call.ends_s - dispatcher.timers.now_s()
@@ -156,7 +168,6 @@
     async def _try(self):
         dispatcher = self._dispatcher
         call = self._call
-        began = False
         left_s = call.deadline_s - dispatcher.timers.now_s()
         answer = await dispatcher.transport.open(
             call,
@@ -170,9 +181,9 @@
                 return
             self._events.restart()
             while data := await answer.read():
-                self._progress_s = dispatcher.timers.now_s()
-                if not began:
-                    began = True
+                self.progress_s = dispatcher.timers.now_s()
+                if not self._has_begun:
+                    self._has_begun = True
                     self._runs += 1
                 await self._pass(answer, data)
             if self._events.holds_partial:
@@ -194,11 +205,11 @@
             ) from None
         if whole:
             if self._first_event_s is None:
-                self._first_event_s = self._progress_s
+                self._first_event_s = self.progress_s
             else:
-                pause_s = self._progress_s - self._last_event_s
+                pause_s = self.progress_s - self._last_event_s
                 self._longest_pause_s = max(self._longest_pause_s, pause_s)
-            self._last_event_s = self._progress_s
+            self._last_event_s = self.progress_s
             await self._start(answer)
             await self._responder.write(whole)
 
@@ -226,7 +237,7 @@
         """Look for the cause of a silence, see `Dispatcher.start`."""
         if self._try_task is None or self._try_task.done():
             return
-        silent_s = now_s - self._progress_s
+        silent_s = now_s - self.progress_s
         if silent_s < SUSPECT_SILENCE_S:
             return
         if self._recovering is not None:
@@ -235,7 +246,7 @@
         if gone is not None:
             self._recover(gone.address, 'a server of the path failed')
             return
-        limit_s = SILENCE_S if self._first_event_s else FIRST_SILENCE_S
+        limit_s = SILENCE_S if self._has_begun else FIRST_SILENCE_S
         if silent_s >= limit_s and self._asking is None:
             self._asking = asyncio.ensure_future(self._ask())
 
@@ -291,7 +302,11 @@
         for server in self._target.servers:
             if server.address == address:
                 self._avoid.add(server.server_id)
-        if address == self._target.backend.address or not await self._move():
+        # Another run goes on within 100 ms. A new path for the same run
+        # waits until its stalled step is given up, but needs no attempt.
+        can_run = self._runs < self._call.route.attempts
+        is_head = address == self._target.backend.address
+        if can_run or is_head or not await self._move():
             self._interrupt(
                 calls.Stalled(
                     reason, peer=self._target.backend.address, culprit=address
@@ -317,7 +332,7 @@
         dispatcher.book.end(_ids(old), self._tokens)
         dispatcher.book.begin(_ids(target), self._tokens)
         self._target = target
-        self._progress_s = dispatcher.timers.now_s()
+        self.progress_s = dispatcher.timers.now_s()
         self._recovering = None
         return True
 
@@ -334,6 +349,8 @@
         for server in target.servers:
             if server.address == at_fault:
                 self._avoid.add(server.server_id)
+                if self._has_begun:
+                    dispatcher.note_failed_run(self._call, server)
                 if isinstance(error, calls.Unreachable):
                     dispatcher.suspect(server, error.message)
                 elif not isinstance(error, calls.Stalled):
--- /dev/null
+++ b/pimentowalk/dispatch/tests/test_silence.py
@@ -0,0 +1,68 @@
+"""Guard the inference of a failed server from streams that fell silent."""
+
+import attrs
+
+from pimentowalk.dispatch import silence
+from pimentowalk.topology import backends
+
+NOW_S = 10.0
+
+
+@attrs.frozen
+class Run:
+    """A stream on some servers."""
+
+    servers: tuple
+    progress_s: float
+    has_begun: bool = True
+
+
+def _server(name):
+    return backends.Backend(name, 1, 1, 'svc', '10.0.0.1', 80)
+
+
+def _silent(*names):
+    return Run(tuple(map(_server, names)), NOW_S - 2 * silence.SILENT_S)
+
+
+def _moving(*names):
+    return Run(tuple(map(_server, names)), NOW_S - 0.01)
+
+
+def _found(*runs):
+    found, streams = silence.candidates(runs, NOW_S)
+    return sorted(s.server_id for s in found), streams
+
+
+def test_shared_server_of_silent_streams_is_found():
+    """One lost stage stops all streams of its zone at once."""
+    runs = [_silent('a', 'x', 'c'), _silent('b', 'x', 'd'), _moving('a', 'd')]
+    assert _found(*runs) == (['x'], 2)
+
+
+def test_server_of_a_moving_stream_is_cleared():
+    """A stream that moves proves that all of its servers work."""
+    assert _found(_silent('a', 'b'), _moving('a', 'b')) == ([], 0)
+
+
+def test_all_moving_gives_nobody():
+    """Without a silence there is nothing to ask."""
+    assert _found(_moving('a'), _moving('b')) == ([], 0)
+
+
+def test_stream_that_reads_its_prompt_is_no_silence():
+    """Its first event may take several times as long as the others."""
+    waiting = Run((_server('a'),), NOW_S - 1.0, has_begun=False)
+    assert _found(waiting) == ([], 0)
+
+
+def test_only_a_single_candidate_of_several_streams_is_certain():
+    """A wrong suspicion makes a working server idle."""
+    found, streams = silence.candidates(
+        [_silent('a', 'x')] * silence.CERTAIN_STREAMS, NOW_S
+    )
+    assert not silence.is_certain(found, streams)
+    found, streams = silence.candidates(
+        [_silent('x')] * silence.CERTAIN_STREAMS, NOW_S
+    )
+    assert silence.is_certain(found, streams)
--- a/pimentowalk/membership/backends.py
+++ b/pimentowalk/membership/backends.py
@@ -161,6 +161,15 @@
             self._changed()
         return fresh
 
+    def works(self, backend):
+        """Return whether an incarnation is known and not suspected."""
+        record = self._records.get(backend.server_id)
+        return (
+            record is not None
+            and record.backend.born_ms == backend.born_ms
+            and record.suspect_since_s is None
+        )
+
     def records(self):
         """Return all records."""
         return list(self._records.values())
--- a/pimentowalk/platform/daemon.py
+++ b/pimentowalk/platform/daemon.py
@@ -383,7 +383,11 @@
 async def serve(settings_path):
     """Run a gateway until a signal stops it."""
     settings, bounds = gateway_settings.load(settings_path)
-    logs.configure(settings.name, settings.log_level, stream=sys.stdout)
+    logs.configure(
+        settings.name,
+        settings.log_level,
+        logs.BoundedHandler(sys.stdout.fileno()),
+    )
 
     seeds = SeedFile(settings_path, settings.seeds)
     gateway = Gateway(settings, bounds, seeds.read)
--- a/pimentowalk/platform/engines.py
+++ b/pimentowalk/platform/engines.py
@@ -19,6 +19,8 @@
 # A report or an order that is not answered within this time counts as
 # lost.
 CONTROL_CALL_TIMEOUT_S = 0.8
+# A working server reports within a few milliseconds.
+REPORT_TIMEOUT_S = 0.2
 MAX_LINE_BYTES = 32768
 PIECE_BYTES = 1 << 16
 REPORT_PATH = '/v1/report'
@@ -190,7 +192,9 @@
 
     async def report(self, backend):
         """Return the state that a server reports; raise TryFailed."""
-        status, data = await self._control_call(backend, 'GET', REPORT_PATH)
+        status, data = await self._control_call(
+            backend, 'GET', REPORT_PATH, timeout_s=REPORT_TIMEOUT_S
+        )
         if status != 200 or not isinstance(data, dict):
             raise calls.Broken(
                 f'report answered with {status}', peer=backend.address
@@ -223,12 +227,20 @@
                 peer=backend.address,
             )
 
-    async def _control_call(self, backend, method, path, body=None):
+    async def _control_call(
+        self,
+        backend,
+        method,
+        path,
+        body=None,
+        *,
+        timeout_s=CONTROL_CALL_TIMEOUT_S,
+    ):
         peer = backend.address
         headers = {names.EXPECT_INSTANCE: backend.server_id}
         try:
             async with (
-                asyncio.timeout(CONTROL_CALL_TIMEOUT_S),
+                asyncio.timeout(timeout_s),
                 self._session.request(
                     method, f'http://{peer}{path}', headers=headers, json=body
                 ) as response,
