--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -81,12 +81,8 @@
     def _watch(self):
         now_s = self.timers.now_s()
         streams = [r for r in self.runs if isinstance(r, stream.StreamRun)]
-        found, count = silence.candidates(streams, now_s)
-        if silence.is_certain(found, count):
-            self.suspect(found[0], f'{count} streams fell silent')
-        else:
-            for backend in found:
-                self.checks.check(backend)
+        for backend in silence.candidates(streams, now_s):
+            self.checks.check(backend)
         for run in streams:
             run.watch(now_s)
 
--- a/pimentowalk/dispatch/silence.py
+++ b/pimentowalk/dispatch/silence.py
@@ -3,16 +3,15 @@
 # Streams that are silent this long are compared. Events follow each other
 # within 40 ms in most cases, and nine in ten streams have no longer pause.
 SILENT_S = 0.11
-# With this many silent streams that share just one server that no moving
-# stream uses, the server is taken for failed without a question.
-CERTAIN_STREAMS = 4
 
 
 def candidates(runs, now_s):
-    """Return (servers that may have failed, number of silent streams).
+    """Return the servers that most silent streams share.
 
     Each run has `progress_s`, `has_begun` and `servers`. A server of a
-    stream that moves has not failed.
+    stream that moves has not failed. The others may only be slow: streams
+    also fall silent together under load, so each candidate is asked before
+    it is left out.
     """
     silent, moving = [], []
     for run in runs:
@@ -20,7 +19,7 @@
             is_silent = now_s - run.progress_s > SILENT_S
             (silent if is_silent else moving).append(run)
     if not silent:
-        return [], 0
+        return []
     cleared = {s.server_id for run in moving for s in run.servers}
     counts = {}
     servers = {}
@@ -30,10 +29,4 @@
                 servers[server.server_id] = server
                 counts[server.server_id] = counts.get(server.server_id, 0) + 1
     most = max(counts.values(), default=0)
-    found = [servers[i] for i, count in counts.items() if count == most]
-    return found, most
-
-
-def is_certain(found, streams):
-    """Return whether the only candidate has failed."""
-    return len(found) == 1 and streams >= CERTAIN_STREAMS
+    return [servers[i] for i, count in counts.items() if count == most]
--- a/pimentowalk/dispatch/tests/test_silence.py
+++ b/pimentowalk/dispatch/tests/test_silence.py
@@ -30,39 +30,31 @@
 
 
 def _found(*runs):
-    found, streams = silence.candidates(runs, NOW_S)
-    return sorted(s.server_id for s in found), streams
+    return sorted(s.server_id for s in silence.candidates(runs, NOW_S))
 
 
 def test_shared_server_of_silent_streams_is_found():
     """One lost stage stops all streams of its zone at once."""
     runs = [_silent('a', 'x', 'c'), _silent('b', 'x', 'd'), _moving('a', 'd')]
-    assert _found(*runs) == (['x'], 2)
+    assert _found(*runs) == ['x']
 
 
 def test_server_of_a_moving_stream_is_cleared():
     """A stream that moves proves that all of its servers work."""
-    assert _found(_silent('a', 'b'), _moving('a', 'b')) == ([], 0)
+    assert _found(_silent('a', 'b'), _moving('a', 'b')) == []
 
 
 def test_all_moving_gives_nobody():
     """Without a silence there is nothing to ask."""
-    assert _found(_moving('a'), _moving('b')) == ([], 0)
+    assert _found(_moving('a'), _moving('b')) == []
 
 
 def test_stream_that_reads_its_prompt_is_no_silence():
     """Its first event may take several times as long as the others."""
     waiting = Run((_server('a'),), NOW_S - 1.0, has_begun=False)
-    assert _found(waiting) == ([], 0)
-
-
-def test_only_a_single_candidate_of_several_streams_is_certain():
-    """A wrong suspicion makes a working server idle."""
-    found, streams = silence.candidates(
-        [_silent('a', 'x')] * silence.CERTAIN_STREAMS, NOW_S
-    )
-    assert not silence.is_certain(found, streams)
-    found, streams = silence.candidates(
-        [_silent('x')] * silence.CERTAIN_STREAMS, NOW_S
-    )
-    assert silence.is_certain(found, streams)
+    assert _found(waiting) == []
+
+
+def test_streams_without_a_common_server_leave_all_in_question():
+    """Streams also fall silent together under load."""
+    assert _found(_silent('a', 'b'), _silent('c')) == ['a', 'b', 'c']
