Move servers without waiting for their streams, and hold more second copies

Cause: a move waited 13 s for streams of a frozen node that passed through the server, while its zone lacked two layers and paths crossed zones.

--- a/pimentowalk/placement/executor.py
+++ b/pimentowalk/placement/executor.py
@@ -19,7 +19,7 @@
 FIRST_SETTLE_S = 2.0
 # A server that did not confirm an order within this time, besides the time
 # to load, is asked for its state and may be ordered again.
-CONFIRM_S = 3.0
+CONFIRM_S = 2.0
 # A missing layer is first covered by a server that joins or comes back; a
 # move follows if the gap lasts.
 MOVE_AFTER_S = 0.8
@@ -40,8 +40,11 @@
 class Executor:
     """Compare what servers hold with the plan, and order the difference.
 
-    `order(backend, assignment, fence)` gives an order; it raises
-    PimentowalkError if the order was refused or its outcome is unknown.
+    `order(backend, assignment, fence, preempt=...)` gives an order; it
+    raises PimentowalkError if the order was refused or its outcome is
+    unknown. A server that gives up layers for a missing one does not wait
+    for the streams that pass through it: one whose node is frozen would
+    hold it for as long as its caller waits.
     """
 
     def __init__(self, table, timers, *, leads, fence, document, order):
@@ -149,7 +152,12 @@
             fence=self._fence(),
         )
         try:
-            await self._order(backend, assignment, self._fence())
+            await self._order(
+                backend,
+                assignment,
+                self._fence(),
+                preempt=backend.layer_count > 0,
+            )
         except errors.PimentowalkError as error:
             LOG.warning('order failed: %s', error, extra=fields)
             order = self._orders.get(backend.server_id)
--- a/pimentowalk/placement/planner.py
+++ b/pimentowalk/placement/planner.py
@@ -9,7 +9,7 @@
 
 # The share of an accelerator's memory that layers may take. The rest holds
 # the caches of requests: see docs/platform.md for the sums.
-LAYER_MEMORY_SHARE = 0.62
+LAYER_MEMORY_SHARE = 0.70
 # The worth of one more copy of a layer by the copies there are. A layer
 # without a copy stops the whole zone, so it outweighs any number of others.
 COPY_WORTH = (1000.0, 10.0, 1.0, 0.1)
--- a/pimentowalk/platform/engines.py
+++ b/pimentowalk/platform/engines.py
@@ -201,7 +201,7 @@
             )
         return data
 
-    async def order_layers(self, backend, assignment, fence):
+    async def order_layers(self, backend, assignment, fence, *, preempt=False):
         """Order a server to hold a range; raise PimentowalkError.
 
         The expected number of accepted orders keeps an order that arrives
@@ -212,7 +212,7 @@
             'operation': 'place',
             'from': assignment.first_layer,
             'to': assignment.end_layer,
-            'method': 'queue',
+            'method': 'preempt' if preempt else 'queue',
             'fence': fence,
             # The number of orders accepted, not that of announcements.
             'precondition': report.get('sequence', 0),
