Show what a gateway knows, and let callers of a starting node wait

Cause: a restarted node held the configuration but no backend servers for 0.4 s, because it asked for pushes with its second report; it refused callers whose one more try it was. Nodes subscribe at once, and a call waits up to 1.5 s for the first view.

--- a/pimentowalk/cli/main.py
+++ b/pimentowalk/cli/main.py
@@ -8,6 +8,7 @@
 import defopt
 
 from pimentowalk.cli import administration
+from pimentowalk.cli import gateways
 from pimentowalk.cli import inspection
 from pimentowalk.cli import orders
 from pimentowalk.cli import output
@@ -36,6 +37,7 @@
     'audit': inspection.audit,
     'accounts': inspection.accounts,
     'servers': inspection.servers,
+    'gateway': gateways.gateway,
     'drain': orders.drain,
     'order': orders.order,
     'members': {
--- a/pimentowalk/membership/backends.py
+++ b/pimentowalk/membership/backends.py
@@ -38,7 +38,7 @@
     """
 
     def __init__(self, now_s, period_s):
-        self._now_s = now_s
+        self.now_s = now_s
         self._period_s = period_s
         self._records = {}
         self._removed = {}
@@ -60,10 +60,10 @@
         record = self._records.get(backend.server_id)
         if self._is_old(record, backend):
             return False
-        self._any_heard_s = self._now_s()
+        self._any_heard_s = self.now_s()
         if backend.state == backends.GONE:
             return self._remove(backend)
-        now_s = self._now_s()
+        now_s = self.now_s()
         heard_s = now_s - age_s
         if record is None or record.backend.born_ms != backend.born_ms:
             self._records[backend.server_id] = Record(backend, heard_s, now_s)
@@ -111,12 +111,12 @@
                 and other.born_ms < backend.born_ms
             ):
                 del self._records[other.server_id]
-                self._removed[other.server_id] = other.born_ms, self._now_s()
+                self._removed[other.server_id] = other.born_ms, self.now_s()
 
     def _remove(self, backend):
         record = self._records.pop(backend.server_id, None)
         born_ms = record.backend.born_ms if record else backend.born_ms
-        self._removed[backend.server_id] = born_ms, self._now_s()
+        self._removed[backend.server_id] = born_ms, self.now_s()
         if record is None:
             return False
         self._log('backend server left', record.backend)
@@ -125,7 +125,7 @@
 
     def expire(self):
         """Remove the servers that were not heard for too long."""
-        now_s = self._now_s()
+        now_s = self.now_s()
         for server_id, (_, removed_s) in list(self._removed.items()):
             if now_s - removed_s > REMOVED_KEPT_S:
                 del self._removed[server_id]
@@ -154,7 +154,7 @@
         if record is None or record.backend.born_ms != born_ms:
             return False
         fresh = record.suspect_since_s is None
-        record.suspect_since_s = self._now_s()
+        record.suspect_since_s = self.now_s()
         record.suspect_sequence = record.backend.sequence
         if fresh:
             self._log('suspect', record.backend, reason=reason)
@@ -200,7 +200,7 @@
 
     def aged(self):
         """Return all announcements with their ages, to pass on."""
-        now_s = self._now_s()
+        now_s = self.now_s()
         return [
             attrs.evolve(
                 record.backend, heard_ms=int((now_s - record.heard_s) * 1000)
--- a/pimentowalk/mesh/freshness.py
+++ b/pimentowalk/mesh/freshness.py
@@ -34,6 +34,11 @@
         """Return whether the document was the newest within the lease."""
         return self.age_s < self._lease_s
 
+    @property
+    def was_ever_valid(self):
+        """Return whether the leader has confirmed a document once."""
+        return self._checked_s is not None and self._node.document is not None
+
     @property
     def age_s(self):
         """Return the age of the last confirmation in seconds."""
--- a/pimentowalk/mesh/links.py
+++ b/pimentowalk/mesh/links.py
@@ -99,7 +99,10 @@
                     extra=logs.fields(step='mesh', peer=self.address.node_id),
                 )
             self._node.links_changed()
-            await self._timers.sleep(STATUS_S)
+            # A node that has just chosen this instance for its pushes says
+            # so at once; it knows no backend servers before.
+            if self._node.status(self).subscribed == status.subscribed:
+                await self._timers.sleep(STATUS_S)
 
     def _note_lost(self, error):
         if self._was_open:
--- a/pimentowalk/mesh/node.py
+++ b/pimentowalk/mesh/node.py
@@ -37,6 +37,7 @@
         self.document = None
         self.stored_document = (0, b'')
         self.draining = False
+        self.has_view = False
         self.live_nodes = 1
         self.replica = None
         self._seeds = seeds
@@ -240,6 +241,7 @@
 @TAKERS.register('backendNews')
 def take_backends(node, body):
     """Apply announcements."""
+    node.has_view = True
     for backend in body.backends:
         node.backends.apply(backend, backend.heard_ms / 1000)
 
--- a/pimentowalk/platform/daemon.py
+++ b/pimentowalk/platform/daemon.py
@@ -7,9 +7,12 @@
 import sys
 
 from aiohttp import web
+import attrs
 
 from pimentowalk.admission import crashes as admission_crashes
 from pimentowalk.admission import window_budget
+from pimentowalk.control import directory as control_directory
+from pimentowalk.control import operators as control_operators
 from pimentowalk.control import repair as control_repair
 from pimentowalk.control import replica as control_replica
 from pimentowalk.control import requests as control_requests
@@ -25,6 +28,7 @@
 from pimentowalk.mesh import freshness as mesh_freshness
 from pimentowalk.mesh import leader as mesh_leader
 from pimentowalk.mesh import node as mesh_node
+from pimentowalk.mesh import status as mesh_status
 from pimentowalk.placement import executor as placement
 from pimentowalk.platform import control_api
 from pimentowalk.platform import documents
@@ -159,8 +163,8 @@
             settings.node_id,
             self.replica,
             self.state,
-            None,
-            None,
+            control_directory.Directory(),
+            control_operators.Operators(),
             self.timers,
             self.timers.now_s,
         )
@@ -275,8 +279,13 @@
         async def render(request):
             return web.Response(text=self.metrics.render())
 
+        async def show_status(request):
+            found = mesh_status.of_node(self.node, self.freshness)
+            return web.json_response(attrs.asdict(found))
+
         app = web.Application()
         app.router.add_get('/metrics', render)
+        app.router.add_get('/status', show_status)
         return app
 
     def request_stop(self):
--- a/pimentowalk/platform/front.py
+++ b/pimentowalk/platform/front.py
@@ -18,6 +18,10 @@
 # been replaced in most cases. Spread, so that callers do not return at once.
 RETRY_AFTER_S = 0.6
 RETRY_SPREAD_S = 0.8
+# A node that starts knows configuration and backend servers within this
+# time in most cases, and a caller who is refused has one more try at most.
+START_WAIT_S = 1.5
+START_POLL_S = 0.02
 # A node that has not heard the leader this long does not answer 401 or 404,
 # since a newer configuration may have the route or the key.
 CERTAIN_S = 1.2
@@ -171,6 +175,7 @@
         return response
 
     async def _decode(self, request, request_id, received_s):
+        await self._wait_for_start()
         document = self._node.document
         if document is None:
             raise errors.NotRun('no configuration yet', step='admit')
@@ -186,6 +191,14 @@
             request, request_id, received_s, route, account, target, body
         )
 
+    async def _wait_for_start(self):
+        """Wait until a node that has just started knows what it needs."""
+        end_s = self._timers.now_s() + START_WAIT_S
+        while not (self._freshness.was_ever_valid and self._node.has_view):
+            if self._timers.now_s() >= end_s:
+                return
+            await self._timers.sleep(START_POLL_S)
+
     def _unless_stale(self, code, reason):
         if self._freshness.age_s > CERTAIN_S:
             return errors.NotRun(
--- a/pimentowalk/platform/tests/test_gateway.py
+++ b/pimentowalk/platform/tests/test_gateway.py
@@ -5,6 +5,7 @@
 import aiohttp
 import pytest
 
+from pimentowalk.mesh import status as mesh_status
 from pimentowalk.platform import daemon
 from pimentowalk.platform import names
 from pimentowalk.platform.tests import samples
@@ -249,3 +250,28 @@
 
     await waiting.until(votes_again)
     await waiting.until(lambda: again.node.document_version == 3)
+
+
+async def test_operator_sees_what_a_gateway_knows(cluster, capsys):
+    """An engineer needs placement, members and ages, but never a key."""
+    await cluster.layers_placed()
+    found = mesh_status.of_node(
+        cluster.gateways[0].node, cluster.gateways[0].freshness
+    )
+    assert (found.version, found.lease_held) == (3, True)
+    assert sorted(m.votes for m in found.members) == [True] * 3
+    layers = {b.layers for b in found.backends if b.service == 'model'}
+    assert layers == {'0-8'}
+    assert [(a.name, a.keys) for a in found.accounts] == [('t1', 2)]
+
+
+async def test_caller_of_a_starting_node_waits_for_the_configuration(cluster):
+    """Its one more try would end at another node that starts too."""
+    late = await cluster.start_gateway(
+        '127.0.0.4', disk=False, first_start=False
+    )
+    cluster.gateways.append(late)
+    status, _, _ = await cluster.platform.call(
+        late, 'GET', '/look/2f', request_id='r1'
+    )
+    assert status == 200
