Prefer servers whose calls end well, and those that are not slow

Cause: a server that fails a part of its calls while its health check is good got the same share of work as the others, and a slow one was told apart only by its queue.

--- a/pimentowalk/dispatch/checks.py
+++ b/pimentowalk/dispatch/checks.py
@@ -15,18 +15,19 @@
     """Share questions among the runs that have them at the same time.
 
     `suspect(backend, reason)` is called for a server that cannot be
-    reached.
+    reached, `note(backend, report)` for one that answers.
     """
 
-    def __init__(self, transport, timers, suspect):
+    def __init__(self, transport, timers, suspect, note):
         self._transport = transport
         self._timers = timers
         self._suspect = suspect
+        self._note = note
         self._asked = {}
         self._tasks = set()
 
-    async def stalled(self, backend):
-        """Return the calls that stand still at a head; raise TryFailed."""
+    async def report(self, backend):
+        """Return the report of a server; raise TryFailed."""
         now_s = self._timers.now_s()
         asked_s, task = self._asked.get(backend.server_id, (0.0, None))
         if task is None or (task.done() and now_s - asked_s > FRESH_S):
@@ -37,10 +38,12 @@
 
     async def _ask(self, backend):
         try:
-            return await self._transport.stalled(backend)
+            report = await self._transport.ask(backend)
         except calls.Unreachable as error:
             self._suspect(backend, error.message)
             raise
+        self._note(backend, report)
+        return report
 
     def check(self, backend):
         """Find out in the background whether a server works."""
@@ -53,7 +56,7 @@
 
     async def _check(self, backend):
         try:
-            await self.stalled(backend)
+            await self.report(backend)
         except calls.TryFailed:
             # `_ask` has reported a server that cannot be reached; one that
             # answers in another way works.
--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -10,6 +10,7 @@
 from pimentowalk.dispatch import silence
 from pimentowalk.dispatch import stream
 from pimentowalk.routing import hops as routing_hops
+from pimentowalk.routing import outcomes as routing_outcomes
 from pimentowalk.wire import node_messages
 
 LOG = logging.getLogger(__name__)
@@ -19,6 +20,8 @@
 REPORT_S = 0.25
 # Runs without progress are looked at this often.
 WATCH_S = 0.05
+# Servers that left are forgotten this often.
+FORGET_S = 10.0
 # By then a server that crashed under a request is known to be dead.
 CRASH_CHECK_S = 0.6
 
@@ -52,9 +55,12 @@
         self.metrics = metrics
         self.zone = zone
         self.rng = rng or random.Random()
-        self.paths = routing_hops.POLICIES.get(path_policy)(book, self.rng)
+        self.outcomes = routing_outcomes.OutcomeBook(timers.now_s)
+        self.paths = routing_hops.POLICIES.get(path_policy)(
+            book, self.rng, self.outcomes
+        )
         self.checks = dispatch_checks.ServerChecks(
-            transport, timers, self.suspect
+            transport, timers, self.suspect, self._note_report
         )
         self.runs = set()
         self._reported = False
@@ -65,12 +71,17 @@
         """Start the periodic work."""
         self.timers.every(REPORT_S, self._report)
         self.timers.every(WATCH_S, self._watch)
+        self.timers.every(FORGET_S, self._forget)
 
     def _take_document(self, document):
         self.book.set_engines(
             {s.name: s.engine for s in document.services.values() if s.engine}
         )
 
+    def _forget(self):
+        known = {r.backend.server_id for r in self.node.backends.records()}
+        self.outcomes.keep_only(known)
+
     def _report(self):
         body = self.book.report()
         # One empty report tells that the work has ended.
@@ -86,6 +97,9 @@
         for run in streams:
             run.watch(now_s)
 
+    def _note_report(self, backend, report):
+        self.book.note_slowness(backend.server_id, report.slowness)
+
     def suspect(self, backend, reason):
         """Leave a server out of new work, here and at the other nodes."""
         if self.node.backends.suspect(
--- a/pimentowalk/dispatch/plain.py
+++ b/pimentowalk/dispatch/plain.py
@@ -15,10 +15,14 @@
 # A server in another zone is chosen if it has this much less of its slots
 # in use.
 ZONE_SHARE = 0.15
-RETRY_AFTER_S = 0.3
+# A server that fails all calls counts as one with so many more of its slots
+# in use.
+FAILURE_WEIGHT = 2.0
+# Tells equal servers apart.
+JITTER = 0.05
 
 
-def choose_server(backends, book, *, zone, avoid, rng):
+def choose_server(backends, book, outcomes, *, zone, avoid, rng):
     """Return the server with the least work for its slots, or None."""
     best = None
     for backend in backends:
@@ -26,7 +30,8 @@
             continue
         load = book.requests(backend.server_id) / max(backend.slots, 1)
         load += 0 if backend.zone == zone else ZONE_SHARE
-        load += rng.random() * 0.05
+        load += outcomes.failure_share(backend.server_id) * FAILURE_WEIGHT
+        load += rng.random() * JITTER
         if best is None or load < best[0]:
             best = load, backend
     return best[1] if best else None
@@ -75,6 +80,7 @@
         backend = choose_server(
             dispatcher.node.backends.usable(self._service.name),
             dispatcher.book,
+            dispatcher.outcomes,
             zone=dispatcher.zone,
             avoid=self._avoid,
             rng=dispatcher.rng,
@@ -122,6 +128,10 @@
                 # The whole body is read first, so that an answer that
                 # breaks off can still be replaced by another one.
                 body = await _read_all(answer)
+            dispatcher.outcomes.note(
+                target.backend.server_id,
+                failed=answer.status >= SERVER_FAULT,
+            )
             await self._responder.start(answer)
             await self._responder.write(body)
             await self._responder.finish()
@@ -142,6 +152,7 @@
     def _note(self, target, error):
         dispatcher = self._dispatcher
         self._avoid.add(target.backend.server_id)
+        dispatcher.outcomes.note(target.backend.server_id, failed=True)
         dispatcher.log_failed_try(self._call, target, error)
         if isinstance(error, calls.Unreachable):
             dispatcher.suspect(target.backend, error.message)
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -81,6 +81,8 @@
 
     def _record(self):
         metrics = self._dispatcher.metrics
+        for server in self._target.servers:
+            self._dispatcher.outcomes.note(server.server_id, failed=False)
         if self._first_event_s is not None:
             metrics.record_s('first_event', self._first_event_wait_s())
 
@@ -273,7 +275,7 @@
         dispatcher = self._dispatcher
         head = self._target.backend
         try:
-            stalled = await dispatcher.checks.stalled(head)
+            report = await dispatcher.checks.report(head)
         except calls.TryFailed as error:
             self._interrupt(
                 calls.Stalled(
@@ -281,7 +283,7 @@
                 )
             )
             return
-        address = stalled.get(self._call.request_id)
+        address = report.stalled.get(self._call.request_id)
         if address is None:
             await dispatcher.timers.sleep(ASK_AGAIN_S)
             self._asking = None
@@ -349,6 +351,7 @@
         for server in target.servers:
             if server.address == at_fault:
                 self._avoid.add(server.server_id)
+                dispatcher.outcomes.note(server.server_id, failed=True)
                 if self._has_begun:
                     dispatcher.note_failed_run(self._call, server)
                 if isinstance(error, calls.Unreachable):
--- a/pimentowalk/dispatch/transport.py
+++ b/pimentowalk/dispatch/transport.py
@@ -2,6 +2,20 @@
 
 import abc
 
+import attrs
+
+
+@attrs.frozen
+class ServerReport:
+    """What a backend server says of itself when asked.
+
+    `stalled` maps the ids of calls that stand still to the address at
+    fault; `slowness` is above 1 for a server slower than its kind.
+    """
+
+    stalled: dict[str, str]
+    slowness: float = 1.0
+
 
 class Answer(abc.ABC):
     """The answer of a backend server, whose body is read in pieces.
@@ -29,8 +43,8 @@
         """Send a call and return the `Answer`; raise `calls.TryFailed`."""
 
     @abc.abstractmethod
-    async def stalled(self, backend):
-        """Return {request id: address at fault} of calls that stand still.
+    async def ask(self, backend):
+        """Return the `ServerReport` of a server.
 
         Raises `calls.TryFailed` if the server does not answer.
         """
--- a/pimentowalk/platform/engines.py
+++ b/pimentowalk/platform/engines.py
@@ -161,14 +161,19 @@
             raise calls.Broken('the answer names another request', peer=peer)
         return EngineAnswer(response, _load(headers.get(names.LOAD)), peer)
 
-    async def stalled(self, backend):
-        """Return the requests that stand still at a head."""
+    async def ask(self, backend):
+        """Return the report of a server."""
         report = await self.report(backend)
-        return {
-            str(item.get('id')): str(item.get('address', ''))
-            for item in report.get('stalled') or ()
-            if isinstance(item, dict)
-        }
+        slowness = report.get('pace', 1.0)
+        return transport.ServerReport(
+            {
+                str(item.get('id')): str(item.get('address', ''))
+                for item in report.get('stalled') or ()
+                if isinstance(item, dict)
+            },
+            # "pace" of a report is a factor on the times of its kind.
+            slowness if isinstance(slowness, (int, float)) else 1.0,
+        )
 
     async def move(self, backend, request_id, hops):
         """Order a head to run a request over other hops."""
--- a/pimentowalk/routing/hops.py
+++ b/pimentowalk/routing/hops.py
@@ -21,6 +21,8 @@
 FULL_COST_S = 3.0
 # Above this share of the cache a server is avoided in favour of others.
 KNEE_SHARE = 0.5
+# A server at which all calls fail costs a try, besides the time lost.
+FAILURE_COST_S = 1.0
 MAX_HOPS = 32
 # Equal servers are told apart at random within this share of the costs, so
 # that nodes that know the same loads do not all choose the same server.
@@ -51,12 +53,18 @@
     head: Hop | None = None
 
 
-def hop_cost_s(backend, layers, query, loads):
+def hop_cost_s(backend, layers, query, loads, outcomes):
     """Return the cost of running some layers at a server."""
+    failures = outcomes.failure_share(backend.server_id)
     step_s = loads.step_s(backend) * layers
     share = loads.memory_share(backend, query.tokens)
     over = max(0.0, share - KNEE_SHARE) / (1 - KNEE_SHARE)
-    return HOP_S + step_s * (1 + share) + FULL_COST_S * over * over
+    return (
+        HOP_S
+        + step_s * (1 + share)
+        + FULL_COST_S * over * over
+        + FAILURE_COST_S * failures
+    )
 
 
 def tiles(hops, total_layers):
@@ -85,9 +93,10 @@
 class CheapestPath:
     """Find the path of the least total cost by dynamic programming."""
 
-    def __init__(self, loads, rng):
+    def __init__(self, loads, rng, outcomes):
         self._loads = loads
         self._rng = rng
+        self._outcomes = outcomes
 
     def choose(self, backends, query):
         """Return the hops of a path, or None if a layer is missing.
@@ -139,7 +148,7 @@
         best = None
         if backend.first_layer == 0 and query.head is None:
             layers = backend.end_layer
-            cost_s = hop_cost_s(backend, layers, query, self._loads) * jitter
+            cost_s = jitter * self._hop_cost_s(backend, layers, query)
             if backend.zone != query.zone:
                 cost_s += self._loads.zone_cost_s(backend.zone)
             best = _Best(cost_s, 1, None, backend)
@@ -151,8 +160,8 @@
             if previous.hops >= MAX_HOPS:
                 continue
             if at not in own:
-                own[at] = jitter * hop_cost_s(
-                    backend, backend.end_layer - at, query, self._loads
+                own[at] = jitter * self._hop_cost_s(
+                    backend, backend.end_layer - at, query
                 )
             cost_s = previous.cost_s + own[at]
             if previous.backend.zone != backend.zone:
@@ -161,6 +170,9 @@
                 best = _Best(cost_s, previous.hops + 1, previous, backend)
         return best
 
+    def _hop_cost_s(self, backend, layers, query):
+        return hop_cost_s(backend, layers, query, self._loads, self._outcomes)
+
     def _hops(self, best):
         chain = []
         while best is not None:
@@ -178,7 +190,7 @@
 class FirstFit:
     """Take the server that reaches furthest at each boundary; baseline."""
 
-    def __init__(self, loads, rng):
+    def __init__(self, loads, rng, outcomes):
         self._loads = loads
 
     def choose(self, backends, query):
--- a/pimentowalk/routing/tests/test_hops.py
+++ b/pimentowalk/routing/tests/test_hops.py
@@ -5,6 +5,7 @@
 import pytest
 
 from pimentowalk.routing import hops
+from pimentowalk.routing import outcomes
 from pimentowalk.routing import work
 from pimentowalk.topology import backends
 from pimentowalk.topology import documents
@@ -45,7 +46,11 @@
 
 
 def _policy(book=None, name='cheapest'):
-    return hops.POLICIES.get(name)(book or _book(), random.Random(1))
+    return hops.POLICIES.get(name)(
+        book or _book(),
+        random.Random(1),
+        outcomes.OutcomeBook(lambda: 0.0),
+    )
 
 
 def _query(**changes):
@@ -154,3 +159,18 @@
     now[0] = work.REPORT_EXPIRY_S + 1
     book.take(third.report())
     assert book.tokens('s') == 0
+
+
+def test_slow_server_is_avoided_while_it_is_known_to_be_slow():
+    """Pattern: one of two servers of a range takes twelve times as long."""
+    now = [0.0]
+    book = work.WorkBook('n1', lambda: now[0])
+    book.set_engines({'svc': ENGINE})
+    servers = [*_chain('z1'), _server('twin', 0, 8)]
+    book.note_slowness('z1-0', 12.0)
+    policy = _policy(book)
+    heads = {_names(policy.choose(servers, _query()))[0] for _ in range(30)}
+    assert heads == {'twin'}
+    now[0] = work.SLOWNESS_KEPT_S + 0.1
+    heads = {_names(policy.choose(servers, _query()))[0] for _ in range(50)}
+    assert heads == {'z1-0', 'twin'}
--- a/pimentowalk/routing/work.py
+++ b/pimentowalk/routing/work.py
@@ -7,6 +7,8 @@
 # Work that a node reported this long ago has ended or the node is gone.
 REPORT_EXPIRY_S = 2.0
 DEFAULT_STEP_S = 0.005
+# A slow server is asked again when its streams fall silent again.
+SLOWNESS_KEPT_S = 4.0
 MB = 1e6
 # Choosing a path that starts in another zone sends each event across.
 ZONE_COST_S = 0.25
@@ -23,6 +25,7 @@
         self._others = {}
         self._sums = {}
         self._engines = {}
+        self._slowness = {}
 
     def set_engines(self, engines):
         """Set the engine of each service."""
@@ -101,6 +104,20 @@
             return 1.0
         return (self.tokens(backend.server_id) + more_tokens) / capacity
 
+    def note_slowness(self, server_id, factor):
+        """Note that a server is slower than its kind by a factor."""
+        if factor > 1:
+            self._slowness[server_id] = self._now_s(), factor
+        else:
+            self._slowness.pop(server_id, None)
+
+    def _slowness_of(self, server_id):
+        noted_s, factor = self._slowness.get(server_id, (0.0, 1.0))
+        if factor > 1 and self._now_s() - noted_s > SLOWNESS_KEPT_S:
+            del self._slowness[server_id]
+            return 1.0
+        return factor
+
     def step_s(self, backend):
         """Return the time of one layer for the tokens of a usual answer."""
         engine = self._engines.get(backend.service)
@@ -108,6 +125,7 @@
         if not kind:
             return DEFAULT_STEP_S
         step_s = engine.step_ms / 1000 * kind.step_factor
+        step_s *= self._slowness_of(backend.server_id)
         return step_s / engine.total_layers * engine.usual_answer_tokens
 
     def zone_cost_s(self, zone):
