--- a/pimentowalk/dispatch/checks.py
+++ b/pimentowalk/dispatch/checks.py
@@ -20,10 +20,13 @@
     """Share questions among the runs that have them at the same time.
 
     `suspect(backend, reason)` is called for a server that cannot be
-    reached, `note(backend, report)` for one that answers.
+    reached, `note(backend, report)` for one that answers and
+    `delegate(backend)` for one in another zone that does not.
     """
 
-    def __init__(self, transport, timers, suspect, note):
+    def __init__(self, transport, timers, zone, suspect, note, delegate):
+        self._zone = zone
+        self._delegate = delegate
         self._transport = transport
         self._timers = timers
         self._suspect = suspect
@@ -56,7 +59,14 @@
         return report
 
     def _note_unanswered(self, backend, error):
-        """Suspect a server that stays silent while others answer."""
+        """Suspect a server that stays silent while others answer.
+
+        Silence across zones may be the fault of the link, so that nodes in
+        the zone of the server are to find out.
+        """
+        if backend.zone != self._zone:
+            self._delegate(backend)
+            return
         now_s = self._timers.now_s()
         oldest_s = now_s - UNANSWERED_S
         self._unanswered = {
@@ -65,7 +75,7 @@
             if at_s > oldest_s
         }
         is_second = backend.server_id in self._unanswered
-        self._unanswered.setdefault(backend.server_id, now_s)
+        self._unanswered[backend.server_id] = now_s
         if is_second and len(self._unanswered) <= MOST_UNANSWERED:
             self._suspect(backend, error.message)
 
--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -60,11 +60,17 @@
             book, self.rng, self.outcomes
         )
         self.checks = dispatch_checks.ServerChecks(
-            transport, timers, self.suspect, self._note_report
+            transport,
+            timers,
+            zone,
+            self.suspect,
+            self._note_report,
+            self._ask_others,
         )
         self.runs = set()
         self._reported = False
         node.subscribe(node_messages.LoadNews, book.take)
+        node.subscribe(node_messages.CheckRequest, self._take_check)
         node.on_document(self._take_document)
 
     def start(self):
@@ -97,6 +103,20 @@
         for run in streams:
             run.watch(now_s)
 
+    def _ask_others(self, backend):
+        self.node.publish(
+            node_messages.CheckRequest(backend.server_id, backend.born_ms)
+        )
+
+    def _take_check(self, body):
+        backend = self.node.backends.get(body.server_id)
+        if (
+            backend is not None
+            and backend.born_ms == body.born_ms
+            and backend.zone == self.zone
+        ):
+            self.checks.check(backend)
+
     def _note_report(self, backend, report):
         self.book.note_slowness(backend.server_id, report.slowness)
 
--- a/pimentowalk/dispatch/tests/test_checks.py
+++ b/pimentowalk/dispatch/tests/test_checks.py
@@ -32,17 +32,20 @@
         self.timers = timers.ManualTimerService()
         self.transport = FakeTransport()
         self.suspects = []
+        self.delegated = []
         self.checks = checks.ServerChecks(
             self.transport,
             self.timers,
+            'z1',
             lambda backend, reason: self.suspects.append(backend.server_id),
             lambda backend, report: None,
+            lambda backend: self.delegated.append(backend.server_id),
         )
 
-    async def ask(self, name):
+    async def ask(self, name, zone='z1'):
         """Ask a server once, after any earlier answer went stale."""
         await self.timers.advance(checks.FRESH_S * 2)
-        server = backends.Backend(name, 1, 1, 'svc', '10.0.0.1', 80)
+        server = backends.Backend(name, 1, 1, 'svc', '10.0.0.1', 80, zone)
         try:
             await self.checks.report(server)
         except calls.TryFailed as error:
@@ -83,6 +86,14 @@
     assert world.suspects == []
 
 
+async def test_silence_across_zones_is_left_to_nodes_of_that_zone(world):
+    """Pattern: the links of one zone lose packets, its servers work."""
+    await world.ask('a', zone='z2')
+    await world.ask('a', zone='z2')
+    assert world.suspects == []
+    assert set(world.delegated) == {'a'}
+
+
 async def test_answer_clears_an_earlier_silence(world):
     """Two silences with an answer between them are two accidents."""
     await world.ask('a')
--- a/pimentowalk/mesh/hub.py
+++ b/pimentowalk/mesh/hub.py
@@ -224,5 +224,5 @@
     hub.relay(envelope.body, origin=peer)
 
 
-for _name in ('suspicion', 'crashNote'):
+for _name in ('suspicion', 'crashNote', 'checkRequest'):
     FRAMES.register(_name)(_take_and_relay)
--- a/pimentowalk/mesh/node.py
+++ b/pimentowalk/mesh/node.py
@@ -252,11 +252,9 @@
     node.backends.suspect(body.server_id, body.born_ms, body.reason)
 
 
-@TAKERS.register('loadNews')
-def take_load(node, body):
-    """Leave loads to the subscribers."""
+def _leave_to_subscribers(node, body):
+    """Do nothing here; `MeshNode.subscribe` names who acts."""
 
 
-@TAKERS.register('crashNote')
-def take_crash(node, body):
-    """Leave crashes to the subscribers."""
+for _name in ('loadNews', 'crashNote', 'checkRequest'):
+    TAKERS.register(_name)(_leave_to_subscribers)
--- a/pimentowalk/wire/frames.capnp
+++ b/pimentowalk/wire/frames.capnp
@@ -439,6 +439,11 @@
   bornMs @2 :UInt64;
 }
 
+struct CheckRequest {
+  serverId @0 :Text;
+  bornMs @1 :UInt64;
+}
+
 struct Frame {
   configVersion @0 :UInt64;
   callId @1 :UInt64;
@@ -486,5 +491,6 @@
     suspicion @42 :Suspicion;
     loadNews @43 :LoadNews;
     crashNote @44 :CrashNote;
+    checkRequest @45 :CheckRequest;
   }
 }
--- a/pimentowalk/wire/node_messages.py
+++ b/pimentowalk/wire/node_messages.py
@@ -99,3 +99,16 @@
     fingerprint: int
     server_id: str
     born_ms: int
+
+
+@messages.message('checkRequest')
+@attrs.frozen
+class CheckRequest:
+    """A backend server that does not answer a node in another zone.
+
+    Nodes in the server's zone ask it: silence across zones may be the
+    fault of the link.
+    """
+
+    server_id: str
+    born_ms: int
