--- a/pimentowalk/dispatch/checks.py
+++ b/pimentowalk/dispatch/checks.py
@@ -33,6 +33,7 @@
         self._note = note
         self._asked = {}
         self._unanswered = {}
+        self._accused = {}
         self._tasks = set()
 
     async def report(self, backend):
@@ -64,10 +65,15 @@
         Silence across zones may be the fault of the link, so that nodes in
         the zone of the server are to find out.
         """
+        now_s = self._timers.now_s()
+        accused_s = self._accused.get(backend.server_id, float('-inf'))
+        if now_s - accused_s < UNANSWERED_S:
+            del self._accused[backend.server_id]
+            self._suspect(backend, error.message)
+            return
         if backend.zone != self._zone:
             self._delegate(backend)
             return
-        now_s = self._timers.now_s()
         oldest_s = now_s - UNANSWERED_S
         self._unanswered = {
             server_id: at_s
@@ -79,6 +85,15 @@
         if is_second and len(self._unanswered) <= MOST_UNANSWERED:
             self._suspect(backend, error.message)
 
+    def accuse(self, backend):
+        """Find out whether a server works that a head named as at fault.
+
+        It may only have given up the layers that the request needed, so it
+        is asked; but no second question is needed if it does not answer.
+        """
+        self._accused[backend.server_id] = self._timers.now_s()
+        self.check(backend)
+
     def check(self, backend):
         """Find out in the background whether a server works."""
         asked_s, _ = self._asked.get(backend.server_id, (-CHECK_AGAIN_S, None))
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -253,20 +253,19 @@
             self._asking = asyncio.ensure_future(self._ask())
 
     def _missing_server(self):
-        usable = {
-            backend.server_id: backend
-            for backend in self._dispatcher.node.backends.usable(
-                self._service.name
+        """Return a server of the path that no longer runs its part."""
+        table = self._dispatcher.node.backends
+        for hop in self._target.hops:
+            server = hop.backend
+            known = table.get(server.server_id)
+            if known is None or not table.works(server):
+                return server
+            # One that is leaving finishes what it has begun.
+            holds = (
+                known.first_layer <= hop.first_layer
+                and hop.end_layer <= known.end_layer
             )
-        }
-        draining = self._dispatcher.node.backends
-        for server in self._target.servers:
-            known = usable.get(server.server_id)
-            if known is None:
-                left = draining.get(server.server_id)
-                if left is None or left.state == server.state:
-                    return server
-            elif known.born_ms != server.born_ms:
+            if known.state == server.state and not holds:
                 return server
         return None
 
@@ -290,7 +289,7 @@
             return
         culprit = dispatcher.node.backends.at_address(address)
         if culprit is not None:
-            dispatcher.suspect(culprit, 'a request stands still')
+            dispatcher.checks.accuse(culprit)
         self._recover(address, 'the path stands still')
 
     def _recover(self, address, reason):
--- a/pimentowalk/dispatch/tests/test_checks.py
+++ b/pimentowalk/dispatch/tests/test_checks.py
@@ -111,3 +111,25 @@
     for _ in range(5):
         await world.checks.report(server)
     assert world.transport.asked == ['a']
+
+
+async def test_accused_server_that_answers_is_not_suspect(world):
+    """Pattern: a server gives up layers, and the planner moves others.
+
+    Each move made its server a suspect, so that four servers moved for one
+    gap.
+    """
+    world.transport.answers['a'] = transport.ServerReport({})
+    world.checks.accuse(backends.Backend('a', 1, 1, 'svc', '10.0.0.1', 80))
+    await world.timers.advance(1.0)
+    assert world.transport.asked == ['a']
+    assert world.suspects == []
+
+
+async def test_accused_server_that_is_silent_is_suspect(world):
+    """Two signs of failure are enough, also across zones."""
+    server = backends.Backend('a', 1, 1, 'svc', '10.0.0.1', 80, 'z2')
+    await world.timers.advance(checks.CHECK_AGAIN_S)
+    world.checks.accuse(server)
+    await world.timers.advance(0.1)
+    assert world.suspects == ['a']
