Share the tries of a call, and keep the wiring of a gateway in the product

Plain and streamed calls repeated the loop over tries; it stands once in dispatch/call_run.py. The daemon of the adapter also wired control, links and placement; gateway/core.py does so now, and the adapter adds addresses and calls.

--- /dev/null
+++ b/pimentowalk/dispatch/call_run.py
@@ -0,0 +1,86 @@
+"""The tries of one call, whatever kind of service it is for."""
+
+import abc
+
+from pimentowalk.dispatch import calls
+
+# Tries that prove that nothing ran are not bounded by the route, but each
+# costs the server and the caller time.
+MAX_TRIES = 4
+
+
+class CallRun(abc.ABC):
+    """Try a call at one target after the other.
+
+    `_runs` counts the servers at which it may have begun to run; the route
+    bounds them. Other tries only draw on the budget.
+    """
+
+    def __init__(self, dispatcher, call, service, responder):
+        self._dispatcher = dispatcher
+        self._call = call
+        self._service = service
+        self._responder = responder
+        self._avoid = set()
+        self._runs = 0
+        self._tries = 0
+        self._target = None
+
+    async def run(self):
+        """Try until the answer is complete; raise PimentowalkError."""
+        failure = None
+        for tries in range(MAX_TRIES):
+            if tries and not self._may_repeat():
+                break
+            self._target = self._choose()
+            if self._target is None:
+                break
+            self._tries = tries + 1
+            try:
+                await self._try()
+                return
+            except calls.TryFailed as error:
+                failure = error
+                self._note_failure(error)
+                if not self._may_go_on(error):
+                    break
+        raise self._final(failure)
+
+    def summary(self):
+        """Return what the log says of an answered call."""
+        return {'peer': self._target.backend.address, 'tries': self._tries}
+
+    def _may_repeat(self):
+        dispatcher = self._dispatcher
+        if dispatcher.timers.now_s() >= self._call.ends_s:
+            return False
+        return dispatcher.budget.take(
+            self._service.name, dispatcher.node.live_nodes
+        )
+
+    def _may_go_on(self, error):
+        if isinstance(error, calls.Refused):
+            return True
+        route = self._call.route
+        return route.is_repeatable and self._runs < route.attempts
+
+    def _remaining_ms(self):
+        """Return how long the caller still waits, for the server to know."""
+        left_s = self._call.deadline_s - self._dispatcher.timers.now_s()
+        return max(1, int(left_s * 1000))
+
+    @abc.abstractmethod
+    def _choose(self):
+        """Return the target of the next try, or None."""
+
+    @abc.abstractmethod
+    async def _try(self):
+        """Pass a whole answer on; raise `calls.TryFailed`."""
+
+    @abc.abstractmethod
+    def _note_failure(self, error):
+        """Draw conclusions from a failed try."""
+
+    @abc.abstractmethod
+    def _final(self, failure):
+        """Return the error that answers the caller."""
--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -15,9 +15,10 @@
 
 LOG = logging.getLogger(__name__)
 
-# Nodes exchange their work this often. A request lasts about a second, so
-# that most of it is known elsewhere while it runs.
-REPORT_S = 0.25
+# Nodes exchange their work this often. A stream lasts about two seconds, so
+# that most of it is known elsewhere while it runs; more often costs more on
+# the links between zones than the better choice is worth.
+REPORT_S = 0.5
 # Runs without progress are looked at this often.
 WATCH_S = 0.05
 # Servers that left are forgotten this often.
--- a/pimentowalk/dispatch/plain.py
+++ b/pimentowalk/dispatch/plain.py
@@ -3,11 +3,9 @@
 import asyncio
 
 from pimentowalk.core import errors
+from pimentowalk.dispatch import call_run
 from pimentowalk.dispatch import calls
 
-# Tries that prove that nothing ran are not bounded by the route, but each
-# costs the server and the caller time.
-MAX_TRIES = 4
 # A safe call that is silent for this share of its time is tried elsewhere.
 SAFE_PATIENCE_SHARE = 0.45
 LEAST_PATIENCE_S = 0.15
@@ -37,44 +35,9 @@
     return best[1] if best else None
 
 
-class PlainRun:
+class PlainRun(call_run.CallRun):
     """One call of a plain service with its tries."""
 
-    def __init__(self, dispatcher, call, service, responder):
-        self._dispatcher = dispatcher
-        self._call = call
-        self._service = service
-        self._responder = responder
-        self._avoid = set()
-        self._runs = 0
-        self._tries = 0
-        self._peer = ''
-
-    def summary(self):
-        """Return what the log says of an answered call."""
-        return {'peer': self._peer, 'tries': self._tries}
-
-    async def run(self):
-        """Try until an answer can be passed on."""
-        failure = None
-        for tries in range(MAX_TRIES):
-            self._tries = tries + 1
-            if tries and not self._may_repeat():
-                break
-            target = self._choose()
-            if target is None:
-                break
-            self._peer = target.backend.address
-            try:
-                await self._try(target, last=self._is_last())
-                return
-            except calls.TryFailed as error:
-                self._note(target, error)
-                failure = error
-                if not self._may_go_on(error):
-                    break
-        raise self._final(failure)
-
     def _choose(self):
         dispatcher = self._dispatcher
         backend = choose_server(
@@ -87,28 +50,15 @@
         )
         return calls.Target(backend) if backend else None
 
-    def _may_repeat(self):
-        dispatcher = self._dispatcher
-        if dispatcher.timers.now_s() >= self._call.ends_s:
-            return False
-        return dispatcher.budget.take(
-            self._service.name, dispatcher.node.live_nodes
-        )
-
     def _is_last(self):
         route = self._call.route
         return not route.is_repeatable or self._runs + 1 >= route.attempts
 
-    def _may_go_on(self, error):
-        if isinstance(error, calls.Refused):
-            return True
-        self._runs += 1
-        route = self._call.route
-        return route.is_repeatable and self._runs < route.attempts
-
-    async def _try(self, target, *, last):
+    async def _try(self):
         dispatcher = self._dispatcher
         call = self._call
+        target = self._target
+        last = self._is_last()
         left_s = call.ends_s - dispatcher.timers.now_s()
         patience_s = left_s
         if not last:
@@ -145,12 +95,11 @@
             if answer is not None:
                 answer.close()
 
-    def _remaining_ms(self):
-        left_s = self._call.deadline_s - self._dispatcher.timers.now_s()
-        return max(1, int(left_s * 1000))
-
-    def _note(self, target, error):
+    def _note_failure(self, error):
         dispatcher = self._dispatcher
+        target = self._target
+        if not isinstance(error, calls.Refused):
+            self._runs += 1
         self._avoid.add(target.backend.server_id)
         dispatcher.outcomes.note(target.backend.server_id, failed=True)
         dispatcher.log_failed_try(self._call, target, error)
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -3,11 +3,11 @@
 import asyncio
 
 from pimentowalk.core import errors
+from pimentowalk.dispatch import call_run
 from pimentowalk.dispatch import calls
 from pimentowalk.dispatch import events
 from pimentowalk.routing import hops as routing_hops
 
-MAX_TRIES = 4
 SERVER_FAULT = 500
 SUCCESS = 300
 # Without an event for this long the head is asked which server stands
@@ -24,17 +24,11 @@
 SUSPECT_SILENCE_S = 0.06
 
 
-class StreamRun:
+class StreamRun(call_run.CallRun):
     """One streamed call with its tries."""
 
     def __init__(self, dispatcher, call, service, responder):
-        self._dispatcher = dispatcher
-        self._call = call
-        self._service = service
-        self._responder = responder
-        self._avoid = set()
-        self._runs = 0
-        self._target = None
+        super().__init__(dispatcher, call, service, responder)
         self._try_task = None
         self._interruption = None
         self.progress_s = 0.0
@@ -45,30 +39,8 @@
         self._first_event_s = None
         self._last_event_s = 0.0
         self._longest_pause_s = 0.0
-        self._tries = 0
         self._has_begun = False
 
-    async def run(self):
-        """Try until the stream is complete."""
-        failure = None
-        for tries in range(MAX_TRIES):
-            self._tries = tries + 1
-            if tries and not self._may_repeat():
-                break
-            self._target = self._choose()
-            if self._target is None:
-                break
-            try:
-                await self._run_try()
-                self._record()
-                return
-            except calls.TryFailed as error:
-                failure = error
-                self._note(error)
-                if not self._may_go_on(error):
-                    break
-        raise self._final(failure)
-
     @property
     def has_begun(self):
         """Return whether the current try has brought an event."""
@@ -94,9 +66,7 @@
         hops = self._target.hops
         zones = [hop.backend.zone for hop in hops]
         pairs = zip(zones, zones[1:], strict=False)
-        return {
-            'peer': self._target.backend.address,
-            'tries': self._tries,
+        return super().summary() | {
             'first_event_ms': int(self._first_event_wait_s() * 1000),
             'longest_pause_ms': int(self._longest_pause_s * 1000),
             'hops': len(hops),
@@ -127,32 +97,19 @@
             ),
         )
 
-    def _may_repeat(self):
-        dispatcher = self._dispatcher
-        if dispatcher.timers.now_s() >= self._call.ends_s:
-            return False
-        return dispatcher.budget.take(
-            self._service.name, dispatcher.node.live_nodes
-        )
-
-    def _may_go_on(self, error):
-        if isinstance(error, calls.Refused):
-            return True
-        route = self._call.route
-        return route.is_repeatable and self._runs < route.attempts
-
-    async def _run_try(self):
+    async def _try(self):
         dispatcher = self._dispatcher
         self.progress_s = dispatcher.timers.now_s()
         self._interruption = None
         self._recovering = None
         self._has_begun = False
         dispatcher.book.begin(_ids(self._target), self._tokens)
-        self._try_task = asyncio.ensure_future(self._try())
+        self._try_task = asyncio.ensure_future(self._pass_answer())
         left_s = self._call.ends_s - dispatcher.timers.now_s()
         try:
             async with asyncio.timeout(left_s):
                 await self._try_task
+            self._record()
         except TimeoutError:
             raise calls.Broken('no complete answer in time') from None
         except asyncio.CancelledError:
@@ -167,15 +124,11 @@
             self._asking = None
             dispatcher.book.end(_ids(self._target), self._tokens)
 
-    async def _try(self):
+    async def _pass_answer(self):
         dispatcher = self._dispatcher
         call = self._call
-        left_s = call.deadline_s - dispatcher.timers.now_s()
         answer = await dispatcher.transport.open(
-            call,
-            self._target,
-            max(1, int(left_s * 1000)),
-            self._events.last_id,
+            call, self._target, self._remaining_ms(), self._events.last_id
         )
         try:
             if answer.status >= SUCCESS:
@@ -342,7 +295,7 @@
             self._interruption = error
             self._try_task.cancel()
 
-    def _note(self, error):
+    def _note_failure(self, error):
         dispatcher = self._dispatcher
         target = self._target
         dispatcher.log_failed_try(self._call, target, error)
--- /dev/null
+++ b/pimentowalk/gateway/core.py
@@ -0,0 +1,222 @@
+"""The parts of a gateway that need no adapter, wired together."""
+
+import asyncio
+import logging
+
+from pimentowalk.admission import crashes as admission_crashes
+from pimentowalk.admission import window_budget
+from pimentowalk.control import directory as control_directory
+from pimentowalk.control import operators as control_operators
+from pimentowalk.control import repair as control_repair
+from pimentowalk.control import replica as control_replica
+from pimentowalk.control import requests as control_requests
+from pimentowalk.control import state as control_state
+from pimentowalk.core import errors
+from pimentowalk.core import identifiers
+from pimentowalk.core import logs
+from pimentowalk.core import metrics as core_metrics
+from pimentowalk.core import timers as core_timers
+from pimentowalk.dispatch import dispatcher as dispatch
+from pimentowalk.entry import drain as entry_drain
+from pimentowalk.membership import backends as membership
+from pimentowalk.mesh import freshness as mesh_freshness
+from pimentowalk.mesh import leader as mesh_leader
+from pimentowalk.mesh import node as mesh_node
+from pimentowalk.placement import executor as placement
+from pimentowalk.routing import work
+from pimentowalk.topology import instances
+from pimentowalk.wire import messages
+from pimentowalk.wire import node_messages
+
+LOG = logging.getLogger(__name__)
+
+# A key that was taken away must not be served anywhere after the bound; the
+# rest covers a request that was sent before the lease ended.
+LEASE_SHARE = 0.75
+EXPIRE_S = 0.25
+# A node takes callers only while it heard the leader this lately.
+READY_AGE_S = 3.0
+
+
+class GatewayNode:
+    """Membership, dispatch and, where there is a disk, control.
+
+    `engines` is the client for backend servers, `decode(content)` returns
+    the document of stored content, `read_seeds()` the addresses of nodes
+    that the settings name now.
+    """
+
+    def __init__(
+        self, settings, bounds, engines, *, decode, read_seeds, timers
+    ):
+        self.settings = settings
+        self.bounds = bounds
+        self.engines = engines
+        self.timers = timers
+        self._read_seeds = read_seeds
+        self.metrics = core_metrics.Metrics('gateway')
+        self.drain = entry_drain.Drain(timers)
+        self._tasks = []
+        hello = messages.Hello(
+            settings.node_id,
+            'control',
+            identifiers.new_incarnation(),
+            settings.zone,
+        )
+        now_s = timers.now_s
+        self.node = mesh_node.MeshNode(
+            hello,
+            settings.host,
+            settings.peer_port,
+            timers,
+            seeds=self._seeds,
+            decode=decode,
+            backend_table=membership.BackendTable(
+                now_s, settings.announcement_period_ms / 1000
+            ),
+        )
+        self.client = mesh_leader.LeaderClient(self.node, timers)
+        self.freshness = mesh_freshness.Freshness(
+            self.node,
+            self.client,
+            timers,
+            bounds.revocation_ms / 1000 * LEASE_SHARE,
+        )
+        self.crashes = admission_crashes.CrashBook(now_s)
+        self.node.subscribe(node_messages.CrashNote, self._note_crash)
+        self.dispatcher = dispatch.Dispatcher(
+            self.node,
+            engines,
+            timers,
+            book=work.WorkBook(settings.node_id, now_s),
+            budget=window_budget.WindowBudget(
+                now_s,
+                window_s=bounds.retry_window_s,
+                ratio=bounds.retry_ratio,
+                extra=bounds.retry_extra,
+            ),
+            crashes=self.crashes,
+            metrics=self.metrics,
+            zone=settings.zone,
+        )
+        self.replica = None
+        if settings.data_folder:
+            self._build_control()
+
+    def _note_crash(self, body):
+        self.crashes.note(body.fingerprint, body.server_id, body.born_ms)
+
+    def _seeds(self):
+        port = self.settings.peer_port
+        return [
+            node_messages.ControlAddress(seed.host, seed.host, port)
+            for seed in self._read_seeds()
+        ]
+
+    def _build_control(self):
+        """Create the replica; the seeds are the first voters."""
+        settings = self.settings
+        voters = []
+        if settings.first_start:
+            voters = [
+                instances.Instance(
+                    seed.host, seed.host, settings.peer_port, ''
+                )
+                for seed in settings.seeds
+            ]
+        self.state = control_state.ControlState()
+        self.replica = control_replica.Replica(
+            settings.node_id,
+            settings.data_folder,
+            voters,
+            self.state,
+            self.timers,
+            zone=settings.zone,
+        )
+        self.node.replica = self.replica
+        self.node.hub.replica = self.replica
+        self.node.hub.requests = control_requests.RequestHandler(
+            settings.node_id,
+            self.replica,
+            self.state,
+            control_directory.Directory(),
+            control_operators.Operators(),
+            self.timers,
+            self.timers.now_s,
+        )
+        self.state.on_change(self._take_state)
+        self._repair = control_repair.Repair(
+            self.replica,
+            self._disk_nodes,
+            self.timers,
+            2 * settings.tolerated_losses + 1,
+        )
+        self._executor = placement.Executor(
+            self.node.backends,
+            self.timers,
+            leads=lambda: self.node.leads,
+            fence=lambda: self.replica.term,
+            document=lambda: self.node.document,
+            order=self.engines.order_layers,
+        )
+
+    def _take_state(self):
+        part = self.state.part('document')
+        if part.version > self.node.document_version:
+            self.node.take_document(part.version, part.content)
+
+    def _disk_nodes(self):
+        return [
+            control_repair.Candidate(
+                record.node_id,
+                record.status.identity,
+                record.status.host,
+                record.status.port,
+            )
+            for record in self.node.hub.records()
+            if record.status.identity
+        ]
+
+    async def start(self):
+        """Start control and the links, then the periodic work."""
+        if self.replica is not None:
+            await self.replica.start()
+            self._tasks += [
+                asyncio.ensure_future(self._repair.run()),
+                asyncio.ensure_future(self._executor.run()),
+            ]
+        await self.node.start()
+        self._tasks.append(asyncio.ensure_future(self.freshness.run()))
+        self.timers.every(EXPIRE_S, self.node.backends.expire)
+        self.dispatcher.start()
+
+    def unready_reason(self):
+        """Return why the node should get no callers, empty if it should."""
+        if self.drain.draining:
+            return 'draining'
+        if self.node.document is None:
+            return 'no configuration yet'
+        if self.freshness.age_s > READY_AGE_S:
+            return 'control is out of reach'
+        return ''
+
+    async def hand_over(self):
+        """Let another voter lead before this node stops."""
+        self.node.draining = True
+        if self.replica is None:
+            return
+        try:
+            await self.replica.transfer_leadership()
+        except errors.PimentowalkError as error:
+            LOG.info(
+                'leadership not handed over: %s',
+                error,
+                extra=logs.fields(step='stop'),
+            )
+
+    async def close(self):
+        """Close connections and files."""
+        await core_timers.cancel_all(self._tasks)
+        await self.node.stop()
+        if self.replica is not None:
+            await self.replica.abort()
