--- /dev/null
+++ b/pimentowalk/placement/tests/test_executor.py
@@ -0,0 +1,134 @@
+"""Guard the orders that the leader gives to backend servers."""
+
+import asyncio
+
+import attrs
+import pytest
+
+from pimentowalk.core import errors
+from pimentowalk.core import timers
+from pimentowalk.membership import backends as membership
+from pimentowalk.placement import executor
+from pimentowalk.placement import planner
+from pimentowalk.placement.tests import test_planner
+from pimentowalk.topology import backends
+from pimentowalk.topology import documents
+
+SERVICE = documents.DirectService('svc', engine=test_planner.ENGINE)
+DOCUMENT = documents.Document(1, [SERVICE], [], [], documents.Limits())
+KINDS = ['a100'] + ['v100'] * 10 + ['l4'] * 4
+
+
+class World:
+    """An executor with servers that carry orders out at once."""
+
+    def __init__(self):
+        self.timers = timers.ManualTimerService()
+        self.table = membership.BackendTable(self.timers.now_s, 1e6)
+        self.leads = True
+        self.answers = True
+        self.orders = []
+        for number, kind in enumerate(KINDS):
+            self.table.apply(
+                backends.Backend(
+                    f's{number}',
+                    1,
+                    0,
+                    'svc',
+                    f'10.0.0.{number}',
+                    80,
+                    'z1',
+                    accelerator=kind,
+                )
+            )
+        self.executor = executor.Executor(
+            self.table,
+            self.timers,
+            leads=lambda: self.leads,
+            fence=lambda: 5,
+            document=lambda: DOCUMENT,
+            order=self._order,
+        )
+
+    async def _order(self, backend, assignment, fence, *, preempt):
+        self.orders.append((backend.server_id, preempt, fence))
+        if not self.answers:
+            raise errors.PeerLost('no answer', peer=backend.address)
+        self.table.apply(
+            attrs.evolve(
+                backend,
+                sequence=backend.sequence + 1,
+                first_layer=assignment.first_layer,
+                end_layer=assignment.end_layer,
+            )
+        )
+
+    def missing(self):
+        """Return how many layers no usable server holds."""
+        copies = planner.coverage(self.table.usable('svc'), 80)
+        return copies.count(0)
+
+
+@pytest.fixture
+async def world():
+    found = World()
+    running = asyncio.ensure_future(found.executor.run())
+    await found.timers.advance(4.0)
+    yield found
+    running.cancel()
+
+
+async def test_each_server_is_ordered_once(world):
+    """Orders have a price, and a repeated one may undo a newer one."""
+    await world.timers.advance(5.0)
+    assert len(world.orders) == len(KINDS)
+    assert world.missing() == 0
+    assert {fence for _, _, fence in world.orders} == {5}
+
+
+async def test_follower_gives_no_orders(world):
+    """Two leaders would move servers back and forth."""
+    world.orders.clear()
+    world.leads = False
+    world.table.suspect('s1', 1, 'failed')
+    await world.timers.advance(5.0)
+    assert world.orders == []
+
+
+async def test_lost_layer_is_replaced_by_a_move_that_does_not_wait(world):
+    """Pattern: the only holder of a range is lost at the crest.
+
+    Streams of a frozen node held a move for 13 s while paths crossed zones.
+    """
+    world.orders.clear()
+    single = next(
+        b.server_id for b in world.table.usable('svc') if _is_needed(world, b)
+    )
+    world.table.suspect(single, 1, 'failed')
+    assert world.missing() > 0
+    await world.timers.advance(2.0)
+    assert world.missing() == 0
+    assert all(preempt for _, preempt, _ in world.orders)
+    assert len(world.orders) <= 3
+
+
+async def test_order_without_an_answer_is_given_again(world):
+    """It may have been lost; the number of orders guards against both."""
+    world.orders.clear()
+    world.answers = False
+    world.table.apply(
+        backends.Backend(
+            'new', 1, 0, 'svc', '10.0.1.1', 80, 'z1', accelerator='v100'
+        )
+    )
+    await world.timers.advance(1.0)
+    assert [name for name, _, _ in world.orders] == ['new']
+    world.answers = True
+    await world.timers.advance(3.0)
+    assert [name for name, _, _ in world.orders] == ['new', 'new']
+    assert world.table.get('new').layer_count > 0
+
+
+def _is_needed(world, backend):
+    rest = [b for b in world.table.usable('svc') if b != backend]
+    return 0 in planner.coverage(rest, 80)
