Forget servers that are gone wherever they are kept by id

Cause: questions, slowness and accusations were kept for every incarnation of a server for the life of a node. Found by reading.

--- a/pimentowalk/dispatch/checks.py
+++ b/pimentowalk/dispatch/checks.py
@@ -42,6 +42,7 @@
         asked_s, task = self._asked.get(backend.server_id, (0.0, None))
         if task is None or (task.done() and now_s - asked_s > FRESH_S):
             task = asyncio.ensure_future(self._ask(backend))
+            task.add_done_callback(_retrieve)
             self._asked[backend.server_id] = now_s, task
         # A run that is cancelled must not end the question of the others.
         return await asyncio.shield(task)
@@ -85,6 +86,12 @@
         if is_second and len(self._unanswered) <= MOST_UNANSWERED:
             self._suspect(backend, error.message)
 
+    def keep_only(self, server_ids):
+        """Forget servers that are gone."""
+        for known in (self._asked, self._unanswered, self._accused):
+            for server_id in known.keys() - server_ids:
+                del known[server_id]
+
     def accuse(self, backend):
         """Find out whether a server works that a head named as at fault.
 
@@ -115,3 +122,9 @@
                 # that answers in another way works.
                 return
             return
+
+
+def _retrieve(task):
+    """Take the exception of a question whose runs have all ended."""
+    if not task.cancelled():
+        task.exception()
--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -87,7 +87,8 @@
 
     def _forget(self):
         known = {r.backend.server_id for r in self.node.backends.records()}
-        self.outcomes.keep_only(known)
+        for part in (self.outcomes, self.checks, self.book):
+            part.keep_only(known)
 
     def _report(self):
         body = self.book.report()
--- a/pimentowalk/dispatch/tests/test_checks.py
+++ b/pimentowalk/dispatch/tests/test_checks.py
@@ -104,6 +104,14 @@
     assert world.suspects == []
 
 
+async def test_servers_that_left_are_forgotten(world):
+    """Each start of a server brings a new id."""
+    await world.ask('a')
+    world.checks.keep_only({'b'})
+    await world.ask('a')
+    assert world.suspects == []
+
+
 async def test_runs_that_ask_together_share_an_answer(world):
     """Each question costs the server work."""
     world.transport.answers['a'] = transport.ServerReport({})
--- a/pimentowalk/routing/work.py
+++ b/pimentowalk/routing/work.py
@@ -111,6 +111,11 @@
         else:
             self._slowness.pop(server_id, None)
 
+    def keep_only(self, server_ids):
+        """Forget the slowness of servers that are gone."""
+        for server_id in self._slowness.keys() - server_ids:
+            del self._slowness[server_id]
+
     def _slowness_of(self, server_id):
         noted_s, factor = self._slowness.get(server_id, (0.0, 1.0))
         if factor > 1 and self._now_s() - noted_s > SLOWNESS_KEPT_S:
