--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -228,6 +228,12 @@
         head = self._target.backend
         try:
             report = await dispatcher.checks.report(head)
+        except calls.NoAnswer:
+            # The link may be at fault. A second silence makes the head a
+            # suspect, which `watch` notices.
+            dispatcher.checks.check(head)
+            await self._ask_later()
+            return
         except calls.TryFailed as error:
             self._interrupt(
                 calls.Stalled(
@@ -237,14 +243,17 @@
             return
         address = report.stalled.get(self._call.request_id)
         if address is None:
-            await dispatcher.timers.sleep(ASK_AGAIN_S)
-            self._asking = None
+            await self._ask_later()
             return
         culprit = dispatcher.node.backends.at_address(address)
         if culprit is not None:
             dispatcher.checks.accuse(culprit)
         self._recover(address, 'the path stands still')
 
+    async def _ask_later(self):
+        await self._dispatcher.timers.sleep(ASK_AGAIN_S)
+        self._asking = None
+
     def _recover(self, address, reason):
         """Leave a failed server: by another path, or by another run."""
         if self._recovering is None:
--- a/pimentowalk/placement/executor.py
+++ b/pimentowalk/placement/executor.py
@@ -20,11 +20,12 @@
 # A server that did not confirm an order within this time, besides the time
 # to load, is asked for its state and may be ordered again.
 CONFIRM_S = 2.0
-# A suspicion may be withdrawn at once; a
-# move follows if the gap lasts this long.
+# A suspicion may be withdrawn at once; a move follows if the gap lasts this
+# long.
 MOVE_AFTER_S = 0.3
 # Load times are longer while others load.
 LOAD_MARGIN = 1.5
+# A server that refused an order is ordered again after this time.
 FAILED_PAUSE_S = 1.0
 
 
@@ -32,6 +33,7 @@
 class Order:
     """An order that was given and may not be in effect yet."""
 
+    service: str
     assignment: planner.Assignment
     born_ms: int
     due_s: float
@@ -87,7 +89,7 @@
 
     def _check_service(self, service, now_s):
         backends = {b.server_id: b for b in self._table.usable(service.name)}
-        self._settle(backends, now_s)
+        self._settle(service.name, backends, now_s)
         holders = [self._holder(b) for b in backends.values()]
         assignments = planner.plan(holders, service.engine)
         gap = self._has_lasting_gap(service.name, assignments, backends, now_s)
@@ -107,9 +109,11 @@
         since_s = self._gap_since_s.setdefault(name, now_s)
         return now_s - since_s >= MOVE_AFTER_S
 
-    def _settle(self, backends, now_s):
+    def _settle(self, service_name, backends, now_s):
         """Drop orders that are in effect, overdue or pointless."""
         for server_id, order in list(self._orders.items()):
+            if order.service != service_name:
+                continue
             backend = backends.get(server_id)
             if backend is None or backend.born_ms != order.born_ms:
                 del self._orders[server_id]
@@ -134,6 +138,7 @@
         size = assignment.end_layer - assignment.first_layer
         load_s = engine.load_s * size / engine.total_layers
         self._orders[backend.server_id] = Order(
+            backend.service,
             assignment,
             backend.born_ms,
             now_s + load_s * LOAD_MARGIN + CONFIRM_S,
--- a/pimentowalk/placement/tests/test_executor.py
+++ b/pimentowalk/placement/tests/test_executor.py
@@ -14,8 +14,11 @@
 from pimentowalk.topology import backends
 from pimentowalk.topology import documents
 
-SERVICE = documents.DirectService('svc', engine=test_planner.ENGINE)
-DOCUMENT = documents.Document(1, [SERVICE], [], [], documents.Limits())
+SERVICES = [
+    documents.DirectService(name, engine=test_planner.ENGINE)
+    for name in ('svc', 'other')
+]
+DOCUMENT = documents.Document(1, SERVICES, [], [], documents.Limits())
 KINDS = ['a100'] + ['v100'] * 10 + ['l4'] * 4
 
 
@@ -27,6 +30,7 @@
         self.table = membership.BackendTable(self.timers.now_s, 1e6)
         self.leads = True
         self.answers = True
+        self.carries_out = True
         self.orders = []
         for number, kind in enumerate(KINDS):
             self.table.apply(
@@ -54,6 +58,8 @@
         self.orders.append((backend.server_id, preempt, fence))
         if not self.answers:
             raise errors.PeerLost('no answer', peer=backend.address)
+        if not self.carries_out:
+            return
         self.table.apply(
             attrs.evolve(
                 backend,
@@ -86,6 +92,19 @@
     assert {fence for _, _, fence in world.orders} == {5}
 
 
+async def test_orders_of_one_service_outlast_the_check_of_another(world):
+    """Orders under way were forgotten, and given again each period."""
+    world.orders.clear()
+    world.carries_out = False
+    world.table.apply(
+        backends.Backend(
+            'new', 1, 0, 'svc', '10.0.1.1', 80, 'z1', accelerator='v100'
+        )
+    )
+    await world.timers.advance(2.0)
+    assert [name for name, _, _ in world.orders] == ['new']
+
+
 async def test_follower_gives_no_orders(world):
     """Two leaders would move servers back and forth."""
     world.orders.clear()
