--- /dev/null
+++ b/pimentowalk/settings/tests/test_gateway.py
@@ -0,0 +1,87 @@
+"""Guard the settings of gateways, and the template that renders them."""
+
+import pathlib
+import re
+
+import pytest
+
+from pimentowalk.core import errors
+from pimentowalk.settings import gateway
+
+TEMPLATE = pathlib.Path(__file__).parents[3] / 'deploy' / 'settings.ini'
+VALUES = {
+    'ip': '10.1.0.40',
+    'node-name': 'edge-bergen-1',
+    'zone': 'bergen',
+    'port-range.0': '7340',
+    'listen.front': '10.1.0.40:8227',
+    'listen.ready': '10.1.0.40:8220',
+    'listen.control': '10.1.0.40:8229',
+    'seeds': '10.1.0.40:8229,10.2.0.29:8229',
+    'bootstrap': 'true',
+    'data-dir': '/data/x',
+    'heartbeat-ms': '1200',
+    'fault-tolerance.machines': '1',
+    'bounds.revoke-ms': '5000',
+    'bounds.budget-window-s': '10',
+    'bounds.budget-ratio': '0.2',
+    'bounds.budget-extra': '204',
+    'bounds.grace-s': '8',
+}
+
+
+def _rendered(**changes):
+    found = VALUES | changes
+    text = TEMPLATE.read_text()
+    text = re.sub(
+        r'\{\{#([\w.-]+)\}\}(.*?)\{\{/\1\}\}',
+        lambda m: m[2] if found.get(m[1]) else '',
+        text,
+        flags=re.DOTALL,
+    )
+    return re.sub(r'\{\{([\w.-]+)\}\}', lambda m: found.get(m[1], ''), text)
+
+
+def _load(tmp_path, text):
+    path = tmp_path / 'gateway.ini'
+    path.write_text(text)
+    return gateway.load(path)
+
+
+def test_template_gives_settings_that_are_read(tmp_path):
+    """A process that cannot read its settings never starts."""
+    settings, bounds = _load(tmp_path, _rendered())
+    assert settings.node_id == '10.1.0.40'
+    assert settings.seeds[1] == gateway.Address('10.2.0.29', 8229)
+    assert settings.first_start
+    assert (bounds.stop_ms, bounds.retry_extra) == (8000.0, 204.0)
+
+
+def test_instance_without_a_disk_has_no_folder(tmp_path):
+    """Its template values are empty."""
+    settings, _ = _load(
+        tmp_path, _rendered(**{'data-dir': '', 'bootstrap': 'false'})
+    )
+    assert (settings.data_folder, settings.first_start) == ('', False)
+
+
+def test_missing_bounds_have_defaults(tmp_path):
+    """Deployments differ in the bounds that they state."""
+    _, bounds = _load(tmp_path, _rendered(**{'bounds.revoke-ms': ''}))
+    assert bounds.revocation_ms == gateway.BoundSettings().revocation_ms
+
+
+def test_all_problems_are_reported_at_once(tmp_path):
+    """An operator mends a file in one go."""
+    text = _rendered(ip='nowhere', **{'port-range.0': '0', 'seeds': ''})
+    with pytest.raises(errors.SettingsError) as caught:
+        _load(tmp_path, text)
+    for key in ('node_id', 'host', 'peer_port', 'seeds'):
+        assert f'] {key}:' in caught.value.message
+
+
+@pytest.mark.parametrize('text', ['', '[gateway', '[other]\na = 1\n'])
+def test_file_without_the_sections_is_refused(tmp_path, text):
+    """A mistaken path must not start a process with defaults."""
+    with pytest.raises(errors.SettingsError):
+        _load(tmp_path, text)
