Tell callers of crashed servers only once control has counted the crashes

Ruled out: attempts that failed without being counted as crashes (the entry counted two and stopped), bystanders (one fingerprint at all three servers).

Change: an answer after a crash waits until the node session lists the fingerprint as quarantined, or as suspect after one crash; at most 1 s.

--- a/pimentowalk/entry/model_call.py
+++ b/pimentowalk/entry/model_call.py
@@ -28,6 +28,11 @@
 # After this many crashes control quarantines a request; running it once
 # more before the news arrives would cost another engine.
 MAX_CRASHES = 2
+# A caller may send a failed request again within milliseconds. It is told of
+# the failure only once the crashes are known here, which takes a commit and
+# a push, about 30 ms; the limit bounds the wait while control has no quorum.
+CRASH_NEWS_WAIT_S = 1.0
+CRASH_NEWS_POLL_S = 0.01
 
 
 @attrs.frozen
@@ -194,6 +199,7 @@
         )
         if not self._may_retry(error):
             await self._seek_proof()
+            await self._await_crash_news()
             raise failures.request_failure(error, self.records)
         self._context.metrics.count('retries')
 
@@ -238,6 +244,33 @@
         self._context.metrics.count('retries_over_budget')
         return False
 
+    async def _await_crash_news(self):
+        """Wait until control has counted the crashes of this request."""
+        if not self._crashes:
+            return
+        timers = self._context.timers
+        end_s = timers.now_s() + min(CRASH_NEWS_WAIT_S, self.remaining_s())
+        while not self._crashes_are_known():
+            if timers.now_s() >= end_s:
+                LOG.warning(
+                    'crashes not confirmed by control',
+                    extra=logs.fields(
+                        request_id=self.spec.request_id,
+                        step='quarantine',
+                        crashes=self._crashes,
+                    ),
+                )
+                return
+            await timers.sleep(CRASH_NEWS_POLL_S)
+
+    def _crashes_are_known(self):
+        session = self._context.session
+        if self.spec.fingerprint in session.quarantined:
+            return True
+        if self._crashes >= MAX_CRASHES:
+            return False
+        return self.spec.fingerprint in session.suspects
+
     async def _seek_proof(self):
         """Ask the heads of unproven attempts, if all may be proven."""
         unproven = [
--- a/pimentowalk/entry/tests/fake_control.py
+++ b/pimentowalk/entry/tests/fake_control.py
@@ -26,6 +26,7 @@
         self.configuration = configuration
         self.view = FakeView()
         self.quarantined = set()
+        self.suspects = set()
         self.has_quorum = True
         self.lose_replies = 0
         self.use_share = 1.0
--- a/pimentowalk/entry/tests/test_failures.py
+++ b/pimentowalk/entry/tests/test_failures.py
@@ -1,6 +1,7 @@
 """Guard attempts, retries, budgets and deadlines of model requests."""
 
 import asyncio
+import time
 
 import attrs
 
@@ -230,27 +231,55 @@
         assert len(asked) == 2
 
 
+async def crash(agent, peer, frame):
+    """Fail an attempt as one that crashed the engine."""
+    await peer.send(
+        fake_agent.status(
+            frame,
+            messages.AttemptState.FAILED,
+            'peer_lost',
+            peer=agent.server_id,
+            engine_crashed=True,
+        )
+    )
+
+
 async def test_crash_makes_the_next_attempt_run_alone():
     """A request that crashes servers must not take others along."""
     async with harness.running() as entry:
-
-        async def crash(agent, peer, frame):
-            await peer.send(
-                fake_agent.status(
-                    frame,
-                    messages.AttemptState.FAILED,
-                    'peer_lost',
-                    peer=agent.server_id,
-                    engine_crashed=True,
-                )
-            )
-
         _, asked = await pair(entry, crash)
         status, _ = await entry.complete()
         assert status == 200
         assert [a.opened[0].isolate for a in asked] == [False, True]
 
 
+async def test_caller_learns_of_crashes_after_they_are_counted():
+    """A request sent again at once must meet its quarantine."""
+    async with harness.running() as entry:
+        _, asked = await pair(entry, crash, crash)
+        request = asyncio.ensure_future(entry.complete())
+        await harness.until(lambda: len(asked) == 2)
+        fingerprint = asked[0].opened[0].fingerprint
+        # One crash is known, so that another entry would still run it.
+        entry.session.suspects.add(fingerprint)
+        await asyncio.sleep(5 * model_call.CRASH_NEWS_POLL_S)
+        assert not request.done()
+        entry.session.quarantined.add(fingerprint)
+        status, body = await request
+        assert (status, body['error']['code']) == (502, 'outcome_unknown')
+
+
+async def test_caller_does_not_wait_for_a_silent_control():
+    """A request that crashed servers must be answered without a quorum."""
+    async with harness.running() as entry:
+        _, asked = await pair(entry, crash, crash)
+        started_s = time.monotonic()
+        status, _ = await entry.complete()
+        assert (status, len(asked)) == (502, 2)
+        waited_s = time.monotonic() - started_s
+        assert waited_s >= model_call.CRASH_NEWS_WAIT_S
+
+
 async def test_unreachable_head_is_proof_that_nothing_ran():
     """A refused connection cannot have carried an attempt."""
     async with harness.running() as entry:
