Serve sooner after a restart: listen first, and keep known servers on disk

Ruled out: the election (0.65 s) cannot be shorter, since a voter that has just started may have renewed a lease before; the platform's restart delay.

--- a/pimentowalk/core/__init__.py
+++ b/pimentowalk/core/__init__.py
@@ -1,5 +1,5 @@
 """Foundations that every other subpackage uses.
 
-Public parts: `errors`, `identifiers`, `logs`, `metrics`, `registry` and
-`timers`.
+Public parts: `errors`, `identifiers`, `logs`, `metrics`, `registry`,
+`sockets` and `timers`.
 """
--- a/pimentowalk/dispatch/call_run.py
+++ b/pimentowalk/dispatch/call_run.py
@@ -7,6 +7,10 @@
 # Tries that prove that nothing ran are not bounded by the route, but each
 # costs the server and the caller time.
 MAX_TRIES = 4
+# A node that has just started does not know all servers yet. A call without
+# a target waits so long for them, since a refused caller returns only once.
+VIEW_WAIT_S = 1.5
+VIEW_POLL_S = 0.02
 
 
 class CallRun(abc.ABC):
@@ -33,6 +37,8 @@
             if tries and not self._may_repeat():
                 break
             self._target = self._choose()
+            if self._target is None and not tries:
+                await self._choose_when_known()
             if self._target is None:
                 break
             self._tries = tries + 1
@@ -50,6 +56,21 @@
         """Return what the log says of an answered call."""
         return {'peer': self._target.backend.address, 'tries': self._tries}
 
+    async def _choose_when_known(self):
+        """Choose again while servers may be missing from the view."""
+        timers = self._dispatcher.timers
+        table = self._dispatcher.node.backends
+        end_s = min(self._call.received_s + VIEW_WAIT_S, self._call.ends_s)
+        generation = table.generation
+        while not table.is_complete and timers.now_s() < end_s:
+            await timers.sleep(VIEW_POLL_S)
+            if table.generation == generation:
+                continue
+            generation = table.generation
+            self._target = self._choose()
+            if self._target is not None:
+                return
+
     def _may_repeat(self):
         dispatcher = self._dispatcher
         if dispatcher.timers.now_s() >= self._call.ends_s:
--- a/pimentowalk/gateway/core.py
+++ b/pimentowalk/gateway/core.py
@@ -22,6 +22,7 @@
 from pimentowalk.mesh import freshness as mesh_freshness
 from pimentowalk.mesh import leader as mesh_leader
 from pimentowalk.mesh import node as mesh_node
+from pimentowalk.mesh import view_file
 from pimentowalk.placement import executor as placement
 from pimentowalk.routing import work
 from pimentowalk.topology import instances
@@ -151,6 +152,9 @@
             self.timers,
             2 * settings.tolerated_losses + 1,
         )
+        self._view_file = view_file.ViewFile(
+            settings.data_folder, self.node.backends, self.timers
+        )
         self._executor = placement.Executor(
             self.node.backends,
             self.timers,
@@ -181,7 +185,9 @@
         """Start control and the links, then the periodic work."""
         if self.replica is not None:
             await self.replica.start()
+            self._view_file.load()
             self._tasks += [
+                asyncio.ensure_future(self._view_file.run()),
                 asyncio.ensure_future(self._repair.run()),
                 asyncio.ensure_future(self._executor.run()),
             ]
--- a/pimentowalk/membership/backends.py
+++ b/pimentowalk/membership/backends.py
@@ -18,6 +18,9 @@
 # A suspected server that announces itself again is used after this time; an
 # announcement sent before the failure can arrive after it.
 SUSPECT_LEAST_S = 1.5
+# Every server that works announces itself within a period; the rest covers
+# the way over another node.
+COMPLETE_PERIODS = 1.25
 
 
 @attrs.define
@@ -45,6 +48,14 @@
         self._callbacks = []
         self.generation = 0
         self._any_heard_s = float('-inf')
+        self.silence_s = MISSED_PERIODS * period_s
+        self.complete_after_s = COMPLETE_PERIODS * period_s
+        self._complete_from_s = now_s() + self.complete_after_s
+
+    @property
+    def is_complete(self):
+        """Return whether every working server must have been heard."""
+        return self.now_s() >= self._complete_from_s
 
     def on_change(self, callback):
         """Call `callback()` after each change of usable servers."""
@@ -59,6 +70,7 @@
         """Take an announcement; return whether it was news."""
         record = self._records.get(backend.server_id)
         if self._is_old(record, backend):
+            self._confirm(record, backend, age_s)
             return False
         self._any_heard_s = self.now_s()
         if backend.state == backends.GONE:
@@ -84,6 +96,12 @@
             self._changed()
         return True
 
+    def _confirm(self, record, backend, age_s):
+        """Take the time at which another node heard what is known here."""
+        if record is not None and backend.order == record.backend.order:
+            heard_s = self.now_s() - age_s
+            record.heard_s = max(record.heard_s, heard_s)
+
     def _is_old(self, record, backend):
         removed = self._removed.get(backend.server_id)
         if removed is not None and backend.born_ms <= removed[0]:
@@ -136,7 +154,7 @@
         lost = [
             record
             for record in self._records.values()
-            if now_s - record.heard_s > MISSED_PERIODS * self._period_s
+            if now_s - record.heard_s > self.silence_s
         ]
         for record in lost:
             del self._records[record.backend.server_id]
--- /dev/null
+++ b/pimentowalk/mesh/view_file.py
@@ -0,0 +1,105 @@
+"""Keep the known backend servers on the disk, for the next start.
+
+A node that restarts together with all others knows no server until each has
+announced itself again, which takes a period of about a second. The file is
+a cache: it may be missing, old or damaged, and is then not used.
+"""
+
+import asyncio
+import json
+import logging
+import os
+import pathlib
+
+import attrs
+
+from pimentowalk.core import identifiers
+from pimentowalk.core import logs
+from pimentowalk.topology import backends
+
+LOG = logging.getLogger(__name__)
+
+FILE_NAME = 'servers.json'
+# Changes come in bursts when many servers change at once.
+SAVE_S = 0.5
+# A file with more servers is not read at the start of a node.
+MAX_BYTES = 8 << 20
+
+
+class ViewFile:
+    """Save the announcements of a table, and load them at a start."""
+
+    def __init__(self, folder, table, timers):
+        self._path = pathlib.Path(folder) / FILE_NAME
+        self._table = table
+        self._timers = timers
+        self._saved_generation = table.generation
+
+    def load(self):
+        """Fill the table; return how many servers were known.
+
+        Servers that do not announce themselves soon are dropped, since they
+        may have left meanwhile.
+        """
+        try:
+            found = _decode(self._path.read_bytes()[: MAX_BYTES + 1])
+        except FileNotFoundError:
+            return 0
+        except (OSError, ValueError, TypeError) as error:
+            LOG.warning(
+                'saved backend servers not used: %s',
+                error,
+                extra=logs.fields(step='load view'),
+            )
+            return 0
+        age_s = self._table.silence_s - self._table.complete_after_s
+        for backend in found:
+            self._table.apply(backend, age_s)
+        self._saved_generation = self._table.generation
+        LOG.info(
+            'saved backend servers loaded',
+            extra=logs.fields(step='load view', servers=len(found)),
+        )
+        return len(found)
+
+    async def run(self):
+        """Save changes until cancelled."""
+        while True:
+            await self._timers.sleep(SAVE_S)
+            if self._table.generation == self._saved_generation:
+                continue
+            generation = self._table.generation
+            data = _encode(self._table.aged())
+            try:
+                # A disk may stall for seconds, which must not stop the node.
+                await asyncio.to_thread(self._write, data)
+            except OSError as error:
+                LOG.warning(
+                    'backend servers not saved: %s',
+                    error,
+                    extra=logs.fields(step='save view'),
+                )
+                continue
+            self._saved_generation = generation
+
+    def _write(self, data):
+        temporary = self._path.with_suffix('.tmp')
+        with open(temporary, 'wb') as target:
+            target.write(data)
+            target.flush()
+            os.fsync(target.fileno())
+        temporary.replace(self._path)
+
+
+def _encode(found):
+    text = json.dumps([attrs.astuple(backend) for backend in found]).encode()
+    return b'%016x\n' % identifiers.hash64(text) + text
+
+
+def _decode(data):
+    if len(data) > MAX_BYTES:
+        raise ValueError(f'larger than {MAX_BYTES} bytes')
+    digest, _, text = data.partition(b'\n')
+    if digest != b'%016x' % identifiers.hash64(text):
+        raise ValueError('the checksum does not match')
+    return [backends.Backend(*fields) for fields in json.loads(text)]
--- a/pimentowalk/platform/daemon.py
+++ b/pimentowalk/platform/daemon.py
@@ -11,6 +11,7 @@
 
 from pimentowalk.core import errors
 from pimentowalk.core import logs
+from pimentowalk.core import sockets
 from pimentowalk.core import timers as core_timers
 from pimentowalk.gateway import core
 from pimentowalk.mesh import status as mesh_status
@@ -35,7 +36,9 @@
 class Gateway(core.GatewayNode):
     """A gateway node with the platform's addresses and calls."""
 
-    def __init__(self, settings, bounds, read_seeds, timers=None):
+    def __init__(
+        self, settings, bounds, read_seeds, timers=None, listeners=None
+    ):
         super().__init__(
             settings,
             bounds,
@@ -44,6 +47,7 @@
             read_seeds=read_seeds,
             timers=timers or core_timers.TimerService(),
         )
+        self._listeners = listeners or sockets.ListenerSet()
         self._runners = []
         self._closing = []
         self._stop = asyncio.Event()
@@ -96,7 +100,11 @@
             max_field_size=MAX_LINE_BYTES,
         )
         await runner.setup()
-        site = web.TCPSite(runner, address.host, address.port, backlog=512)
+        site = web.SockSite(
+            runner,
+            self._listeners.take(address.host, address.port),
+            backlog=sockets.BACKLOG,
+        )
         await site.start()
         self._runners.append(runner)
         return site
@@ -164,6 +172,7 @@
         for runner in self._runners:
             await runner.cleanup()
         await super().close()
+        self._listeners.close()
         await self.engines.stop()
         LOG.info('stopped', extra=logs.fields(step='stop'))
 
@@ -210,9 +219,8 @@
         return self._seeds
 
 
-async def serve(settings_path):
+async def serve(settings_path, settings, bounds, listeners):
     """Run a gateway until a signal stops it."""
-    settings, bounds = gateway_settings.load(settings_path)
     logs.configure(
         settings.name,
         settings.log_level,
@@ -220,7 +228,7 @@
     )
 
     seeds = SeedFile(settings_path, settings.seeds)
-    gateway = Gateway(settings, bounds, seeds.read)
+    gateway = Gateway(settings, bounds, seeds.read, listeners=listeners)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, gateway.request_stop)
