Estimate work that other nodes have not reported yet

Nodes learn each other's work 0.4 s late on average; until then all prefer the same server, and 26 of them overfill it.

Ruled out: crossings (2 to 10% of paths), missing layers (no path was ever missing after 8 s).

Change: what a node began in the last 0.375 s is taken to be what each other node began as well. A full server costs 8 s and a crossing 4 s (3 and 2 before), so that memory is left for what is still unknown.

--- a/pimentowalk/routing/hops.py
+++ b/pimentowalk/routing/hops.py
@@ -15,10 +15,10 @@
 HOP_S = 0.05
 # Activations of one request take tens of milliseconds of a link that all
 # share. A path crosses zones only where nothing else is left.
-CROSSING_S = 2.0
+CROSSING_S = 4.0
 # A server whose cache is full preempts running work, so that a path through
 # it is dearer than a crossing.
-FULL_COST_S = 3.0
+FULL_COST_S = 8.0
 # Above this share of the cache a server is avoided in favour of others.
 KNEE_SHARE = 0.5
 # A server at which all calls fail costs a try, besides the time lost.
--- a/pimentowalk/routing/work.py
+++ b/pimentowalk/routing/work.py
@@ -6,6 +6,9 @@
 
 # Work that a node reported this long ago has ended or the node is gone.
 REPORT_EXPIRY_S = 2.0
+# What other nodes began since their last report is unknown for this long on
+# average: half the period of reports and half that of passing them on.
+UNREPORTED_S = 0.375
 DEFAULT_STEP_S = 0.005
 # A slow server is asked again when its streams fall silent again.
 SLOWNESS_KEPT_S = 4.0
@@ -24,6 +27,9 @@
         self._own_tokens = collections.Counter()
         self._others = {}
         self._sums = {}
+        self._begun = collections.deque()
+        self._begun_requests = collections.Counter()
+        self._begun_tokens = collections.Counter()
         self._engines = {}
         self._slowness = {}
 
@@ -33,9 +39,13 @@
 
     def begin(self, server_ids, tokens):
         """Count a request at some servers."""
+        now_s = self._now_s()
         for server_id in server_ids:
             self._own_requests[server_id] += 1
             self._own_tokens[server_id] += tokens
+            self._begun.append((now_s, server_id, tokens))
+            self._begun_requests[server_id] += 1
+            self._begun_tokens[server_id] += tokens
 
     def end(self, server_ids, tokens):
         """Stop counting a request."""
@@ -77,14 +87,32 @@
                 sums[server_id] = known[0] + requests, known[1] + tokens
         self._sums = sums
 
+    def _unreported(self, begun, server_id):
+        """Estimate what other nodes began since they last reported.
+
+        Nodes that know the same loads choose alike. Without the estimate all
+        of them fill the best server until the next reports show it as full.
+        """
+        oldest_s = self._now_s() - UNREPORTED_S
+        while self._begun and self._begun[0][0] < oldest_s:
+            _, ended_id, tokens = self._begun.popleft()
+            self._begun_requests[ended_id] -= 1
+            self._begun_tokens[ended_id] -= tokens
+            if self._begun_requests[ended_id] <= 0:
+                del self._begun_requests[ended_id]
+                del self._begun_tokens[ended_id]
+        return begun[server_id] * len(self._others)
+
     def requests(self, server_id):
         """Return the requests at a server."""
         others = self._sums.get(server_id, (0, 0))[0]
+        others += self._unreported(self._begun_requests, server_id)
         return self._own_requests[server_id] + others
 
     def tokens(self, server_id):
         """Return the tokens of the requests at a server."""
         others = self._sums.get(server_id, (0, 0))[1]
+        others += self._unreported(self._begun_tokens, server_id)
         return self._own_tokens[server_id] + others
 
     def capacity_tokens(self, backend):
