Ask less when streams are silent, and keep streams that have begun alive

A single silent stream put all servers of its path in question, and a waiting one asked its head each 0.1 s.

Now a stream that has begun takes up to ten tries with pauses, and waits for a path until shortly before its caller would give it up (2 s without an event).

--- a/pimentowalk/dispatch/call_run.py
+++ b/pimentowalk/dispatch/call_run.py
@@ -33,15 +33,17 @@
     async def run(self):
         """Try until the answer is complete; raise PimentowalkError."""
         failure = None
-        for tries in range(MAX_TRIES):
-            if tries and not self._may_repeat():
+        while self._tries < self._most_tries():
+            if self._tries and not self._may_repeat():
                 break
+            if pause_s := self._pause_s():
+                await self._dispatcher.timers.sleep(pause_s)
             self._target = self._choose()
-            if self._target is None and not tries:
-                await self._choose_when_known()
+            if self._target is None:
+                await self._choose_later()
             if self._target is None:
                 break
-            self._tries = tries + 1
+            self._tries += 1
             try:
                 await self._try()
                 return
@@ -52,17 +54,30 @@
                     break
         raise self._final(failure)
 
+    def _most_tries(self):
+        """Return how many tries the call may take."""
+        return MAX_TRIES
+
+    def _pause_s(self):
+        """Return how long to wait before the next try."""
+        return 0.0
+
+    def _patience_end_s(self):
+        """Return until when the call waits for a target."""
+        if self._tries or self._dispatcher.node.backends.is_complete:
+            return 0.0
+        return self._call.received_s + VIEW_WAIT_S
+
     def summary(self):
         """Return what the log says of an answered call."""
         return {'peer': self._target.backend.address, 'tries': self._tries}
 
-    async def _choose_when_known(self):
-        """Choose again while servers may be missing from the view."""
+    async def _choose_later(self):
+        """Choose again while a target may still appear."""
         timers = self._dispatcher.timers
         table = self._dispatcher.node.backends
-        end_s = min(self._call.received_s + VIEW_WAIT_S, self._call.ends_s)
-        generation = table.generation
-        while not table.is_complete and timers.now_s() < end_s:
+        generation = None
+        while timers.now_s() < min(self._patience_end_s(), self._call.ends_s):
             await timers.sleep(VIEW_POLL_S)
             if table.generation == generation:
                 continue
--- a/pimentowalk/dispatch/silence.py
+++ b/pimentowalk/dispatch/silence.py
@@ -3,10 +3,14 @@
 # Streams that are silent this long are compared. Events follow each other
 # within 40 ms in most cases, and nine in ten streams have no longer pause.
 SILENT_S = 0.11
+# If more servers than this are shared equally, nothing tells them apart, and
+# asking all of them for each silent stream loads nodes and servers when they
+# are late already.
+MOST_CANDIDATES = 3
 
 
 def candidates(runs, now_s):
-    """Return the servers that most silent streams share.
+    """Return the servers that most silent streams share, if they are few.
 
     Each run has `progress_s`, `has_begun` and `servers`. A server of a
     stream that moves has not failed. The others may only be slow: streams
@@ -29,4 +33,5 @@
                 servers[server.server_id] = server
                 counts[server.server_id] = counts.get(server.server_id, 0) + 1
     most = max(counts.values(), default=0)
-    return [servers[i] for i, count in counts.items() if count == most]
+    found = [servers[i] for i, count in counts.items() if count == most]
+    return found if len(found) <= MOST_CANDIDATES else []
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -17,8 +17,16 @@
 # The first event may take longer: the prompt is read before it. Asked by
 # now, a request can still begin elsewhere within its objective.
 FIRST_SILENCE_S = 0.25
-# The head is asked again after this time; its report lags by 200 ms.
+# The head is asked again after this time, which doubles up to the longest:
+# its report lags by 200 ms, and under load all streams wait and ask.
 ASK_AGAIN_S = 0.1
+LONGEST_ASK_AGAIN_S = 0.8
+# A caller abandons a stream after 2 s without an event, so that a stream
+# that has begun is worth tries and waiting until shortly before.
+RESUME_WAIT_S = 1.8
+MAX_RESUME_TRIES = 10
+# Servers that refuse to go on with a stream are given time to load layers.
+RESUME_PAUSE_S = 0.05
 # A run on a path with a suspect is moved without a question unless an
 # event came just now.
 SUSPECT_SILENCE_S = 0.06
@@ -33,6 +41,8 @@
         self._interruption = None
         self.progress_s = 0.0
         self._asking = None
+        self._asks = 0
+        self._refusals = 0
         self._recovering = None
         self._events = events.EventFilter(call.last_event_id)
         self._tokens = call.prompt_tokens + call.expected_answer_tokens
@@ -97,6 +107,27 @@
             ),
         )
 
+    def _most_tries(self):
+        if self._responder.started:
+            return MAX_RESUME_TRIES
+        return super()._most_tries()
+
+    def _patience_end_s(self):
+        if self._responder.started:
+            return self._last_event_s + RESUME_WAIT_S
+        return super()._patience_end_s()
+
+    def _pause_s(self):
+        if self._responder.started:
+            return RESUME_PAUSE_S * self._refusals
+        return super()._pause_s()
+
+    async def _choose_later(self):
+        if self._responder.started:
+            # A server that had no room may have some meanwhile.
+            self._avoid.clear()
+        await super()._choose_later()
+
     async def _try(self):
         dispatcher = self._dispatcher
         self.progress_s = dispatcher.timers.now_s()
@@ -137,6 +168,7 @@
             self._events.restart()
             while data := await answer.read():
                 self.progress_s = dispatcher.timers.now_s()
+                self._asks = 0
                 if not self._has_begun:
                     self._has_begun = True
                     self._runs += 1
@@ -253,7 +285,9 @@
         self._recover(address, 'the path stands still')
 
     async def _ask_later(self):
-        await self._dispatcher.timers.sleep(ASK_AGAIN_S)
+        pause_s = min(ASK_AGAIN_S * 2**self._asks, LONGEST_ASK_AGAIN_S)
+        self._asks += 1
+        await self._dispatcher.timers.sleep(pause_s)
         self._asking = None
 
     def _recover(self, address, reason):
@@ -311,6 +345,7 @@
         target = self._target
         dispatcher.log_failed_try(self._call, target, error)
         at_fault = error.culprit or target.backend.address
+        self._refusals += isinstance(error, calls.Refused)
         for server in target.servers:
             if server.address == at_fault:
                 self._avoid.add(server.server_id)
--- a/pimentowalk/dispatch/tests/test_silence.py
+++ b/pimentowalk/dispatch/tests/test_silence.py
@@ -58,3 +58,12 @@
 def test_streams_without_a_common_server_leave_all_in_question():
     """Streams also fall silent together under load."""
     assert _found(_silent('a', 'b'), _silent('c')) == ['a', 'b', 'c']
+
+
+def test_one_silent_stream_does_not_put_its_whole_path_in_question():
+    """Under load nearly all streams are silent for a while; asking all their
+    servers took more processor time than the streams.
+    """
+    assert _found(_silent(*'abcdefghij')) == []
+    runs = [_silent(*'abcdex'), _silent(*'fghijx')]
+    assert _found(*runs) == ['x']
