--- a/pimentowalk/agent/tests/conftest.py
+++ b/pimentowalk/agent/tests/conftest.py
@@ -3,6 +3,7 @@
 import attrs
 import pytest
 
+from pimentowalk.agent.tests import fake_engines
 from pimentowalk.agent.tests import fakes
 from pimentowalk.core import timers
 from pimentowalk.topology import instances
@@ -10,7 +11,7 @@
 
 def _stages(*layers):
     def make_engine(first, end):
-        return fakes.FakeEngine(first, end, layers[-1][1])
+        return fake_engines.FakeEngine(first, end, layers[-1][1])
 
     clock = timers.ManualTimerService()
     return fakes.running_stages(layers, make_engine, clock)
@@ -44,7 +45,7 @@
 async def desk():
     """Run an agent beside a plain service on a manual clock."""
     clock = timers.ManualTimerService()
-    service = fakes.FakeService()
+    service = fake_engines.FakeService()
     await service.start()
     async with fakes.running_agent(
         service, clock, 'desk', kind=instances.PLAIN
--- a/pimentowalk/agent/tests/test_drain.py
+++ b/pimentowalk/agent/tests/test_drain.py
@@ -5,6 +5,7 @@
 import pytest
 
 from pimentowalk.agent import daemon
+from pimentowalk.agent.tests import fake_engines
 from pimentowalk.agent.tests import fakes
 from pimentowalk.core import timers
 from pimentowalk.wire import messages
@@ -103,7 +104,7 @@
 @pytest.fixture
 async def process():
     """Run a daemon beside an engine that keeps all results."""
-    engine = fakes.FakeEngine()
+    engine = fake_engines.FakeEngine()
     await engine.start()
     engine.held = True
     yield Process(engine, timers.ManualTimerService())
@@ -148,7 +149,7 @@
 
 async def test_signal_before_the_engine_is_there_ends_the_process():
     """A process that waits for its engine must still obey a signal."""
-    engine = fakes.FakeEngine()
+    engine = fake_engines.FakeEngine()
     engine.port = 1
     process = Process(engine, timers.ManualTimerService())
     await asyncio.sleep(0)
--- a/pimentowalk/agent/tests/test_path.py
+++ b/pimentowalk/agent/tests/test_path.py
@@ -2,6 +2,7 @@
 
 import collections
 
+from pimentowalk.agent.tests import fake_engines
 from pimentowalk.agent.tests import fakes
 from pimentowalk.wire import messages
 
@@ -14,7 +15,7 @@
     await pair.entry.ended(frame, 'finished')
     tokens = pair.entry.tokens()
     assert [t.token_index for t in tokens] == list(range(5))
-    expected = fakes.reference(frame.prompt, 5, 5, seed=3)
+    expected = fake_engines.reference(frame.prompt, 5, 5, seed=3)
     assert [t.token_id for t in tokens] == expected
     assert all(t.ranges == RANGES for t in tokens)
     assert [t.token_count for t in tokens if t.last] == [5]
@@ -24,7 +25,7 @@
 
 async def test_second_attempt_continues_the_same_answer(pair):
     """A continuation that lost its prefix would change later tokens."""
-    expected = fakes.reference('how to polish', 5, 5, seed=3)
+    expected = fake_engines.reference('how to polish', 5, 5, seed=3)
     await pair.answered(attempt=2, generated=expected[:2])
     tokens = pair.entry.tokens()
     assert [t.token_index for t in tokens] == [2, 3, 4]
@@ -36,7 +37,7 @@
     frames = [await pair.open(prompt=f'question {n}') for n in range(12)]
     for frame in frames:
         await pair.entry.ended(frame)
-        expected = fakes.reference(frame.prompt, 5, 5, seed=3)
+        expected = fake_engines.reference(frame.prompt, 5, 5, seed=3)
         tokens = pair.entry.tokens(frame.request_id)
         assert [t.token_id for t in tokens] == expected
     counts = collections.Counter(pair.last_engine.record)
--- a/pimentowalk/agent/tests/world.py
+++ b/pimentowalk/agent/tests/world.py
@@ -11,6 +11,7 @@
 from pimentowalk.agent import preparation
 from pimentowalk.agent import sequences
 from pimentowalk.agent import stage
+from pimentowalk.agent.tests import fake_engines
 from pimentowalk.agent.tests import fakes
 from pimentowalk.core import errors
 from pimentowalk.core import timers
@@ -35,7 +36,7 @@
         self.place = place
         layers = ((0, 2), (2, 4))[place]
         self.hello = engine_client.EngineHello(
-            fakes.MODEL, fakes.VERSION, [], *layers, 4, 2, 100.0
+            fake_engines.MODEL, fake_engines.VERSION, [], *layers, 4, 2, 100.0
         )
         self.last_hello = self.hello
         self.ready = True
