Keep stand-in servers of the soak quiet when their link is reset

A reset link raised in the handler of the stand-in, which printed a trace into the output of the soak; what ran is counted before.

--- a/tools/soak/servers.py
+++ b/tools/soak/servers.py
@@ -76,7 +76,11 @@
         headers = {names.REQUEST_ID: request_id, SEAL: f'seal-{request_id}'}
         if self.service == 'model':
             self._check_path(request)
-            return await self._stream(request, headers)
+            try:
+                return await self._stream(request, headers)
+            except ConnectionError:
+                # The link was reset; the run has been counted above.
+                return web.Response(status=499)
         await asyncio.sleep(self.work_s)
         if self.answers_to_lose > 0:
             self.answers_to_lose -= 1
