Count streamed tries that broke before their first event as runs

The platform's rule lets servers that ended or were cut off take no attempt, so these runs are allowed; the soak counted them. Its servers now note the runs that were under way when they crashed or were cut off, and the check leaves out just these. A run at a sound server still counts.

Reading the same code showed two faults of the product. An answer that broke off before its first event took no attempt at all, although the first event may have been lost with a connection that was reset.

Ruled out: load.

--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -43,6 +43,7 @@
         self._asking = None
         self._asks = 0
         self._refusals = 0
+        self._may_have_run = False
         self._recovering = None
         self._events = events.EventFilter(call.last_event_id)
         self._tokens = call.prompt_tokens + call.expected_answer_tokens
@@ -206,6 +207,7 @@
 
     async def _pass_failure(self, answer):
         address = self._target.backend.address
+        self._has_begun = True
         self._runs += 1
         route = self._call.route
         again = route.is_repeatable and self._runs < route.attempts
@@ -346,6 +348,8 @@
         dispatcher.log_failed_try(self._call, target, error)
         at_fault = error.culprit or target.backend.address
         self._refusals += isinstance(error, calls.Refused)
+        if not isinstance(error, calls.Refused):
+            self._note_unproven(error, at_fault)
         for server in target.servers:
             if server.address == at_fault:
                 self._avoid.add(server.server_id)
@@ -358,6 +362,21 @@
                     # It may be dead, or only short of memory.
                     dispatcher.checks.check(server)
 
+    def _note_unproven(self, error, at_fault):
+        """Count a run whose first event may have been lost on its way.
+
+        A head that can be reached and sent no event has not begun, and a
+        head that is dead or cut off takes no attempt of the route.
+        """
+        if self._has_begun:
+            return
+        is_broken = isinstance(error, calls.Broken)
+        self._runs += is_broken
+        if is_broken or at_fault == self._target.backend.address:
+            self._may_have_run = True
+        if not self._call.route.is_repeatable:
+            self._may_have_run = True
+
     def _final(self, failure):
         if self._responder.started:
             return errors.OutcomeUnknown(
@@ -373,7 +392,7 @@
             return errors.PimentowalkError(
                 'no path holds all layers', code='no_chain', step='choose'
             )
-        if isinstance(failure, calls.Refused) or not self._runs:
+        if not self._runs and not self._may_have_run:
             return errors.PimentowalkError(
                 failure.message,
                 code='not_run',
--- /dev/null
+++ b/pimentowalk/dispatch/tests/test_attempts.py
@@ -0,0 +1,130 @@
+"""Guard how many runs a stream may take, and when it may say "not run"."""
+
+import random
+import types
+
+import pytest
+
+from pimentowalk.core import errors
+from pimentowalk.core import timers as core_timers
+from pimentowalk.dispatch import calls
+from pimentowalk.dispatch import stream
+from pimentowalk.membership import backends as membership
+from pimentowalk.topology import backends
+
+HEAD = '10.0.0.1:80'
+OTHER = '10.0.0.9:80'
+
+
+def server(number):
+    """Return a server that holds all layers."""
+    return backends.Backend(
+        f'i-{number}',
+        100,
+        5,
+        'svc',
+        f'10.0.0.{number}',
+        80,
+        'z1',
+        first_layer=0,
+        end_layer=8,
+    )
+
+
+class Scripted(stream.StreamRun):
+    """A stream whose tries fail as scripted before their first event."""
+
+    def __init__(self, *arguments, failures, **others):
+        super().__init__(*arguments, **others)
+        self.failures = list(failures)
+        self.tried = 0
+
+    def _choose(self):
+        usable = self._dispatcher.node.backends.usable('svc')
+        return calls.Target(
+            next(b for b in usable if b.server_id not in self._avoid)
+        )
+
+    async def _try(self):
+        self.tried += 1
+        self._has_begun = False
+        if self.failures:
+            raise self.failures.pop(0)
+
+
+def begin(failures, *, is_repeatable=True):
+    """Return a run on six equal servers."""
+    timers = core_timers.TimerService()
+    table = membership.BackendTable(timers.now_s, 0.0)
+    for number in range(1, 7):
+        table.apply(server(number))
+    now_s = timers.now_s()
+    dispatcher = types.SimpleNamespace(
+        timers=timers,
+        rng=random.Random(1),
+        node=types.SimpleNamespace(backends=table, live_nodes=1),
+        budget=types.SimpleNamespace(take=lambda *_: True),
+        outcomes=types.SimpleNamespace(note=lambda *_, **__: None),
+        checks=types.SimpleNamespace(check=lambda _: None),
+        log_failed_try=lambda *_: None,
+        suspect=lambda *_: None,
+    )
+    call = types.SimpleNamespace(
+        received_s=now_s,
+        ends_s=now_s + 10,
+        last_event_id=0,
+        prompt_tokens=1,
+        expected_answer_tokens=1,
+        route=types.SimpleNamespace(is_repeatable=is_repeatable, attempts=2),
+    )
+    return Scripted(
+        dispatcher,
+        call,
+        types.SimpleNamespace(name='svc'),
+        types.SimpleNamespace(started=False),
+        failures=failures,
+    )
+
+
+def broken(count):
+    """Return answers that broke off before their first event."""
+    return [calls.Broken('connection reset') for _ in range(count)]
+
+
+async def test_answers_that_break_off_at_once_count_as_runs():
+    """The first event may be lost with the connection, so that a third try
+    would be a third run of a route with two attempts.
+    """
+    run = begin(broken(5))
+    with pytest.raises(errors.OutcomeUnknown):
+        await run.run()
+    assert run.tried == 2
+
+
+async def test_lost_heads_take_no_attempt():
+    """A dead head finishes nothing, and its callers still want an answer."""
+    failures = [calls.Stalled('no answer', culprit=HEAD)]
+    failures.append(calls.Stalled('no answer', culprit='10.0.0.2:80'))
+    run = begin(failures)
+    await run.run()
+    assert run.tried == 3
+
+
+@pytest.mark.parametrize(
+    ('failures', 'is_repeatable', 'code'),
+    [
+        # The head answered and had sent no event: nothing ran.
+        ([calls.Stalled('stands still', culprit=OTHER)], True, 'not_run'),
+        # The same, where a run that goes on unseen must not be denied.
+        ([calls.Stalled('stands still', culprit=OTHER)], False, None),
+        ([calls.Stalled('silent head', culprit=HEAD)], True, None),
+        (broken(1), True, None),
+    ],
+)
+async def test_not_run_is_said_only_with_proof(failures, is_repeatable, code):
+    """Later refusals prove nothing of a try that may have begun."""
+    refusals = [calls.Refused('refused with 503') for _ in range(9)]
+    run = begin(failures + refusals, is_repeatable=is_repeatable)
+    with pytest.raises(errors.PimentowalkError) as found:
+        await run.run()
+    assert found.value.code == (code or errors.OutcomeUnknown.code)
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -7,6 +7,8 @@
 # Statuses that promise that a request has not run and never will.
 NOT_RUN = frozenset({408, 421, 429, 503})
 MAX_KEPT = 50
+# The route of streams allows this many.
+MOST_ATTEMPTS = 2
 
 
 @attrs.define
@@ -67,8 +69,10 @@
     def of_runs(self, outcomes, servers):
         """Compare answers with what the servers ran."""
         runs = collections.Counter()
+        lost = collections.Counter()
         for server in servers:
             runs.update(server.runs)
+            lost.update(server.lost_runs)
             for path in server.bad_paths:
                 self.fail('layers', path)
         known = {outcome.request_id for outcome in outcomes}
@@ -80,7 +84,9 @@
                 self.fail('twice', f'{outcome.request_id} ran {ran} times')
             if outcome.status in NOT_RUN and outcome.kind == 'booking' and ran:
                 self.fail('refused', f'{outcome} but it ran')
-            if outcome.kind == 'stream' and ran > 2:
+            # Servers that ended or were cut off meanwhile take no attempt.
+            counted = ran - lost[outcome.request_id]
+            if outcome.kind == 'stream' and counted > MOST_ATTEMPTS:
                 self.fail('attempts', f'{outcome.request_id} ran {ran} times')
 
     def of_read(self, status, version, acknowledged):
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -94,9 +94,9 @@
     ways = rng.choice(
         [(), (relay.Direction.FORWARD,), (relay.Direction.BACK,)]
     )
-    server.relay.cut(*ways)
+    server.cut(*ways)
     await asyncio.sleep(rng.uniform(0.3, 4.0))
-    server.relay.heal()
+    server.heal()
 
 
 @fault('slow_link')
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -60,7 +60,7 @@
 
 async def _heal(world):
     for server in world.servers:
-        server.relay.heal()
+        server.heal()
         server.relay.delay_s = 0.0
         server.refuses = False
         server.moves.set()
--- a/tools/soak/servers.py
+++ b/tools/soak/servers.py
@@ -23,6 +23,10 @@
         self.events = EVENTS
         self.relay = None
         self.runs = collections.Counter()
+        # Runs at a time when the server crashed or its link was cut.
+        self.lost_runs = collections.Counter()
+        self._running = collections.Counter()
+        self._is_cut = False
         self.accounts = {}
         self.bad_paths = []
         self.work_s = 0.01
@@ -48,8 +52,24 @@
         await self.relay.stop()
         await super().stop()
 
+    def cut(self, *ways):
+        """Silence the link, both ways or one."""
+        self._is_cut = True
+        self._lose_runs()
+        self.relay.cut(*ways)
+
+    def heal(self):
+        """Let the link work again."""
+        self._is_cut = False
+        self.relay.heal()
+
+    def _lose_runs(self):
+        self.lost_runs.update(self._running)
+        self._running.clear()
+
     def crash(self):
         """Break all connections and come back empty, with a new identity."""
+        self._lose_runs()
         self.born_ms += 1
         self.server_id = f'i-{self.service}-{self.number}-{self.born_ms}'
         self.sequence = 0
@@ -71,7 +91,20 @@
                     names.NOT_EXECUTED: '1',
                 },
             )
+        self._note_run(request_id)
+        try:
+            return await self._run(request, request_id, body)
+        finally:
+            self._running -= collections.Counter({request_id: 1})
+
+    def _note_run(self, request_id):
         self.runs[request_id] += 1
+        if self._is_cut:
+            self.lost_runs[request_id] += 1
+        else:
+            self._running[request_id] += 1
+
+    async def _run(self, request, request_id, body):
         self.accounts[request_id] = request.headers.get(names.TENANT)
         headers = {names.REQUEST_ID: request_id, SEAL: f'seal-{request_id}'}
         if self.service == 'model':
