Save known backend servers by the names of their fields

Cause: servers.json held bare lists, so that a release that adds or moves a field would have read a port as a zone or failed at a start (listed as open before). Fields are saved by name with cattrs; a file with unknown fields or other types is not used and one without a new field gets its default. Both tests failed before.

--- a/pimentowalk/mesh/tests/test_view_file.py
+++ b/pimentowalk/mesh/tests/test_view_file.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 
+from pimentowalk.core import identifiers
 from pimentowalk.core import timers as core_timers
 from pimentowalk.membership import backends as membership
 from pimentowalk.mesh import view_file
@@ -101,6 +102,36 @@
     assert again.usable() == []
 
 
+@pytest.mark.parametrize(
+    'change',
+    [
+        lambda text: text.replace('first_layer', 'lowest_layer'),
+        lambda text: text.replace('"port": 80', '"port": "http"'),
+        lambda text: text.replace('[', '{"servers": [') + '}',
+    ],
+)
+async def test_file_of_another_release_is_not_used(tmp_path, change):
+    """Fields that were renamed or moved must not name other servers."""
+    path = await saved(tmp_path, SERVER)
+    text = change(path.read_text().partition('\n')[2])
+    digest = identifiers.hash64(text.encode())
+    path.write_text(f'{digest:016x}\n{text}')
+    again = Node(tmp_path)
+    assert again.file.load() == 0
+    assert again.usable() == []
+
+
+async def test_file_of_an_older_release_lacks_new_fields(tmp_path):
+    """A field that was added since has its default."""
+    path = await saved(tmp_path, SERVER)
+    text = path.read_text().partition('\n')[2]
+    text = text.replace('"warm_up_ms": 0, ', '')
+    assert 'warm_up_ms' not in text
+    digest = identifiers.hash64(text.encode())
+    path.write_text(f'{digest:016x}\n{text}')
+    assert Node(tmp_path).file.load() == 1
+
+
 async def test_disk_that_refuses_writes_is_tried_again(tmp_path, monkeypatch):
     """A full disk must cost the cache only, and only for a while."""
     node = Node(tmp_path)
--- a/pimentowalk/mesh/view_file.py
+++ b/pimentowalk/mesh/view_file.py
@@ -6,12 +6,12 @@
 """
 
 import asyncio
-import json
 import logging
 import os
 import pathlib
 
-import attrs
+import cattrs
+from cattrs.preconf import json as json_converter
 
 from pimentowalk.core import identifiers
 from pimentowalk.core import logs
@@ -24,6 +24,9 @@
 SAVE_S = 0.5
 # A file with more servers is not read at the start of a node.
 MAX_BYTES = 8 << 20
+# Fields are saved by name, so that a file of another release is either read
+# as it was meant or not used.
+CONVERTER = json_converter.make_converter(forbid_extra_keys=True)
 
 
 class ViewFile:
@@ -45,7 +48,12 @@
             found = _decode(self._path.read_bytes()[: MAX_BYTES + 1])
         except FileNotFoundError:
             return 0
-        except (OSError, ValueError, TypeError) as error:
+        except (
+            OSError,
+            ValueError,
+            TypeError,
+            cattrs.BaseValidationError,
+        ) as error:
             LOG.warning(
                 'saved backend servers not used: %s',
                 error,
@@ -92,7 +100,7 @@
 
 
 def _encode(found):
-    text = json.dumps([attrs.astuple(backend) for backend in found]).encode()
+    text = CONVERTER.dumps(found).encode()
     return b'%016x\n' % identifiers.hash64(text) + text
 
 
@@ -102,4 +110,4 @@
     digest, _, text = data.partition(b'\n')
     if digest != b'%016x' % identifiers.hash64(text):
         raise ValueError('the checksum does not match')
-    return [backends.Backend(*fields) for fields in json.loads(text)]
+    return CONVERTER.loads(text.decode(), list[backends.Backend])
