Share the budget of repeats among the nodes that need it

Each of 26 nodes had a fixed 26th of the budget.

Tries of streams that have not begun leave 0.4 of it to those that have.

--- a/pimentowalk/dispatch/call_run.py
+++ b/pimentowalk/dispatch/call_run.py
@@ -91,9 +91,15 @@
         if dispatcher.timers.now_s() >= self._call.ends_s:
             return False
         return dispatcher.budget.take(
-            self._service.name, dispatcher.node.live_nodes
+            self._service.name,
+            dispatcher.node.live_nodes,
+            share=self._budget_share(),
         )
 
+    def _budget_share(self):
+        """Return the share of the budget that the call may use."""
+        return 1.0
+
     def _may_go_on(self, error):
         if isinstance(error, calls.Refused):
             return True
--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -4,6 +4,8 @@
 import logging
 import random
 
+import attrs
+
 from pimentowalk.core import errors
 from pimentowalk.core import logs
 from pimentowalk.dispatch import checks as dispatch_checks
@@ -75,6 +77,7 @@
         self._verifying = {}
         self._reported = False
         node.subscribe(node_messages.LoadNews, book.take)
+        node.subscribe(node_messages.LoadNews, self._take_repeats)
         node.subscribe(node_messages.CheckRequest, self._take_check)
         node.on_document(self._take_document)
 
@@ -115,11 +118,16 @@
             self.node.backends.drop(backend)
 
     def _report(self):
-        body = self.book.report()
+        body = attrs.evolve(self.book.report(), repeats=self.budget.report())
+        is_busy = bool(body.loads) or any(x.requests for x in body.repeats)
         # One empty report tells that the work has ended.
-        if body.loads or self._reported:
+        if is_busy or self._reported:
             self.node.publish_load(body)
-        self._reported = bool(body.loads)
+        self._reported = is_busy
+
+    def _take_repeats(self, body):
+        if body.node_id != self.node.node_id:
+            self.budget.take_report(body.node_id, body.repeats)
 
     def _watch(self):
         now_s = self.timers.now_s()
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -25,6 +25,9 @@
 # that has begun is worth tries and waiting until shortly before.
 RESUME_WAIT_S = 1.8
 MAX_RESUME_TRIES = 10
+# A stream that its caller reads is worth more tries than one that could
+# still be refused, so that the latter leave this part of the budget.
+NEW_STREAM_SHARE = 0.6
 # Servers that refuse to go on with a stream are given time to load layers.
 RESUME_PAUSE_S = 0.05
 # A run on a path with a suspect is moved without a question unless an
@@ -108,6 +111,9 @@
             ),
         )
 
+    def _budget_share(self):
+        return 1.0 if self._responder.started else NEW_STREAM_SHARE
+
     def _most_tries(self):
         if self._responder.started:
             return MAX_RESUME_TRIES
--- a/pimentowalk/dispatch/tests/test_attempts.py
+++ b/pimentowalk/dispatch/tests/test_attempts.py
@@ -63,7 +63,7 @@
         timers=timers,
         rng=random.Random(1),
         node=types.SimpleNamespace(backends=table, live_nodes=1),
-        budget=types.SimpleNamespace(take=lambda *_: True),
+        budget=types.SimpleNamespace(take=lambda *_, **__: True),
         outcomes=types.SimpleNamespace(note=lambda *_, **__: None),
         checks=types.SimpleNamespace(check=lambda _: None),
         log_failed_try=lambda *_: None,
--- a/pimentowalk/dispatch/tests/test_resuming.py
+++ b/pimentowalk/dispatch/tests/test_resuming.py
@@ -57,7 +57,7 @@
     dispatcher = types.SimpleNamespace(
         timers=timers,
         node=types.SimpleNamespace(backends=table, live_nodes=1),
-        budget=types.SimpleNamespace(take=lambda *_: True),
+        budget=types.SimpleNamespace(take=lambda *_, **__: True),
     )
     call = types.SimpleNamespace(
         received_s=now_s,
--- a/pimentowalk/wire/frames.capnp
+++ b/pimentowalk/wire/frames.capnp
@@ -429,9 +429,16 @@
   tokens @2 :UInt64;
 }
 
+struct RepeatUse {
+  service @0 :Text;
+  requests @1 :UInt64;
+  repeats @2 :UInt64;
+}
+
 struct LoadNews {
   nodeId @0 :Text;
   loads @1 :List(ServerLoad);
+  repeats @2 :List(RepeatUse);
 }
 
 struct CrashNote {
--- a/pimentowalk/wire/node_messages.py
+++ b/pimentowalk/wire/node_messages.py
@@ -84,6 +84,15 @@
     tokens: int
 
 
+@attrs.frozen
+class RepeatUse:
+    """The requests and repeats for a service in the window of a node."""
+
+    service: str
+    requests: int
+    repeats: int
+
+
 @messages.message('loadNews')
 @attrs.frozen
 class LoadNews:
@@ -91,6 +100,7 @@
 
     node_id: str
     loads: list[ServerLoad]
+    repeats: list[RepeatUse] = attrs.field(factory=list)
 
 
 @messages.message('crashNote')
