Give layers no more memory than the loss of a server needs

The room of a zone is that of its least covered layer.

So a zone takes the least of three shares that bears that loss, and moves may use the largest.

--- a/pimentowalk/placement/planner.py
+++ b/pimentowalk/placement/planner.py
@@ -7,9 +7,10 @@
 
 import attrs
 
-# The share of an accelerator's memory that layers may take. The rest holds
-# the caches of requests: see docs/platform.md for the sums.
-LAYER_MEMORY_SHARE = 0.70
+# The shares of an accelerator's memory that layers may take, the rest holds
+# the caches of requests; see docs/platform.md for the sums. A zone uses the
+# least at which it can be covered again after it lost its largest server.
+LAYER_MEMORY_SHARES = (0.58, 0.64, 0.70)
 # The worth of one more copy of a layer by the copies there are. A layer
 # without a copy stops the whole zone, so it outweighs any number of others.
 COPY_WORTH = (1000.0, 10.0, 1.0, 0.1)
@@ -40,7 +41,7 @@
     end_layer: int
 
 
-def layer_capacity(engine, accelerator, share=LAYER_MEMORY_SHARE):
+def layer_capacity(engine, accelerator, share=LAYER_MEMORY_SHARES[0]):
     """Return how many layers an accelerator is given, 0 if unknown."""
     kind = engine.accelerators.get(accelerator)
     if kind is None or engine.layer_mb <= 0:
@@ -80,7 +81,17 @@
     return best, first
 
 
-def plan(holders, engine, share=LAYER_MEMORY_SHARE):
+def zone_share(holders, engine):
+    """Return the share of memory for layers in one zone."""
+    for share in LAYER_MEMORY_SHARES:
+        sizes = [layer_capacity(engine, h.accelerator, share) for h in holders]
+        if sum(sizes) - max(sizes, default=0) >= engine.total_layers:
+            return share
+    # No share bears the loss, so that memory for requests goes first.
+    return LAYER_MEMORY_SHARES[0]
+
+
+def plan(holders, engine):
     """Return the assignments that differ from what the servers hold.
 
     Empty servers take the ranges that their zone needs most. Then, while a
@@ -92,11 +103,12 @@
     for holder in holders:
         zones.setdefault(holder.zone, []).append(holder)
     for zone in sorted(zones):
-        found += _plan_zone(zones[zone], engine, share)
+        found += _plan_zone(zones[zone], engine)
     return found
 
 
-def _plan_zone(holders, engine, share):
+def _plan_zone(holders, engine):
+    share = zone_share(holders, engine)
     held = [holder for holder in holders if not holder.is_empty]
     copies = coverage(held, engine.total_layers)
     found = []
@@ -111,7 +123,7 @@
         if size > 0:
             found.append(_assign(holder, copies, size))
     while 0 in copies:
-        moved = _move(held, copies, engine, share)
+        moved = _move(held, copies, engine)
         if moved is None:
             break
         held = [h for h in held if h.server_id != moved.server_id]
@@ -126,14 +138,22 @@
     return Assignment(holder.server_id, first, first + size)
 
 
-def _move(held, copies, engine, share):
+def _candidates(held, engine):
+    """Return the servers with each size that their ranges may have."""
+    for holder in held:
+        sizes = {
+            layer_capacity(engine, holder.accelerator, share)
+            for share in LAYER_MEMORY_SHARES
+        }
+        for size in sorted(sizes - {0}):
+            yield holder, size
+
+
+def _move(held, copies, engine):
     """Return the move that covers most missing layers, or None."""
     best = None
     missing = copies.count(0)
-    for holder in held:
-        size = layer_capacity(engine, holder.accelerator, share)
-        if not size:
-            continue
+    for holder, size in _candidates(held, engine):
         without = list(copies)
         for layer in range(holder.first_layer, holder.end_layer):
             without[layer] -= 1
--- a/pimentowalk/placement/tests/test_planner.py
+++ b/pimentowalk/placement/tests/test_planner.py
@@ -113,3 +113,32 @@
     """Without a size, any number of layers could be too many."""
     holders = [planner.Holder('s', 'z1', 'other')]
     assert planner.plan(holders, ENGINE) == []
+
+
+@pytest.mark.parametrize(
+    ('counts', 'share'),
+    [
+        # Memory for requests binds at the crest, so the least will do here.
+        ({'a100': 1, 'v100': 14, 'l4': 5}, 0.58),
+        ({'a100': 3, 'v100': 6, 'l4': 7}, 0.58),
+        # Without the large one the others cover the zone only with more.
+        ({'a100': 1, 'v100': 10, 'l4': 5}, 0.64),
+        ({'a100': 1, 'v100': 10, 'l4': 4}, 0.70),
+        # No share bears its loss.
+        ({'a100': 1, 'v100': 6, 'l4': 6}, 0.58),
+    ],
+)
+def test_zone_keeps_memory_that_no_loss_needs(counts, share):
+    """Pattern: streams of the crest fill the caches of a zone whose layers
+    take more memory than a lost server would cost.
+    """
+    assert planner.zone_share(_empty(counts=counts), ENGINE) == share
+
+
+def test_lost_server_is_replaced_by_larger_ranges():
+    """Servers that stand in for a large one hold more than before."""
+    held = _full(counts={'a100': 1, 'v100': 14, 'l4': 5})
+    large = [h for h in held if h.accelerator == 'l4']
+    left = [h for h in held if h not in large[:3]]
+    moves = planner.plan(left, ENGINE)
+    assert 0 not in planner.coverage(_after(left, moves), 80)
