Leave servers that refused for want of room out of paths for a while

A node that was refused chose the same server again for the next request, since the work of other nodes is known late; each refusal takes a part of the budget of repeats. For 0.4 s such a server now counts as full, which costs more than a crossing.

--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -360,6 +360,8 @@
             if server.address == at_fault:
                 self._avoid.add(server.server_id)
                 dispatcher.outcomes.note(server.server_id, failed=True)
+                if isinstance(error, calls.Refused):
+                    dispatcher.book.note_full(server.server_id)
                 if self._has_begun:
                     dispatcher.note_failed_run(self._call, server)
                 if calls.is_proof(error):
--- a/pimentowalk/dispatch/tests/test_attempts.py
+++ b/pimentowalk/dispatch/tests/test_attempts.py
@@ -66,6 +66,7 @@
         budget=types.SimpleNamespace(take=lambda *_, **__: True),
         outcomes=types.SimpleNamespace(note=lambda *_, **__: None),
         checks=types.SimpleNamespace(check=lambda _: None),
+        book=types.SimpleNamespace(note_full=lambda _: None),
         log_failed_try=lambda *_: None,
         suspect=lambda *_: None,
     )
--- a/pimentowalk/routing/tests/test_hops.py
+++ b/pimentowalk/routing/tests/test_hops.py
@@ -121,6 +121,26 @@
     assert path[0].backend.server_id == 'twin'
 
 
+def test_server_that_refused_for_want_of_room_is_left_out_for_a_while():
+    """Pattern: other entries have filled a server and not reported it yet;
+    each new request would take a try there, and the budget ends.
+    """
+    now = [0.0]
+    book = work.WorkBook('n1', lambda: now[0])
+    book.set_engines({'svc': ENGINE})
+    servers = [*_chain('z1'), _server('twin', 0, 8)]
+    policy = _policy(book)
+    book.note_full('z1-0')
+    heads = {_names(policy.choose(servers, _query()))[0] for _ in range(30)}
+    assert heads == {'twin'}
+    now[0] = work.FULL_KEPT_S + 0.1
+    heads = {_names(policy.choose(servers, _query()))[0] for _ in range(50)}
+    assert heads == {'z1-0', 'twin'}
+    book.note_full('z1-0')
+    book.keep_only({'twin'})
+    assert not book._full_until_s
+
+
 def test_work_of_other_nodes_counts():
     """Nodes that see only their own work choose the same servers."""
     book, other = _book(), work.WorkBook('n2', lambda: 0.0)
--- a/pimentowalk/routing/work.py
+++ b/pimentowalk/routing/work.py
@@ -10,6 +10,9 @@
 # average: half the period of reports and half that of passing them on.
 UNREPORTED_S = 0.375
 DEFAULT_STEP_S = 0.005
+# A server that refused a stream for want of memory is taken for full for
+# this long: about the time until another of its streams ends.
+FULL_KEPT_S = 0.4
 # A slow server is asked again when its streams fall silent again.
 SLOWNESS_KEPT_S = 4.0
 MB = 1e6
@@ -32,6 +35,7 @@
         self._begun_tokens = collections.Counter()
         self._engines = {}
         self._slowness = {}
+        self._full_until_s = {}
 
     def set_engines(self, engines):
         """Set the engine of each service."""
@@ -147,7 +151,15 @@
         capacity = self.capacity_tokens(backend)
         if capacity <= 0:
             return 1.0
-        return (self.tokens(backend.server_id) + more_tokens) / capacity
+        tokens = self.tokens(backend.server_id) + more_tokens
+        if self._full_until_s.get(backend.server_id, 0.0) > self._now_s():
+            # What it runs is known late here, and answers grow.
+            tokens = max(tokens, capacity)
+        return tokens / capacity
+
+    def note_full(self, server_id):
+        """Note that a server had no room for another request."""
+        self._full_until_s[server_id] = self._now_s() + FULL_KEPT_S
 
     def note_slowness(self, server_id, factor):
         """Note that a server is slower than its kind by a factor."""
@@ -157,9 +169,10 @@
             self._slowness.pop(server_id, None)
 
     def keep_only(self, server_ids):
-        """Forget the slowness of servers that are gone."""
-        for server_id in self._slowness.keys() - server_ids:
-            del self._slowness[server_id]
+        """Forget servers that are gone."""
+        for known in (self._slowness, self._full_until_s):
+            for server_id in known.keys() - server_ids:
+                del known[server_id]
 
     def _slowness_of(self, server_id):
         noted_s, factor = self._slowness.get(server_id, (0.0, 1.0))
