Hold new streams back while no path has room for them

A new stream is sent only on a path of which each server has room for it. Otherwise it waits for up to 1 s, the most urgent and oldest first, and is then refused with a time of return spread over 1 to 5 s.

--- a/pimentowalk/dispatch/call_run.py
+++ b/pimentowalk/dispatch/call_run.py
@@ -38,7 +38,7 @@
                 break
             if pause_s := self._pause_s():
                 await self._dispatcher.timers.sleep(pause_s)
-            self._target = self._choose()
+            await self._choose_first()
             if self._target is None:
                 await self._choose_later()
             if self._target is None:
@@ -72,6 +72,10 @@
         """Return what the log says of an answered call."""
         return {'peer': self._target.backend.address, 'tries': self._tries}
 
+    async def _choose_first(self):
+        """Choose a target for the next try."""
+        self._target = self._choose()
+
     async def _choose_later(self):
         """Choose again while a target may still appear."""
         timers = self._dispatcher.timers
--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from pimentowalk.admission import room as admission_room
 from pimentowalk.core import errors
 from pimentowalk.core import logs
 from pimentowalk.dispatch import checks as dispatch_checks
@@ -73,6 +74,7 @@
             self._note_report,
             self._ask_others,
         )
+        self.room = admission_room.RoomQueue(timers)
         self.runs = set()
         self._verifying = {}
         self._reported = False
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -25,6 +25,13 @@
 # that has begun is worth tries and waiting until shortly before.
 RESUME_WAIT_S = 1.8
 MAX_RESUME_TRIES = 10
+# A new stream is sent on a path only if no server there would have more of
+# its memory in use: above it the newest requests are read again and again,
+# and none of them ends in time.
+ADMITTED_SHARE = 0.95
+# A caller leaves a stream without an event after 2 s. A stream that waited
+# this long for room still brings its first event before that.
+ROOM_WAIT_S = 1.0
 # A stream that its caller reads is worth more tries than one that could
 # still be refused, so that the latter leave this part of the budget.
 NEW_STREAM_SHARE = 0.6
@@ -47,6 +54,7 @@
         self._asks = 0
         self._refusals = 0
         self._may_have_run = False
+        self._is_crowded = False
         self._recovering = None
         self._events = events.EventFilter(call.last_event_id)
         self._tokens = call.prompt_tokens + call.expected_answer_tokens
@@ -93,11 +101,35 @@
         }
 
     def _choose(self):
+        """Return a path, or None if there is none or none has room."""
+        self._is_crowded = False
         hops = self._choose_hops()
         if not hops:
             return None
+        self._is_crowded = not (self._responder.started or self._fits(hops))
+        if self._is_crowded:
+            return None
         return calls.Target(hops[0].backend, tuple(hops))
 
+    def _fits(self, hops):
+        book = self._dispatcher.book
+        return all(
+            book.memory_share(hop.backend, self._tokens) <= ADMITTED_SHARE
+            for hop in hops
+        )
+
+    async def _choose_first(self):
+        """Choose a path, after the streams that wait for room already."""
+        room = self._dispatcher.room
+        priority = self._call.priority
+        if self._responder.started or not room.is_ahead(priority):
+            self._target = self._choose()
+            if not self._is_crowded:
+                return
+        self._is_crowded = True
+        until_s = self._call.received_s + ROOM_WAIT_S
+        self._target = await room.wait(self._choose, priority, until_s)
+
     def _choose_hops(self, head=None):
         dispatcher = self._dispatcher
         return dispatcher.paths.choose(
@@ -130,6 +162,9 @@
         return super()._pause_s()
 
     async def _choose_later(self):
+        if self._is_crowded:
+            # It has waited already, and is told when to come back.
+            return
         if self._responder.started:
             # A server that had no room may have some meanwhile.
             self._avoid.clear()
@@ -386,29 +421,26 @@
             self._may_have_run = True
 
     def _final(self, failure):
+        step = failure.step if failure else 'choose'
+        peer = failure.peer if failure else ''
         if self._responder.started:
+            message = failure.message if failure else 'no path'
             return errors.OutcomeUnknown(
-                f'stream cut: {failure.message if failure else "no path"}',
-                step='forward',
-                peer=failure.peer if failure else '',
+                f'stream cut: {message}', step=step, peer=peer
             )
         if self._dispatcher.timers.now_s() >= self._call.ends_s:
             return errors.PimentowalkError(
                 'no answer in time', code='deadline', step='forward'
             )
-        if failure is None:
-            return errors.PimentowalkError(
-                'no path holds all layers', code='no_chain', step='choose'
-            )
-        if not self._runs and not self._may_have_run:
-            return errors.PimentowalkError(
-                failure.message,
-                code='not_run',
-                step=failure.step,
-                peer=failure.peer,
-            )
-        return errors.OutcomeUnknown(
-            failure.message, step=failure.step, peer=failure.peer
+        if self._runs or self._may_have_run:
+            return errors.OutcomeUnknown(failure.message, step=step, peer=peer)
+        code, message = 'no_chain', 'no path holds all layers'
+        if self._is_crowded:
+            code, message = 'overloaded', 'no path has room'
+        elif failure is not None:
+            code, message = 'not_run', failure.message
+        return errors.PimentowalkError(
+            message, code=code, step=step, peer=peer
         )
 
 
--- /dev/null
+++ b/pimentowalk/dispatch/tests/test_admission.py
@@ -0,0 +1,137 @@
+"""Guard which new streams begin while the servers are full.
+
+The pattern: at a crest more streams come than the caches of the servers
+hold. Where all were sent, the newest were read again and again, each step
+took longer, and callers left streams of which none ended.
+"""
+
+import asyncio
+import random
+import types
+
+import pytest
+
+from pimentowalk.admission import room as admission_room
+from pimentowalk.core import errors
+from pimentowalk.core import timers as core_timers
+from pimentowalk.dispatch import stream
+from pimentowalk.membership import backends as membership
+from pimentowalk.routing import hops
+from pimentowalk.routing import outcomes
+from pimentowalk.routing import work
+from pimentowalk.topology import backends
+from pimentowalk.topology import documents
+
+ENGINE = documents.Engine(
+    model='m',
+    total_layers=8,
+    layer_mb=1750.0,
+    kv_token_bytes=1_000_000,
+    load_s=14.0,
+    accelerators={'v100': documents.Accelerator('v100', 15_000.0, 1.0, 1.0)},
+)
+SERVER = backends.Backend(
+    'i-1', 100, 5, 'svc', '10.0.0.1', 80, 'z1', accelerator='v100',
+    first_layer=0, end_layer=8,
+)  # fmt: skip
+TOKENS = 400
+
+
+class Admitted(stream.StreamRun):
+    """A stream that ends as soon as it is sent."""
+
+    tried = 0
+
+    async def _try(self):
+        self.tried += 1
+
+
+@pytest.fixture
+async def dispatcher():
+    """Return what runs need: one server with room for 1,000 tokens."""
+    timers = core_timers.TimerService()
+    table = membership.BackendTable(timers.now_s, 0.0)
+    table.apply(SERVER)
+    book = work.WorkBook('n1', timers.now_s)
+    book.set_engines({'svc': ENGINE})
+    policy = hops.POLICIES.get('cheapest')(
+        book, random.Random(1), outcomes.OutcomeBook(timers.now_s)
+    )
+    return types.SimpleNamespace(
+        timers=timers,
+        zone='z1',
+        node=types.SimpleNamespace(backends=table, live_nodes=1),
+        book=book,
+        paths=policy,
+        room=admission_room.RoomQueue(timers),
+    )
+
+
+def run_of(dispatcher, *, started=False):
+    """Return a stream of 400 tokens that arrives now."""
+    now_s = dispatcher.timers.now_s()
+    call = types.SimpleNamespace(
+        received_s=now_s,
+        ends_s=now_s + 10,
+        last_event_id=0,
+        priority=1,
+        prompt_tokens=TOKENS,
+        expected_answer_tokens=0,
+        route=types.SimpleNamespace(is_repeatable=True, attempts=2),
+    )
+    service = types.SimpleNamespace(name='svc', engine=ENGINE)
+    responder = types.SimpleNamespace(started=started)
+    return Admitted(dispatcher, call, service, responder)
+
+
+def fill(dispatcher, tokens):
+    """Let other streams take memory."""
+    assert dispatcher.book.capacity_tokens(SERVER) == 1000
+    dispatcher.book.begin(['i-1'], tokens)
+
+
+async def test_stream_begins_at_once_where_there_is_room(dispatcher):
+    """Waiting costs the caller time."""
+    fill(dispatcher, 500)
+    run = run_of(dispatcher)
+    await asyncio.wait_for(run.run(), 0.1)
+    assert run.tried == 1
+
+
+async def test_stream_waits_until_another_one_ends(dispatcher):
+    """A stream that waits a little still begins in time."""
+    fill(dispatcher, 700)
+    run = run_of(dispatcher)
+    running = asyncio.ensure_future(run.run())
+    await asyncio.sleep(4 * admission_room.POLL_S)
+    assert run.tried == 0
+    dispatcher.book.end(['i-1'], 700)
+    await asyncio.wait_for(running, 1.0)
+    assert run.tried == 1
+
+
+async def test_stream_without_room_is_refused_in_time(dispatcher, monkeypatch):
+    """The caller can come back later only if it is told before it leaves."""
+    monkeypatch.setattr(stream, 'ROOM_WAIT_S', 0.1)
+    fill(dispatcher, 700)
+    run = run_of(dispatcher)
+    with pytest.raises(errors.PimentowalkError) as found:
+        await run.run()
+    assert found.value.code == 'overloaded'
+    assert run.tried == 0
+
+
+async def test_stream_that_has_begun_does_not_wait(dispatcher):
+    """What was begun is finished before new streams begin."""
+    fill(dispatcher, 2000)
+    run = run_of(dispatcher, started=True)
+    await asyncio.wait_for(run.run(), 0.1)
+    assert run.tried == 1
+
+
+async def test_missing_layer_is_not_called_a_lack_of_room(dispatcher):
+    """Callers come back sooner where only a server has to be replaced."""
+    dispatcher.node.backends.suspect('i-1', 100, 'refused')
+    with pytest.raises(errors.PimentowalkError) as found:
+        await run_of(dispatcher).run()
+    assert found.value.code == 'no_chain'
--- a/pimentowalk/dispatch/tests/test_attempts.py
+++ b/pimentowalk/dispatch/tests/test_attempts.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from pimentowalk.admission import room as admission_room
 from pimentowalk.core import errors
 from pimentowalk.core import timers as core_timers
 from pimentowalk.dispatch import calls
@@ -63,6 +64,7 @@
         timers=timers,
         rng=random.Random(1),
         node=types.SimpleNamespace(backends=table, live_nodes=1),
+        room=admission_room.RoomQueue(timers),
         budget=types.SimpleNamespace(take=lambda *_, **__: True),
         outcomes=types.SimpleNamespace(note=lambda *_, **__: None),
         checks=types.SimpleNamespace(check=lambda _: None),
@@ -74,6 +76,7 @@
         received_s=now_s,
         ends_s=now_s + 10,
         last_event_id=0,
+        priority=1,
         prompt_tokens=1,
         expected_answer_tokens=1,
         route=types.SimpleNamespace(is_repeatable=is_repeatable, attempts=2),
--- a/pimentowalk/dispatch/tests/test_resuming.py
+++ b/pimentowalk/dispatch/tests/test_resuming.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from pimentowalk.admission import room as admission_room
 from pimentowalk.core import errors
 from pimentowalk.core import timers as core_timers
 from pimentowalk.dispatch import calls
@@ -57,12 +58,14 @@
     dispatcher = types.SimpleNamespace(
         timers=timers,
         node=types.SimpleNamespace(backends=table, live_nodes=1),
+        room=admission_room.RoomQueue(timers),
         budget=types.SimpleNamespace(take=lambda *_, **__: True),
     )
     call = types.SimpleNamespace(
         received_s=now_s,
         ends_s=now_s + 10,
         last_event_id=0,
+        priority=1,
         prompt_tokens=1,
         expected_answer_tokens=1,
         route=types.SimpleNamespace(is_repeatable=True, attempts=2),
--- a/pimentowalk/platform/front.py
+++ b/pimentowalk/platform/front.py
@@ -14,10 +14,14 @@
 
 LOG = logging.getLogger(__name__)
 
-# When a caller may come back after a refusal: by then a lost server has
-# been replaced in most cases. Spread, so that callers do not return at once.
-RETRY_AFTER_S = 0.6
-RETRY_SPREAD_S = 0.8
+# When a caller may come back after a refusal, from and to: by then a lost
+# server has been replaced in most cases. Spread, so that callers do not
+# return at once.
+RETRY_AFTER_S = (0.6, 1.4)
+# Streams end after about two seconds, and a crest lasts for several. Callers
+# that come back over this time find the room that ended streams leave.
+CROWDED_RETRY_AFTER_S = (1.0, 5.0)
+RETRY_TIMES_S = {'overloaded': CROWDED_RETRY_AFTER_S}
 # A node that starts knows configuration and backend servers within this
 # time in most cases, and a caller who is refused has one more try at most.
 START_WAIT_S = 1.5
@@ -164,9 +168,8 @@
             status=error.http_status,
         )
         if error.code in PROMISED_CODES:
-            wait_s = RETRY_AFTER_S + self._dispatcher.rng.random() * (
-                RETRY_SPREAD_S
-            )
+            times_s = RETRY_TIMES_S.get(error.code, RETRY_AFTER_S)
+            wait_s = self._dispatcher.rng.uniform(*times_s)
             response.headers['Retry-After'] = f'{wait_s:.2f}'
         if request_id:
             response.headers[names.REQUEST_ID] = request_id
