--- a/pimentowalk/dispatch/calls.py
+++ b/pimentowalk/dispatch/calls.py
@@ -60,6 +60,11 @@
             return (self.backend,)
         return tuple(hop.backend for hop in self.hops)
 
+    @property
+    def server_ids(self):
+        """Return the ids of all servers that take part."""
+        return [server.server_id for server in self.servers]
+
 
 class TryFailed(errors.PimentowalkError):
     """Report that one try at a backend server brought no answer.
--- a/pimentowalk/dispatch/tests/test_asking.py
+++ b/pimentowalk/dispatch/tests/test_asking.py
@@ -7,6 +7,7 @@
 from pimentowalk.dispatch import calls
 from pimentowalk.dispatch import stream
 from pimentowalk.dispatch import transport
+from pimentowalk.dispatch import watched_run
 from pimentowalk.topology import backends
 
 HEAD = backends.Backend('i-1', 100, 5, 'svc', '10.0.0.1', 80, 'z1')
@@ -55,13 +56,13 @@
     run._try_task.cancel()
     run._asking.cancel()
     first_s = checks.asked_s[0] - run.progress_s
-    assert first_s >= stream.FIRST_SILENCE_S
+    assert first_s >= watched_run.FIRST_SILENCE_S
     gaps_s = [
         after - before
         for before, after in zip(
             checks.asked_s, checks.asked_s[1:], strict=False
         )
     ]
-    assert gaps_s[0] < 2 * stream.ASK_AGAIN_S
+    assert gaps_s[0] < 2 * watched_run.ASK_AGAIN_S
     assert all(b > a for a, b in zip(gaps_s, gaps_s[1:], strict=False))
     assert len(checks.asked_s) <= 5
