--- a/pimentowalk/platform/documents.py
+++ b/pimentowalk/platform/documents.py
@@ -149,9 +149,6 @@
         load_s=_number(model, 'load-s', where, default=0),
         loads_at_once=_whole(item, 'loads_at_once', where, default=1),
         step_ms=_number(item, 'step_ms', where, default=1),
-        step_ms_per_request=_number(item, 'per_seq_ms', where, default=0),
-        # Milliseconds for each 1,000 tokens of context.
-        step_ms_per_k_tokens=_number(item, 'context_per_k', where, default=0),
         read_tokens_per_s=_number(item, 'read_per_s', where, default=1e5),
         activation_bytes=_number(item, 'activation-bytes', where, default=0),
         zone_link_mbps=_number(item, 'pipe-mbps', where, default=0),
--- a/pimentowalk/platform/tests/samples.py
+++ b/pimentowalk/platform/tests/samples.py
@@ -8,8 +8,6 @@
     'kv-token-bytes': 1180000,
     'models': [{'name': 'm1', 'pace': 1.0, 'load-s': 14.0}],
     'step_ms': 1.02,
-    'per_seq_ms': 0.00918,
-    'context_per_k': 0.0123,
     'read_per_s': 164000.0,
     'loads_at_once': 6,
     'usual': {'prompt': 775, 'answer': 216},
--- a/pimentowalk/platform/tests/test_decoding.py
+++ b/pimentowalk/platform/tests/test_decoding.py
@@ -19,8 +19,6 @@
     assert route.backends == (('model', 1.0),)
     engine = document.services['model'].engine
     assert (engine.total_layers, engine.load_s) == (8, 14.0)
-    assert engine.step_ms_per_request == 0.00918
-    assert engine.step_ms_per_k_tokens == 0.0123
     assert document.services['jobs'].engine is None
     assert document.account_of('k2').name == 't1'
 
--- a/pimentowalk/routing/hops.py
+++ b/pimentowalk/routing/hops.py
@@ -56,11 +56,12 @@
 def hop_cost_s(backend, layers, query, loads, outcomes):
     """Return the cost of running some layers at a server."""
     failures = outcomes.failure_share(backend.server_id)
+    step_s = loads.step_s(backend) * layers
     share = loads.memory_share(backend, query.tokens)
     over = max(0.0, share - KNEE_SHARE) / (1 - KNEE_SHARE)
     return (
         HOP_S
-        + loads.answer_s(backend, layers)
+        + step_s * (1 + share)
         + FULL_COST_S * over * over
         + FAILURE_COST_S * failures
     )
--- a/pimentowalk/routing/tests/test_hops.py
+++ b/pimentowalk/routing/tests/test_hops.py
@@ -16,8 +16,6 @@
     layer_mb=1750.0,
     kv_token_bytes=1_180_000,
     load_s=14.0,
-    step_ms_per_request=0.00918,
-    step_ms_per_k_tokens=0.0123,
     usual_answer_tokens=216,
     accelerators={
         'a100': documents.Accelerator('a100', 72000.0, 2.4, 3.2),
@@ -123,22 +121,6 @@
     assert path[0].backend.server_id == 'twin'
 
 
-def test_busy_server_is_left_out_before_it_is_full():
-    """Pattern: the large server of a zone has room for three times the
-    requests of the others, and each of its steps takes as much longer.
-    """
-    book = _book()
-    servers = [*_chain('z1'), _server('large', 0, 8, kind='a100')]
-    heads = {_names(_policy(book).choose(servers, _query()))[0]}
-    assert heads == {'large'}
-    for _ in range(200):
-        book.begin(['large'], 500)
-    assert book.memory_share(servers[-1]) < hops.KNEE_SHARE
-    policy = _policy(book)
-    heads = {_names(policy.choose(servers, _query()))[0] for _ in range(50)}
-    assert heads == {'z1-0'}
-
-
 def test_server_that_refused_for_want_of_room_is_left_out_for_a_while():
     """Pattern: other entries have filled a server and not reported it yet;
     each new request would take a try there, and the budget ends.
--- a/pimentowalk/routing/work.py
+++ b/pimentowalk/routing/work.py
@@ -181,23 +181,15 @@
             return 1.0
         return factor
 
-    def answer_s(self, backend, layers):
-        """Return the time that a usual answer takes at some layers.
-
-        A server runs all its requests in one batch, so that each step takes
-        longer with their number and length. One more request also makes the
-        others wait, which counts here as much as its own time.
-        """
+    def step_s(self, backend):
+        """Return the time of one layer for the tokens of a usual answer."""
         engine = self._engines.get(backend.service)
         kind = engine and engine.accelerators.get(backend.accelerator)
         if not kind:
-            return DEFAULT_STEP_S * layers
-        server_id = backend.server_id
-        load_ms = engine.step_ms_per_request * self.requests(server_id)
-        load_ms += engine.step_ms_per_k_tokens * self.tokens(server_id) / 1000
-        step_ms = (engine.step_ms + 2 * load_ms) * kind.step_factor
-        step_ms *= self._slowness_of(server_id) * layers / engine.total_layers
-        return step_ms / 1000 * engine.usual_answer_tokens
+            return DEFAULT_STEP_S
+        step_s = engine.step_ms / 1000 * kind.step_factor
+        step_s *= self._slowness_of(backend.server_id)
+        return step_s / engine.total_layers * engine.usual_answer_tokens
 
     def zone_cost_s(self, zone):
         """Return the cost of starting in another zone."""
--- a/pimentowalk/topology/documents.py
+++ b/pimentowalk/topology/documents.py
@@ -28,8 +28,7 @@
 
     `kv_token_bytes` is the cache of one token in all layers, `load_s` the
     time to load all layers, `activation_bytes` what a stage hands to the
-    next one for each token. A step of all layers takes `step_ms`, and more
-    for each request that takes part and for each 1,000 tokens of context.
+    next one for each token.
     """
 
     model: str
@@ -39,8 +38,6 @@
     load_s: float
     loads_at_once: int = 1
     step_ms: float = 1.0
-    step_ms_per_request: float = 0.0
-    step_ms_per_k_tokens: float = 0.0
     read_tokens_per_s: float = 1e5
     activation_bytes: float = 0.0
     zone_link_mbps: float = 0.0
