Keep paths within a zone at the crest, and admit by what is known

A crossing now costs more than ten full servers. test_busy_zones_are_not_mixed fails with the cost before.

--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -14,9 +14,9 @@
 RESUME_WAIT_S = 1.8
 MAX_RESUME_TRIES = 10
 # A new stream is sent on a path only if no server there would have more of
-# its memory in use: above it the newest requests are read again and again,
-# and none of them ends in time.
-ADMITTED_SHARE = 0.95
+# its memory reserved: above it the newest requests are read again and again,
+# and none of them ends in time. Answers use what is reserved at their end.
+ADMITTED_SHARE = 1.0
 # A caller leaves a stream without an event after 2 s. A stream that waited
 # this long for room still brings its first event before that.
 ROOM_WAIT_S = 1.0
@@ -81,7 +81,7 @@
     def _fits(self, hops):
         book = self._dispatcher.book
         return all(
-            book.memory_share(hop.backend, self._tokens) <= ADMITTED_SHARE
+            book.reported_share(hop.backend, self._tokens) < ADMITTED_SHARE
             for hop in hops
         )
 
--- a/pimentowalk/routing/hops.py
+++ b/pimentowalk/routing/hops.py
@@ -14,10 +14,11 @@
 # delay of a link for each token of an answer.
 HOP_S = 0.05
 # Activations of one request take tens of milliseconds of a link that all
-# share. A path crosses zones only where nothing else is left.
-CROSSING_S = 4.0
-# A server whose cache is full preempts running work, so that a path through
-# it is dearer than a crossing.
+# share, so that a dozen crossings a second fill it and all of them stall. A
+# path crosses zones only where nothing else is left: this is more than ten
+# nearly full servers cost together.
+CROSSING_S = 100.0
+# A server whose cache is full preempts running work.
 FULL_COST_S = 8.0
 # Above this share of the cache a server is avoided in favour of others.
 KNEE_SHARE = 0.5
--- a/pimentowalk/routing/tests/test_hops.py
+++ b/pimentowalk/routing/tests/test_hops.py
@@ -121,6 +121,20 @@
     assert path[0].backend.server_id == 'twin'
 
 
+def test_busy_zones_are_not_mixed():
+    """Pattern: at the crest one half of the layers is busy in one zone and
+    the other half in the next. Paths over both filled the link between them,
+    and stalled streams held the memory of twice as many servers.
+    """
+    book = _book()
+    chains = {zone: _chain(zone) for zone in ('z1', 'z2')}
+    for server in chains['z1'][:5] + chains['z2'][5:]:
+        capacity = book.capacity_tokens(server)
+        book.begin([server.server_id], int(capacity * 0.9))
+    path = _policy(book).choose(chains['z1'] + chains['z2'], _query())
+    assert len({hop.backend.zone for hop in path}) == 1
+
+
 def test_server_that_refused_for_want_of_room_is_left_out_for_a_while():
     """Pattern: other entries have filled a server and not reported it yet;
     each new request would take a try there, and the budget ends.
--- a/pimentowalk/routing/work.py
+++ b/pimentowalk/routing/work.py
@@ -13,6 +13,7 @@
 # A server that refused a stream for want of memory is taken for full for
 # this long: about the time until another of its streams ends.
 FULL_KEPT_S = 0.4
+FULL_SHARE = 1.0
 # A slow server is asked again when its streams fall silent again.
 SLOWNESS_KEPT_S = 4.0
 MB = 1e6
@@ -152,10 +153,27 @@
         if capacity <= 0:
             return 1.0
         tokens = self.tokens(backend.server_id) + more_tokens
+        return self._at_least_full(backend, tokens / capacity)
+
+    def reported_share(self, backend, more_tokens=0):
+        """Return the same by what is known, without what is estimated.
+
+        The estimate follows the few requests that one node began lately. It
+        serves to tell servers apart, but is too coarse to refuse by.
+        """
+        capacity = self.capacity_tokens(backend)
+        if capacity <= 0:
+            return 1.0
+        server_id = backend.server_id
+        tokens = self._own_tokens[server_id] + more_tokens
+        tokens += self._sums.get(server_id, (0, 0))[1]
+        return self._at_least_full(backend, tokens / capacity)
+
+    def _at_least_full(self, backend, share):
+        """Return the share, or that of a full server that refused lately."""
         if self._full_until_s.get(backend.server_id, 0.0) > self._now_s():
-            # What it runs is known late here, and answers grow.
-            tokens = max(tokens, capacity)
-        return tokens / capacity
+            return max(share, FULL_SHARE)
+        return share
 
     def note_full(self, server_id):
         """Note that a server had no room for another request."""
