Search each zone alone before paths over several

A path over zones is now chosen only where no zone holds all layers, whatever the loads; before, only its cost kept it away.

--- a/pimentowalk/routing/hops.py
+++ b/pimentowalk/routing/hops.py
@@ -15,9 +15,8 @@
 HOP_S = 0.05
 # Activations of one request take tens of milliseconds of a link that all
 # share, so that a dozen crossings a second fill it and all of them stall. A
-# path crosses zones only where nothing else is left: this is more than ten
-# nearly full servers cost together.
-CROSSING_S = 100.0
+# path crosses zones only where no zone holds all layers, and then seldom.
+CROSSING_S = 4.0
 # A server whose cache is full preempts running work.
 FULL_COST_S = 8.0
 # Above this share of the cache a server is avoided in favour of others.
@@ -102,8 +101,8 @@
     def choose(self, backends, query):
         """Return the hops of a path, or None if a layer is missing.
 
-        Servers of the caller's zone are tried alone first: a path within
-        one zone needs no transfer between zones.
+        Each zone is tried alone first: a path within one zone needs no
+        transfer between zones.
         """
         fit = [
             b
@@ -111,7 +110,19 @@
             if b.server_id not in query.avoid and b.layer_count > 0
         ]
         fit.sort(key=lambda b: (b.end_layer, b.first_layer))
-        best = self._search(fit, query)
+        zones = {}
+        for backend in fit:
+            zones.setdefault(backend.zone, []).append(backend)
+        if query.head is not None:
+            zone = query.head.backend.zone
+            zones = {zone: zones.get(zone, [])}
+        found = [self._search(servers, query) for servers in zones.values()]
+        best = min(
+            (path for path in found if path is not None),
+            key=lambda path: path.cost_s,
+            default=None,
+        )
+        best = best or self._search(fit, query)
         return self._hops(best) if best else None
 
     def _search(self, fit, query):
