Let streams that are late already wait behind those that are not

Served in the order of arrival while a crest lasts, every stream waited longer than its objective of 500 ms. Streams that have waited for 0.7 of it now go after all others, so that only they and the refused ones are late. Guarded by test_late_streams_let_the_others_go_first.

--- a/pimentowalk/admission/room.py
+++ b/pimentowalk/admission/room.py
@@ -1,24 +1,44 @@
 """Hold new streams back while no path has room for them."""
 
 import asyncio
-import heapq
 import itertools
 
+import attrs
+
 # One waiting stream is begun in this time at most. Other nodes learn of it
 # later, so that many at once would fill the servers again.
 POLL_S = 0.02
 
 
+@attrs.define(eq=False)
+class Waiting:
+    """A stream that waits for room.
+
+    `find()` returns a target with room, or None. After `due_s` the stream
+    cannot meet its objective any more.
+    """
+
+    find: object
+    priority: int
+    due_s: float
+    granted: asyncio.Future
+    serial: int = attrs.field(factory=itertools.count().__next__)
+
+    def rank(self, now_s):
+        """Return what orders the streams that wait, least first."""
+        return now_s > self.due_s, self.priority, self.serial
+
+
 class RoomQueue:
     """Streams that wait for room, the most urgent and then the oldest first.
 
-    `find()` of a waiting stream returns a target with room, or None.
+    Those that are late already let the others go first: in the order of
+    their arrival all would be late as long as a crest lasts.
     """
 
     def __init__(self, timers):
         self._timers = timers
         self._waiting = []
-        self._order = itertools.count()
         self._polling = None
 
     def __len__(self):
@@ -26,16 +46,19 @@
 
     def is_ahead(self, priority):
         """Return whether a new stream would have to wait for its turn."""
-        return bool(self._waiting) and self._waiting[0][0] <= priority
+        now_s = self._timers.now_s()
+        return any(
+            x.rank(now_s) < (False, priority + 1, 0) for x in self._waiting
+        )
 
-    async def wait(self, find, priority, until_s):
+    async def wait(self, find, priority, *, due_s, until_s):
         """Return what `find` returns when it is the turn, None if late."""
         left_s = until_s - self._timers.now_s()
         if left_s <= 0:
             return None
         granted = asyncio.get_running_loop().create_future()
-        entry = (priority, next(self._order), find, granted)
-        heapq.heappush(self._waiting, entry)
+        entry = Waiting(find, priority, due_s, granted)
+        self._waiting.append(entry)
         if self._polling is None:
             self._polling = asyncio.ensure_future(self._poll())
         try:
@@ -46,7 +69,6 @@
         finally:
             if entry in self._waiting:
                 self._waiting.remove(entry)
-                heapq.heapify(self._waiting)
 
     async def _poll(self):
         try:
@@ -57,11 +79,12 @@
             self._polling = None
 
     def _grant_one(self):
-        if not self._waiting:
+        now_s = self._timers.now_s()
+        first = min(self._waiting, key=lambda x: x.rank(now_s), default=None)
+        if first is None:
             return
-        _, _, find, granted = self._waiting[0]
-        target = find()
+        target = first.find()
         if target is not None:
-            heapq.heappop(self._waiting)
-            if not granted.done():
-                granted.set_result(target)
+            self._waiting.remove(first)
+            if not first.granted.done():
+                first.granted.set_result(target)
--- a/pimentowalk/admission/tests/test_room.py
+++ b/pimentowalk/admission/tests/test_room.py
@@ -38,10 +38,12 @@
         return take
 
 
-async def begin(queue, places, waiting):
+async def begin(queue, places, waiting, due_s=20.0):
     """Let streams of (name, priority) wait; return their tasks."""
     tasks = [
-        asyncio.ensure_future(queue.wait(places.find(name), priority, 30.0))
+        asyncio.ensure_future(
+            queue.wait(places.find(name), priority, due_s=due_s, until_s=30.0)
+        )
         for name, priority in waiting
     ]
     await asyncio.sleep(0)
@@ -75,6 +77,25 @@
     assert all(task.done() for task in tasks)
 
 
+async def test_late_streams_let_the_others_go_first(timers, queue):
+    """Pattern: a crest lasts for seconds. Served in order, every stream
+    waits longer than its objective; only the refused ones must be late.
+    """
+    places = Places()
+    late = await begin(queue, places, [('late', 1)], due_s=0.1)
+    await timers.advance(0.2)
+    assert not queue.is_ahead(1)
+    new = await begin(queue, places, [('new', 1)])
+    assert queue.is_ahead(1)
+    places.free = 1
+    await timers.advance(2 * room.POLL_S)
+    assert new[0].done()
+    assert not late[0].done()
+    places.free = 1
+    await timers.advance(2 * room.POLL_S)
+    assert late[0].result() == 'late'
+
+
 async def test_new_stream_waits_behind_others_of_its_rank(timers, queue):
     """Room that opens belongs to those that wait."""
     tasks = await begin(queue, Places(), [('a', 1)])
@@ -95,6 +116,7 @@
     timers = core_timers.TimerService()
     queue = room.RoomQueue(timers)
     until_s = timers.now_s() + 0.1
-    assert await queue.wait(lambda: None, 1, until_s) is None
+    times = {'due_s': until_s, 'until_s': until_s}
+    assert await queue.wait(lambda: None, 1, **times) is None
     assert len(queue) == 0
-    assert await queue.wait(lambda: 'late', 1, until_s) is None
+    assert await queue.wait(lambda: 'late', 1, **times) is None
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -20,6 +20,9 @@
 # A caller leaves a stream without an event after 2 s. A stream that waited
 # this long for room still brings its first event before that.
 ROOM_WAIT_S = 1.0
+# The first event comes about 0.1 s after a stream is sent, so that one that
+# waited longer than this share of its objective of 0.5 s misses it.
+WAITING_SHARE = 0.7
 # A stream that its caller reads is worth more tries than one that could
 # still be refused, so that the latter leave this part of the budget.
 NEW_STREAM_SHARE = 0.6
@@ -94,8 +97,13 @@
             if not self._is_crowded:
                 return
         self._is_crowded = True
-        until_s = self._call.received_s + ROOM_WAIT_S
-        self._target = await room.wait(self._choose, priority, until_s)
+        call = self._call
+        self._target = await room.wait(
+            self._choose,
+            priority,
+            due_s=call.received_s + call.route.objective_s * WAITING_SHARE,
+            until_s=call.received_s + ROOM_WAIT_S,
+        )
 
     def _budget_share(self):
         return 1.0 if self._responder.started else NEW_STREAM_SHARE
--- a/pimentowalk/dispatch/tests/test_admission.py
+++ b/pimentowalk/dispatch/tests/test_admission.py
@@ -77,7 +77,9 @@
         priority=1,
         prompt_tokens=TOKENS,
         expected_answer_tokens=0,
-        route=types.SimpleNamespace(is_repeatable=True, attempts=2),
+        route=types.SimpleNamespace(
+            is_repeatable=True, attempts=2, objective_s=0.5
+        ),
     )
     service = types.SimpleNamespace(name='svc', engine=ENGINE)
     responder = types.SimpleNamespace(started=started)
--- a/pimentowalk/dispatch/tests/test_attempts.py
+++ b/pimentowalk/dispatch/tests/test_attempts.py
@@ -79,7 +79,9 @@
         priority=1,
         prompt_tokens=1,
         expected_answer_tokens=1,
-        route=types.SimpleNamespace(is_repeatable=is_repeatable, attempts=2),
+        route=types.SimpleNamespace(
+            is_repeatable=is_repeatable, attempts=2, objective_s=0.5
+        ),
     )
     return Scripted(
         dispatcher,
--- a/pimentowalk/dispatch/tests/test_resuming.py
+++ b/pimentowalk/dispatch/tests/test_resuming.py
@@ -68,7 +68,9 @@
         priority=1,
         prompt_tokens=1,
         expected_answer_tokens=1,
-        route=types.SimpleNamespace(is_repeatable=True, attempts=2),
+        route=types.SimpleNamespace(
+            is_repeatable=True, attempts=2, objective_s=0.5
+        ),
     )
     run = Resumed(
         dispatcher,
