--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -14,12 +14,13 @@
 RESUME_WAIT_S = 1.8
 MAX_RESUME_TRIES = 10
 # A new stream is sent on a path only if no server there would have more of
-# its memory reserved: above it the newest requests are read again and again,
-# and none of them ends in time. Answers use what is reserved at their end.
-ADMITTED_SHARE = 1.0
+# its memory reserved: far above it the newest requests are read again and
+# again, and none of them ends in time. Answers use what is reserved for them
+# only at their end, and most are shorter.
+ADMITTED_SHARE = 1.25
 # A caller leaves a stream without an event after 2 s. A stream that waited
 # this long for room still brings its first event before that.
-ROOM_WAIT_S = 1.0
+ROOM_WAIT_S = 1.5
 # The first event comes about 0.1 s after a stream is sent, so that one that
 # waited longer than this share of its objective of 0.5 s misses it.
 WAITING_SHARE = 0.7
