--- a/pimentowalk/dispatch/tests/test_admission.py
+++ b/pimentowalk/dispatch/tests/test_admission.py
@@ -102,12 +102,12 @@
 
 async def test_stream_waits_until_another_one_ends(dispatcher):
     """A stream that waits a little still begins in time."""
-    fill(dispatcher, 700)
+    fill(dispatcher, 900)
     run = run_of(dispatcher)
     running = asyncio.ensure_future(run.run())
     await asyncio.sleep(4 * admission_room.POLL_S)
     assert run.tried == 0
-    dispatcher.book.end(['i-1'], 700)
+    dispatcher.book.end(['i-1'], 900)
     await asyncio.wait_for(running, 1.0)
     assert run.tried == 1
 
@@ -115,7 +115,7 @@
 async def test_stream_without_room_is_refused_in_time(dispatcher, monkeypatch):
     """The caller can come back later only if it is told before it leaves."""
     monkeypatch.setattr(stream, 'ROOM_WAIT_S', 0.1)
-    fill(dispatcher, 700)
+    fill(dispatcher, 900)
     run = run_of(dispatcher)
     with pytest.raises(errors.PimentowalkError) as found:
         await run.run()
