Log repeats that the budget denies, and how long streams wait for room

A stream that was cut for want of budget left no line that said so, and one that waited for room none with the time and the full server.

--- a/pimentowalk/dispatch/call_run.py
+++ b/pimentowalk/dispatch/call_run.py
@@ -94,11 +94,13 @@
         dispatcher = self._dispatcher
         if dispatcher.timers.now_s() >= self._call.ends_s:
             return False
-        return dispatcher.budget.take(
-            self._service.name,
-            dispatcher.node.live_nodes,
-            share=self._budget_share(),
-        )
+        share = self._budget_share()
+        if dispatcher.budget.take(
+            self._service.name, dispatcher.node.live_nodes, share=share
+        ):
+            return True
+        dispatcher.log_denied_repeat(self._call, self._service, share)
+        return False
 
     def _budget_share(self):
         """Return the share of the budget that the call may use."""
--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -229,6 +229,19 @@
             ),
         )
 
+    def log_denied_repeat(self, call, service, share):
+        """Log that the budget of repeats allows no other try."""
+        self.metrics.count('denied_repeats')
+        LOG.info(
+            'the budget of repeats is used up',
+            extra=logs.fields(
+                step='budget',
+                request_id=call.request_id,
+                service=service.name,
+                share=share,
+            ),
+        )
+
     def log_failed_try(self, call, target, error):
         """Log why a try failed."""
         self.metrics.count(f'failed_tries_{error.code}')
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -39,6 +39,8 @@
         self._refusals = 0
         self._may_have_run = False
         self._is_crowded = False
+        self._full_server = None
+        self._room_wait_s = 0.0
         self._events = events.EventFilter(call.last_event_id)
         self._first_event_s = None
         self._last_event_s = 0.0
@@ -61,6 +63,7 @@
         pairs = zip(zones, zones[1:], strict=False)
         return super().summary() | {
             'first_event_ms': int(self._first_event_wait_s() * 1000),
+            'room_wait_ms': int(self._room_wait_s * 1000),
             'longest_pause_ms': int(self._longest_pause_s * 1000),
             'hops': len(hops),
             'zone': zones[0],
@@ -77,17 +80,20 @@
         hops = self._choose_hops()
         if not hops:
             return None
-        self._is_crowded = not (self._responder.started or self._fits(hops))
-        if self._is_crowded:
-            return None
-        return calls.Target(hops[0].backend, tuple(hops))
+        target = calls.Target(hops[0].backend, tuple(hops))
+        if self._responder.started:
+            return target
+        self._is_crowded = self._find_full_server(target.servers)
+        return None if self._is_crowded else target
 
-    def _fits(self, hops):
+    def _find_full_server(self, servers):
+        """Note a server without room for the stream; return whether so."""
         book = self._dispatcher.book
-        return all(
-            book.reported_share(hop.backend, self._tokens) < ADMITTED_SHARE
-            for hop in hops
-        )
+        for server in servers:
+            if book.reported_share(server, self._tokens) >= ADMITTED_SHARE:
+                self._full_server = server
+                return True
+        return False
 
     async def _choose_first(self):
         """Choose a path, after the streams that wait for room already."""
@@ -99,12 +105,16 @@
                 return
         self._is_crowded = True
         call = self._call
+        timers = self._dispatcher.timers
+        since_s = timers.now_s()
         self._target = await room.wait(
             self._choose,
             priority,
             due_s=call.received_s + call.route.objective_s * WAITING_SHARE,
             until_s=call.received_s + ROOM_WAIT_S,
         )
+        self._room_wait_s += timers.now_s() - since_s
+        self._dispatcher.metrics.record_s('room_wait', self._room_wait_s)
 
     def _budget_share(self):
         return 1.0 if self._responder.started else NEW_STREAM_SHARE
@@ -280,6 +290,8 @@
         code, message = 'no_chain', 'no path holds all layers'
         if self._is_crowded:
             code, message = 'overloaded', 'no path has room'
+            if self._full_server is not None:
+                peer = self._full_server.address
         elif failure is not None:
             code, message = 'not_run', failure.message
         return errors.PimentowalkError(
--- a/pimentowalk/dispatch/tests/test_admission.py
+++ b/pimentowalk/dispatch/tests/test_admission.py
@@ -13,6 +13,7 @@
 
 from pimentowalk.admission import room as admission_room
 from pimentowalk.core import errors
+from pimentowalk.core import metrics as core_metrics
 from pimentowalk.core import timers as core_timers
 from pimentowalk.dispatch import stream
 from pimentowalk.membership import backends as membership
@@ -63,6 +64,7 @@
         node=types.SimpleNamespace(backends=table, live_nodes=1),
         book=book,
         paths=policy,
+        metrics=core_metrics.Metrics('test'),
         room=admission_room.RoomQueue(timers),
     )
 
@@ -120,6 +122,7 @@
     with pytest.raises(errors.PimentowalkError) as found:
         await run.run()
     assert found.value.code == 'overloaded'
+    assert found.value.peer == SERVER.address
     assert run.tried == 0
 
 
--- a/pimentowalk/dispatch/tests/test_attempts.py
+++ b/pimentowalk/dispatch/tests/test_attempts.py
@@ -134,3 +134,17 @@
     with pytest.raises(errors.PimentowalkError) as found:
         await run.run()
     assert found.value.code == (code or errors.OutcomeUnknown.code)
+
+
+async def test_repeat_that_the_budget_denies_is_logged():
+    """On-call engineers must see why a stream got no other try."""
+    run = begin(broken(1))
+    denied = []
+    run._dispatcher.budget.take = lambda *_, **__: False
+    run._dispatcher.log_denied_repeat = lambda *fields: denied.append(fields)
+    with pytest.raises(errors.OutcomeUnknown):
+        await run.run()
+    assert run.tried == 1
+    ((call, service, share),) = denied
+    assert (call.route.attempts, service.name) == (2, 'svc')
+    assert share == stream.NEW_STREAM_SHARE
