Keep the platform's words of the soak beside its stand-ins

tools/soak named headers, paths and fields of the platform. Recording servers and what callers and operators send are now in platform/tests; the soak keeps faults, processes and checks.

--- a/tools/soak/servers.py
+++ b/pimentowalk/platform/tests/recording.py
@@ -1,4 +1,4 @@
-"""Backend servers of the soak, each behind a relay, and what they saw."""
+"""Stand-in servers behind relays that record what they ran, for the soak."""
 
 import asyncio
 import collections
@@ -6,15 +6,15 @@
 from aiohttp import web
 
 from pimentowalk.platform import names
+from pimentowalk.platform.tests import peers
 from pimentowalk.platform.tests import standin
 from tools import relay
 
 EVENTS = 12
 EVENT_S = 0.01
-SEAL = 'Pimentowalk-Response-Seal'
 
 
-class SoakServer(standin.StandInServer):
+class RecordingServer(standin.StandInServer):
     """A stand-in that counts runs by request id and names it in answers."""
 
     def __init__(self, number, service):
@@ -106,7 +106,10 @@
 
     async def _run(self, request, request_id, body):
         self.accounts[request_id] = request.headers.get(names.TENANT)
-        headers = {names.REQUEST_ID: request_id, SEAL: f'seal-{request_id}'}
+        headers = {
+            names.REQUEST_ID: request_id,
+            peers.SEAL: f'seal-{request_id}',
+        }
         if self.service == 'model':
             self._check_path(request)
             try:
@@ -151,6 +154,6 @@
 
 def build(models, plain):
     """Return the servers of both services."""
-    return [SoakServer(number, 'model') for number in range(models)] + [
-        SoakServer(number, 'jobs') for number in range(plain)
+    return [RecordingServer(number, 'model') for number in range(models)] + [
+        RecordingServer(number, 'jobs') for number in range(plain)
     ]
--- a/tools/soak/processes.py
+++ b/tools/soak/processes.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from pimentowalk.platform.tests import peers
+
 SETTINGS = """\
 [gateway]
 node_id = {host}
@@ -88,7 +90,7 @@
 
     def ready(self):
         """Return the URL of the readiness check."""
-        return self.url(self.ports[2], '/v1/readiness')
+        return self.url(self.ports[2], peers.READINESS_PATH)
 
     def control(self, path):
         """Return a URL for operators and backend servers."""
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -3,17 +3,15 @@
 import asyncio
 import collections
 import contextlib
-import json
 import re
 import time
 
 import aiohttp
 
-from pimentowalk.platform import names
-from pimentowalk.platform.tests import samples
+from pimentowalk.platform.tests import peers
+from pimentowalk.platform.tests import recording
 from tools.soak import checks as soak_checks
 from tools.soak import processes
-from tools.soak import servers as soak_servers
 
 ANNOUNCE_S = 0.5
 CONFIGURE_S = 0.8
@@ -21,7 +19,7 @@
 REVOCATION_S = 5.0
 RECOVERY_S = 12.0
 CALL_TIMEOUT_S = 6.0
-PATHS = {'stream': '/draft/x', 'booking': '/book/x', 'lookup': '/look/x'}
+DEADLINE_MS = 4000
 EVENT = re.compile(r'id: (\d+)\ndata: ([^\n]*)\n\n')
 PERMANENT_KEY = 'k1'
 
@@ -32,7 +30,7 @@
     def __init__(self, folder, rng, *, gateways=5, models=4, plain=2):
         self.rng = rng
         self.gateways = processes.build(folder, gateways, disks=3)
-        self.servers = soak_servers.build(models, plain)
+        self.servers = recording.build(models, plain)
         self.checks = soak_checks.Checks()
         self.outcomes = []
         self.version = 10
@@ -92,13 +90,13 @@
             await asyncio.sleep(ANNOUNCE_S)
 
     async def _announce_one(self, server, number):
-        text = json.dumps(server.announcement())
+        path, text = peers.announcement(server)
         # A server moves on to another node when one does not acknowledge.
         for step in range(len(self.gateways)):
             gateway = self.gateways[(number + step) % len(self.gateways)]
             if not gateway.is_up:
                 continue
-            url = gateway.control(f'/v1/instances/{server.server_id}')
+            url = gateway.control(path)
             with contextlib.suppress(aiohttp.ClientError, TimeoutError):
                 async with (
                     asyncio.timeout(0.5),
@@ -114,11 +112,9 @@
         for key, since in list(self.keys.items()):
             if self.version - since > 12:
                 del self.keys[key]
-        accounts = [{'name': 'north', 'api-keys': [PERMANENT_KEY]}]
-        accounts += [
-            {'name': f'a-{key}', 'api-keys': [key]} for key in self.keys
-        ]
-        return samples.configuration(version=self.version, tenants=accounts)
+        accounts = {f'a-{key}': [key] for key in self.keys}
+        accounts['north'] = [PERMANENT_KEY]
+        return peers.configuration(self.version, accounts)
 
     async def _operate(self):
         while True:
@@ -147,12 +143,12 @@
         acknowledged = self.acknowledged
         gateway = self.rng.choice(self.gateways)
         status, text = await self._operator_call('GET', gateway)
-        version = json.loads(text)['version'] if status == 200 else 0
+        version = peers.version_of(text) if status == 200 else 0
         self.checks.of_read(status, version, acknowledged)
 
     async def _operator_call(self, method, gateway, text=None):
         """Return status and body; 0 if there was no clear answer."""
-        url = gateway.control('/v1/configuration')
+        url = gateway.control(peers.CONFIGURATION_PATH)
         try:
             async with (
                 asyncio.timeout(1.0),
@@ -166,7 +162,7 @@
         session = await self._new_session()
         while True:
             gateway = self.rng.choice(self.gateways)
-            kind = self.rng.choice(list(PATHS))
+            kind = self.rng.choice(list(peers.PATHS))
             keys = [PERMANENT_KEY, *self.keys, *list(self.revoked)[-4:]]
             key = self.rng.choice(keys)
             await self.call(session, gateway, kind, key)
@@ -179,30 +175,26 @@
             f'r{self._number}', kind, gateway.name, key, time.monotonic()
         )
         self.outcomes.append(outcome)
-        headers = {
-            'Host': 'a.example',
-            names.REQUEST_ID: outcome.request_id,
-            names.KEY: key,
-            names.DEADLINE_MS: '4000',
-            names.TOKEN_COUNT: '100,24',
-        }
+        headers = peers.call_headers(outcome.request_id, key, DEADLINE_MS)
         method = 'GET' if kind == 'lookup' else 'POST'
         try:
             async with session.request(
-                method, gateway.front(PATHS[kind]), headers=headers
+                method, gateway.front(peers.PATHS[kind]), headers=headers
             ) as response:
                 outcome.status = response.status
-                outcome.seal = response.headers.get(soak_servers.SEAL, '')
+                outcome.seal = response.headers.get(peers.SEAL, '')
                 await _read_body(response, outcome)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             outcome.error = type(error).__name__
-        self.checks.of_answer(outcome, soak_servers.EVENTS)
+        self.checks.of_answer(outcome, recording.EVENTS)
         return outcome
 
     async def recovered(self, what, limit_s=RECOVERY_S):
         """Wait until each gateway serves; note a violation if it does not."""
         end_s = time.monotonic() + limit_s
-        waiting = {(g.name, kind) for g in self.gateways for kind in PATHS}
+        waiting = {
+            (g.name, kind) for g in self.gateways for kind in peers.PATHS
+        }
         by_name = {g.name: g for g in self.gateways}
         while waiting and time.monotonic() < end_s:
             for name, kind in sorted(waiting):
--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -4,9 +4,9 @@
 
 import pytest
 
+from pimentowalk.platform.tests import recording
 from tools.soak import checks
 from tools.soak import run
-from tools.soak import servers as soak_servers
 
 # Covers kills, pauses, lost disks and link faults within the short run.
 SEED = 2
@@ -107,7 +107,7 @@
 
 async def test_runs_at_a_cut_server_are_noted():
     """A cut covers the runs in progress and those that begin in it."""
-    cut = soak_servers.SoakServer(1, 'model')
+    cut = recording.RecordingServer(1, 'model')
     cut.relay = types.SimpleNamespace(
         cut=lambda *_: None, heal=lambda: None, reset=lambda: None
     )
