--- a/pimentowalk/dispatch/tests/test_admission.py
+++ b/pimentowalk/dispatch/tests/test_admission.py
@@ -13,14 +13,11 @@
 
 from pimentowalk.admission import room as admission_room
 from pimentowalk.core import errors
-from pimentowalk.core import metrics as core_metrics
-from pimentowalk.core import timers as core_timers
 from pimentowalk.dispatch import stream
-from pimentowalk.membership import backends as membership
+from pimentowalk.dispatch.tests import fakes
 from pimentowalk.routing import hops
 from pimentowalk.routing import outcomes
 from pimentowalk.routing import work
-from pimentowalk.topology import backends
 from pimentowalk.topology import documents
 
 ENGINE = documents.Engine(
@@ -31,10 +28,7 @@
     load_s=14.0,
     accelerators={'v100': documents.Accelerator('v100', 15_000.0, 1.0, 1.0)},
 )
-SERVER = backends.Backend(
-    'i-1', 100, 5, 'svc', '10.0.0.1', 80, 'z1', accelerator='v100',
-    first_layer=0, end_layer=8,
-)  # fmt: skip
+SERVER = fakes.server(1, accelerator='v100')
 TOKENS = 400
 
 
@@ -50,42 +44,24 @@
 @pytest.fixture
 async def dispatcher():
     """Return what runs need: one server with room for 1,000 tokens."""
-    timers = core_timers.TimerService()
-    table = membership.BackendTable(timers.now_s, 0.0)
-    table.apply(SERVER)
-    book = work.WorkBook('n1', timers.now_s)
-    book.set_engines({'svc': ENGINE})
-    policy = hops.POLICIES.get('cheapest')(
-        book, random.Random(1), outcomes.OutcomeBook(timers.now_s)
-    )
-    return types.SimpleNamespace(
-        timers=timers,
-        zone='z1',
-        node=types.SimpleNamespace(backends=table, live_nodes=1),
-        book=book,
-        paths=policy,
-        metrics=core_metrics.Metrics('test'),
-        room=admission_room.RoomQueue(timers),
+    found = fakes.dispatcher(SERVER)
+    now_s = found.timers.now_s
+    found.book = work.WorkBook('n1', now_s)
+    found.book.set_engines({'svc': ENGINE})
+    found.paths = hops.POLICIES.get('cheapest')(
+        found.book, random.Random(1), outcomes.OutcomeBook(now_s)
     )
+    return found
 
 
 def run_of(dispatcher, *, started=False):
     """Return a stream of 400 tokens that arrives now."""
-    now_s = dispatcher.timers.now_s()
-    call = types.SimpleNamespace(
-        received_s=now_s,
-        ends_s=now_s + 10,
-        last_event_id=0,
-        priority=1,
-        prompt_tokens=TOKENS,
-        expected_answer_tokens=0,
-        route=types.SimpleNamespace(
-            is_repeatable=True, attempts=2, objective_s=0.5
-        ),
+    return Admitted(
+        dispatcher,
+        fakes.call(dispatcher.timers.now_s(), tokens=TOKENS),
+        types.SimpleNamespace(name='svc', engine=ENGINE),
+        fakes.responder(started=started),
     )
-    service = types.SimpleNamespace(name='svc', engine=ENGINE)
-    responder = types.SimpleNamespace(started=started)
-    return Admitted(dispatcher, call, service, responder)
 
 
 def fill(dispatcher, tokens):
--- a/pimentowalk/dispatch/tests/test_attempts.py
+++ b/pimentowalk/dispatch/tests/test_attempts.py
@@ -1,37 +1,18 @@
 """Guard how many runs a stream may take, and when it may say "not run"."""
 
-import random
 import types
 
 import pytest
 
-from pimentowalk.admission import room as admission_room
 from pimentowalk.core import errors
-from pimentowalk.core import timers as core_timers
 from pimentowalk.dispatch import calls
 from pimentowalk.dispatch import stream
-from pimentowalk.membership import backends as membership
-from pimentowalk.topology import backends
+from pimentowalk.dispatch.tests import fakes
 
 HEAD = '10.0.0.1:80'
 OTHER = '10.0.0.9:80'
 
 
-def server(number):
-    """Return a server that holds all layers."""
-    return backends.Backend(
-        f'i-{number}',
-        100,
-        5,
-        'svc',
-        f'10.0.0.{number}',
-        80,
-        'z1',
-        first_layer=0,
-        end_layer=8,
-    )
-
-
 class Scripted(stream.StreamRun):
     """A stream whose tries fail as scripted before their first event."""
 
@@ -55,39 +36,12 @@
 
 def begin(failures, *, is_repeatable=True):
     """Return a run on six equal servers."""
-    timers = core_timers.TimerService()
-    table = membership.BackendTable(timers.now_s, 0.0)
-    for number in range(1, 7):
-        table.apply(server(number))
-    now_s = timers.now_s()
-    dispatcher = types.SimpleNamespace(
-        timers=timers,
-        rng=random.Random(1),
-        node=types.SimpleNamespace(backends=table, live_nodes=1),
-        room=admission_room.RoomQueue(timers),
-        budget=types.SimpleNamespace(take=lambda *_, **__: True),
-        outcomes=types.SimpleNamespace(note=lambda *_, **__: None),
-        checks=types.SimpleNamespace(check=lambda _: None),
-        book=types.SimpleNamespace(note_full=lambda _: None),
-        log_failed_try=lambda *_: None,
-        suspect=lambda *_: None,
-    )
-    call = types.SimpleNamespace(
-        received_s=now_s,
-        ends_s=now_s + 10,
-        last_event_id=0,
-        priority=1,
-        prompt_tokens=1,
-        expected_answer_tokens=1,
-        route=types.SimpleNamespace(
-            is_repeatable=is_repeatable, attempts=2, objective_s=0.5
-        ),
-    )
+    dispatcher = fakes.dispatcher(*map(fakes.server, range(1, 7)))
     return Scripted(
         dispatcher,
-        call,
+        fakes.call(dispatcher.timers.now_s(), is_repeatable=is_repeatable),
         types.SimpleNamespace(name='svc'),
-        types.SimpleNamespace(started=False),
+        fakes.responder(),
         failures=failures,
     )
 
--- a/pimentowalk/dispatch/tests/test_resuming.py
+++ b/pimentowalk/dispatch/tests/test_resuming.py
@@ -4,17 +4,10 @@
 
 import pytest
 
-from pimentowalk.admission import room as admission_room
 from pimentowalk.core import errors
-from pimentowalk.core import timers as core_timers
 from pimentowalk.dispatch import calls
 from pimentowalk.dispatch import stream
-from pimentowalk.membership import backends as membership
-from pimentowalk.topology import backends
-
-SERVER = backends.Backend(
-    'i-1', 100, 5, 'svc', '10.0.0.1', 80, 'z1', first_layer=0, end_layer=8
-)
+from pimentowalk.dispatch.tests import fakes
 
 
 class Resumed(stream.StreamRun):
@@ -51,36 +44,17 @@
 
 def begin(failures, *, started=True):
     """Return a run and its table, which knows one server."""
-    timers = core_timers.TimerService()
-    table = membership.BackendTable(timers.now_s, 0.0)
-    table.apply(SERVER)
-    now_s = timers.now_s()
-    dispatcher = types.SimpleNamespace(
-        timers=timers,
-        node=types.SimpleNamespace(backends=table, live_nodes=1),
-        room=admission_room.RoomQueue(timers),
-        budget=types.SimpleNamespace(take=lambda *_, **__: True),
-    )
-    call = types.SimpleNamespace(
-        received_s=now_s,
-        ends_s=now_s + 10,
-        last_event_id=0,
-        priority=1,
-        prompt_tokens=1,
-        expected_answer_tokens=1,
-        route=types.SimpleNamespace(
-            is_repeatable=True, attempts=2, objective_s=0.5
-        ),
-    )
+    dispatcher = fakes.dispatcher(fakes.server(1))
+    now_s = dispatcher.timers.now_s()
     run = Resumed(
         dispatcher,
-        call,
+        fakes.call(now_s),
         types.SimpleNamespace(name='svc'),
-        types.SimpleNamespace(started=started),
+        fakes.responder(started=started),
         failures=failures,
     )
     run._last_event_s = now_s
-    return run, table
+    return run, dispatcher.node.backends
 
 
 def refusals(count):
@@ -100,12 +74,7 @@
     run, table = begin([])
     table.suspect('i-1', 100, 'refused')
     timers = run._dispatcher.timers
-    timers.after(
-        0.2, lambda: table.apply(backends.Backend(
-            'i-2', 100, 1, 'svc', '10.0.0.2', 80, 'z1',
-            first_layer=0, end_layer=8,
-        ))
-    )  # fmt: skip
+    timers.after(0.2, lambda: table.apply(fakes.server(2)))
     await run.run()
     assert run.tried == 1
 
