Let streams that have begun wait for the budget of repeats

Each node may use an equal part of what is left of the budget until it hears what the others used, so that a part may be free again within half a second.

Ruled out: a missing path, attempts used up (the last one was refused, which takes none), and the end of the caller's patience (23 ms after an event).

Change: a denied repeat is asked for again each 0.1 s as long as the stream may wait for a path. A stream that has not begun is refused as before.

The test of the wait failed before the change.

--- a/pimentowalk/dispatch/call_run.py
+++ b/pimentowalk/dispatch/call_run.py
@@ -11,6 +11,9 @@
 # a target waits so long for them, since a refused caller returns only once.
 VIEW_WAIT_S = 1.5
 VIEW_POLL_S = 0.02
+# A denied repeat is asked for again this often. Other nodes report what they
+# used twice a second, so that more often finds little new.
+REPEAT_POLL_S = 0.1
 
 
 class CallRun(abc.ABC):
@@ -34,7 +37,7 @@
         """Try until the answer is complete; raise PimentowalkError."""
         failure = None
         while self._tries < self._most_tries():
-            if self._tries and not self._may_repeat():
+            if self._tries and not await self._wait_for_repeat():
                 break
             if pause_s := self._pause_s():
                 await self._dispatcher.timers.sleep(pause_s)
@@ -90,16 +93,24 @@
             if self._target is not None:
                 return
 
-    def _may_repeat(self):
+    async def _wait_for_repeat(self):
+        """Return whether another try is allowed before the patience ends."""
         dispatcher = self._dispatcher
-        if dispatcher.timers.now_s() >= self._call.ends_s:
-            return False
+        timers = dispatcher.timers
         share = self._budget_share()
-        if dispatcher.budget.take(
-            self._service.name, dispatcher.node.live_nodes, share=share
-        ):
-            return True
-        dispatcher.log_denied_repeat(self._call, self._service, share)
+        until_s = min(self._patience_end_s(), self._call.ends_s)
+        is_denied = False
+        while timers.now_s() < self._call.ends_s:
+            if dispatcher.budget.take(
+                self._service.name, dispatcher.node.live_nodes, share=share
+            ):
+                return True
+            if not is_denied:
+                dispatcher.log_denied_repeat(self._call, self._service, share)
+                is_denied = True
+            if timers.now_s() >= until_s:
+                return False
+            await timers.sleep(REPEAT_POLL_S)
         return False
 
     def _budget_share(self):
--- a/pimentowalk/dispatch/tests/fakes.py
+++ b/pimentowalk/dispatch/tests/fakes.py
@@ -42,6 +42,7 @@
         checks=types.SimpleNamespace(check=lambda _: None),
         book=types.SimpleNamespace(note_full=lambda _: None),
         log_failed_try=lambda *_: None,
+        log_denied_repeat=lambda *_: None,
         suspect=lambda *_: None,
     )
 
--- a/pimentowalk/dispatch/tests/test_resuming.py
+++ b/pimentowalk/dispatch/tests/test_resuming.py
@@ -96,3 +96,39 @@
     with pytest.raises(errors.PimentowalkError):
         await run.run()
     assert run.tried == 4
+
+
+def deny(run, times):
+    """Let the budget of repeats deny some tries."""
+    answers = [False] * times
+    run._dispatcher.budget.take = lambda *_, **__: (
+        answers.pop() if answers else True
+    )
+
+
+async def test_stream_that_has_begun_waits_for_a_repeat():
+    """A budget that is used up for a moment must not cut a stream."""
+    run, _ = begin(refusals(1))
+    deny(run, 2)
+    await run.run()
+    assert run.tried == 2
+
+
+async def test_wait_for_a_repeat_ends_before_the_caller_gives_up(monkeypatch):
+    """Nobody waits for events after two seconds without one."""
+    monkeypatch.setattr(stream, 'RESUME_WAIT_S', 0.2)
+    run, _ = begin(refusals(1))
+    deny(run, 1000)
+    with pytest.raises(errors.OutcomeUnknown):
+        await run.run()
+    assert run.tried == 1
+
+
+async def test_denied_stream_that_has_not_begun_is_refused_at_once():
+    """It can come back, while waiting would use up its time."""
+    run, _ = begin(refusals(1), started=False)
+    deny(run, 1)
+    with pytest.raises(errors.PimentowalkError) as found:
+        await run.run()
+    assert found.value.code == 'not_run'
+    assert run.tried == 1
