Close gaps of announced departures without delay

Cause: in a release, servers of a full zone leave one after the other, and each layer that only they held stops the zone. The wait is for suspicions that are withdrawn; a server that left does not come back.

Change: the leader looks at changes each 0.05 s. A gap is closed 0.1 s after a departure, since a replacement may join up to 20 ms later, and 0.3 s after a suspicion as before.

Seeded faults (no wait, the long wait for all) fail the tests.

--- a/pimentowalk/membership/backends.py
+++ b/pimentowalk/membership/backends.py
@@ -247,6 +247,14 @@
             and record.suspect_since_s is None
         ]
 
+    def has_suspects(self, service):
+        """Return whether a server of a service is suspected."""
+        return any(
+            record.suspect_since_s is not None
+            for record in self._records.values()
+            if record.backend.service == service
+        )
+
     def aged(self):
         """Return all announcements with their ages, to pass on."""
         now_s = self.now_s()
--- a/pimentowalk/placement/executor.py
+++ b/pimentowalk/placement/executor.py
@@ -12,6 +12,9 @@
 LOG = logging.getLogger(__name__)
 
 PERIOD_S = 0.25
+# Changes of servers are looked for this often. A layer without a server stops
+# its zone, so that a quarter of a second more is worth many streams.
+POLL_S = 0.05
 # A new leader first hears of the servers that announced themselves
 # elsewhere, so that it does not plan for half of them.
 SETTLE_S = 1.0
@@ -23,6 +26,9 @@
 # A suspicion may be withdrawn at once; a move follows if the gap lasts this
 # long.
 MOVE_AFTER_S = 0.3
+# A server that left does not come back, but its replacement may join just
+# after it: within 20 ms where servers are released.
+DEPARTED_MOVE_AFTER_S = 0.1
 # Load times are longer while others load.
 LOAD_MARGIN = 1.5
 # A server that refused an order is ordered again after this time.
@@ -64,12 +70,14 @@
         self._tasks = set()
         self._led_since_s = None
         self._gap_since_s = {}
+        self._checked_s = float('-inf')
+        self._checked_generation = None
         self._started_s = timers.now_s()
 
     async def run(self):
         """Check until cancelled."""
         while True:
-            await self._timers.sleep(PERIOD_S)
+            await self._timers.sleep(POLL_S)
             if not self._leads():
                 self._led_since_s = None
                 self._orders.clear()
@@ -81,7 +89,21 @@
                 continue
             if now_s - self._started_s < FIRST_SETTLE_S:
                 continue
-            self._check(now_s)
+            if self._is_due(now_s):
+                self._checked_s = now_s
+                self._checked_generation = self._table.generation
+                self._check(now_s)
+
+    def _is_due(self, now_s):
+        """Return whether servers changed, or time calls for a check."""
+        return (
+            self._checked_generation != self._table.generation
+            or now_s - self._checked_s >= PERIOD_S
+            or any(
+                now_s - since_s < MOVE_AFTER_S + POLL_S
+                for since_s in self._gap_since_s.values()
+            )
+        )
 
     def _check(self, now_s):
         document = self._document()
@@ -111,7 +133,9 @@
             self._gap_since_s.pop(name, None)
             return False
         since_s = self._gap_since_s.setdefault(name, now_s)
-        return now_s - since_s >= MOVE_AFTER_S
+        is_suspicion = self._table.has_suspects(name)
+        wait_s = MOVE_AFTER_S if is_suspicion else DEPARTED_MOVE_AFTER_S
+        return now_s - since_s >= wait_s
 
     def _settle(self, service_name, backends, now_s):
         """Drop orders that are in effect, overdue or pointless."""
--- a/pimentowalk/placement/tests/test_executor.py
+++ b/pimentowalk/placement/tests/test_executor.py
@@ -133,6 +133,54 @@
     assert len(world.orders) <= 3
 
 
+def _needed(world):
+    """Return a server that holds a layer alone."""
+    return next(b for b in world.table.usable('svc') if _is_needed(world, b))
+
+
+async def test_layers_of_a_server_that_left_are_replaced_at_once(world):
+    """Pattern: servers of a full zone are released one after the other.
+
+    Each gap stops the zone, and waiting for the server to come back made it
+    half a second longer.
+    """
+    world.orders.clear()
+    world.table.apply(attrs.evolve(_needed(world), state=backends.GONE))
+    await world.timers.advance(
+        executor.DEPARTED_MOVE_AFTER_S + 2 * executor.POLL_S
+    )
+    assert world.missing() == 0
+
+
+async def test_replacement_that_joins_just_after_spares_a_move(world):
+    """A moved server interrupts streams, an empty one does not."""
+    world.orders.clear()
+    left = _needed(world)
+    world.table.apply(attrs.evolve(left, state=backends.GONE))
+    await world.timers.advance(executor.POLL_S)
+    world.table.apply(
+        attrs.evolve(
+            left,
+            server_id='new',
+            host='10.0.1.1',
+            first_layer=0,
+            end_layer=0,
+        )
+    )
+    await world.timers.advance(1.0)
+    assert [name for name, _, _ in world.orders] == ['new']
+    assert world.missing() == 0
+
+
+async def test_suspected_server_may_recover_before_a_move(world):
+    """A suspicion is withdrawn when the server announces itself."""
+    world.orders.clear()
+    single = _needed(world)
+    world.table.suspect(single.server_id, 1, 'failed')
+    await world.timers.advance(executor.MOVE_AFTER_S - 2 * executor.POLL_S)
+    assert world.orders == []
+
+
 async def test_order_without_an_answer_is_given_again(world):
     """It may have been lost; the number of orders guards against both."""
     world.orders.clear()
