Let streams wait for servers that refused them

Cause: a server that refused a stream for want of room was noted as full for 0.4 s with the share 1.0, which is below the 1.25 that may be reserved, so that the note kept no new stream away. Streams that had begun tried the same full server again after 50, 100 and 150 ms, up to ten times.

Ruled out: missing paths (the refusing server held its part), and servers that are dead (it answered).

Change: a new stream waits for room while a server of its path refused another one lately. A stream that has begun and was refused waits likewise, before all new ones and until its caller gives up. The queue asks the first stream of each priority, so that one that avoids the only server with room holds nobody back. The log of an answered stream has the reserved share of the fullest server.

--- a/pimentowalk/admission/room.py
+++ b/pimentowalk/admission/room.py
@@ -79,12 +79,16 @@
             self._polling = None
 
     def _grant_one(self):
+        """Let one stream go: of each priority, the first in turn is asked."""
         now_s = self._timers.now_s()
-        first = min(self._waiting, key=lambda x: x.rank(now_s), default=None)
-        if first is None:
-            return
-        target = first.find()
-        if target is not None:
-            self._waiting.remove(first)
-            if not first.granted.done():
-                first.granted.set_result(target)
+        asked = set()
+        for entry in sorted(self._waiting, key=lambda x: x.rank(now_s)):
+            if entry.priority in asked:
+                continue
+            asked.add(entry.priority)
+            target = entry.find()
+            if target is not None:
+                self._waiting.remove(entry)
+                if not entry.granted.done():
+                    entry.granted.set_result(target)
+                return
--- a/pimentowalk/admission/tests/test_room.py
+++ b/pimentowalk/admission/tests/test_room.py
@@ -120,3 +120,16 @@
     assert await queue.wait(lambda: None, 1, **times) is None
     assert len(queue) == 0
     assert await queue.wait(lambda: 'late', 1, **times) is None
+
+
+async def test_first_stream_without_a_path_does_not_hold_others_back(
+    timers, queue
+):
+    """Pattern: a stream that has begun avoids the only server with room."""
+    places = Places()
+    stuck = await begin(queue, Places(), [('stuck', -1)])
+    others = await begin(queue, places, [('a', 1)])
+    places.free = 1
+    await timers.advance(2 * room.POLL_S)
+    assert others[0].done()
+    assert not stuck[0].done()
--- a/pimentowalk/dispatch/call_run.py
+++ b/pimentowalk/dispatch/call_run.py
@@ -32,6 +32,8 @@
         self._runs = 0
         self._tries = 0
         self._target = None
+        # Whether the targets that there are have no room.
+        self._is_crowded = False
 
     async def run(self):
         """Try until the answer is complete; raise PimentowalkError."""
@@ -86,7 +88,7 @@
         generation = None
         while timers.now_s() < min(self._patience_end_s(), self._call.ends_s):
             await timers.sleep(VIEW_POLL_S)
-            if table.generation == generation:
+            if table.generation == generation and not self._is_crowded:
                 continue
             generation = table.generation
             self._target = self._choose()
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -29,6 +29,8 @@
 NEW_STREAM_SHARE = 0.6
 # Servers that refuse to go on with a stream are given time to load layers.
 RESUME_PAUSE_S = 0.05
+# Streams that have begun and wait for room go before all new ones.
+BEGUN_PRIORITY = -1
 
 
 class StreamRun(watched_run.WatchedRun):
@@ -38,9 +40,9 @@
         super().__init__(dispatcher, call, service, responder)
         self._refusals = 0
         self._may_have_run = False
-        self._is_crowded = False
         self._full_server = None
         self._room_wait_s = 0.0
+        self._memory_share = 0.0
         self._events = events.EventFilter(call.last_event_id)
         self._first_event_s = None
         self._last_event_s = 0.0
@@ -64,6 +66,7 @@
         return super().summary() | {
             'first_event_ms': int(self._first_event_wait_s() * 1000),
             'room_wait_ms': int(self._room_wait_s * 1000),
+            'memory_share': round(self._memory_share, 2),
             'longest_pause_ms': int(self._longest_pause_s * 1000),
             'hops': len(hops),
             'zone': zones[0],
@@ -81,16 +84,29 @@
         if not hops:
             return None
         target = calls.Target(hops[0].backend, tuple(hops))
-        if self._responder.started:
-            return target
+        book = self._dispatcher.book
+        self._memory_share = max(
+            book.reported_share(server, self._tokens)
+            for server in target.servers
+        )
         self._is_crowded = self._find_full_server(target.servers)
         return None if self._is_crowded else target
 
     def _find_full_server(self, servers):
-        """Note a server without room for the stream; return whether so."""
+        """Note a server without room for the stream; return whether so.
+
+        A stream that has begun is tried wherever it was not refused: its
+        caller cannot come back.
+        """
         book = self._dispatcher.book
+        has_begun = self._responder.started
+        if has_begun and not self._refusals:
+            return False
         for server in servers:
-            if book.reported_share(server, self._tokens) >= ADMITTED_SHARE:
+            if book.refused_lately(server.server_id) or (
+                not has_begun
+                and book.reported_share(server, self._tokens) >= ADMITTED_SHARE
+            ):
                 self._full_server = server
                 return True
         return False
@@ -98,21 +114,24 @@
     async def _choose_first(self):
         """Choose a path, after the streams that wait for room already."""
         room = self._dispatcher.room
-        priority = self._call.priority
-        if self._responder.started or not room.is_ahead(priority):
+        call = self._call
+        has_begun = self._responder.started
+        priority = BEGUN_PRIORITY if has_begun else call.priority
+        if has_begun or not room.is_ahead(priority):
             self._target = self._choose()
             if not self._is_crowded:
                 return
-        self._is_crowded = True
-        call = self._call
         timers = self._dispatcher.timers
         since_s = timers.now_s()
+        if has_begun:
+            due_s = until_s = self._patience_end_s()
+        else:
+            due_s = call.received_s + call.route.objective_s * WAITING_SHARE
+            until_s = call.received_s + ROOM_WAIT_S
         self._target = await room.wait(
-            self._choose,
-            priority,
-            due_s=call.received_s + call.route.objective_s * WAITING_SHARE,
-            until_s=call.received_s + ROOM_WAIT_S,
+            self._choose, priority, due_s=due_s, until_s=until_s
         )
+        self._is_crowded = self._target is None
         self._room_wait_s += timers.now_s() - since_s
         self._dispatcher.metrics.record_s('room_wait', self._room_wait_s)
 
@@ -241,14 +260,18 @@
         target = self._target
         dispatcher.log_failed_try(self._call, target, error)
         at_fault = error.culprit or target.backend.address
-        self._refusals += isinstance(error, calls.Refused)
-        if not isinstance(error, calls.Refused):
+        is_refused = isinstance(error, calls.Refused)
+        self._refusals += is_refused
+        if not is_refused:
             self._note_unproven(error, at_fault)
         for server in target.servers:
             if server.address == at_fault:
-                self._avoid.add(server.server_id)
+                # A full server may be the only one for a stream that has
+                # begun, which waits until it has room.
+                if not (is_refused and self._responder.started):
+                    self._avoid.add(server.server_id)
                 dispatcher.outcomes.note(server.server_id, failed=True)
-                if isinstance(error, calls.Refused):
+                if is_refused:
                     dispatcher.book.note_full(server.server_id)
                 if self._has_begun:
                     dispatcher.note_failed_run(self._call, server)
--- a/pimentowalk/dispatch/tests/test_admission.py
+++ b/pimentowalk/dispatch/tests/test_admission.py
@@ -110,6 +110,55 @@
     assert run.tried == 1
 
 
+async def test_stream_waits_for_a_server_that_refused_another(dispatcher):
+    """Pattern: two of three zones lose a layer, and all streams go to one.
+
+    Each try at its full server was refused and drew on the budget of repeats,
+    which then lacked for streams that had begun.
+    """
+    dispatcher.book.note_full('i-1')
+    run = run_of(dispatcher)
+    running = asyncio.ensure_future(run.run())
+    await asyncio.sleep(work.FULL_KEPT_S / 2)
+    assert run.tried == 0
+    await asyncio.wait_for(running, work.FULL_KEPT_S)
+    assert run.tried == 1
+
+
+def refused_run(dispatcher):
+    """Return a stream that has begun and was refused just now."""
+    run = run_of(dispatcher, started=True)
+    run._last_event_s = dispatcher.timers.now_s()
+    run._tries = run._refusals = 1
+    dispatcher.book.note_full('i-1')
+    return run
+
+
+async def test_refused_stream_that_has_begun_waits_for_room(dispatcher):
+    """Ten tries at one full server take ten repeats within a second."""
+    fill(dispatcher, 2000)
+    run = refused_run(dispatcher)
+    running = asyncio.ensure_future(run.run())
+    await asyncio.sleep(work.FULL_KEPT_S / 2)
+    assert run.tried == 0
+    await asyncio.wait_for(running, work.FULL_KEPT_S)
+    assert run.tried == 1
+
+
+async def test_stream_that_has_begun_goes_before_new_ones(dispatcher):
+    """Its caller has a part of the answer, and cannot come back."""
+    order = []
+    new, begun = run_of(dispatcher), refused_run(dispatcher)
+    for name, run in (('new', new), ('begun', begun)):
+        run._try = lambda name=name: note(name)
+
+    async def note(name):
+        order.append(name)
+
+    await asyncio.gather(new.run(), begun.run())
+    assert order == ['begun', 'new']
+
+
 async def test_missing_layer_is_not_called_a_lack_of_room(dispatcher):
     """Callers come back sooner where only a server has to be replaced."""
     dispatcher.node.backends.suspect('i-1', 100, 'refused')
--- a/pimentowalk/routing/work.py
+++ b/pimentowalk/routing/work.py
@@ -175,10 +175,14 @@
 
     def _at_least_full(self, backend, share):
         """Return the share, or that of a full server that refused lately."""
-        if self._full_until_s.get(backend.server_id, 0.0) > self._now_s():
+        if self.refused_lately(backend.server_id):
             return max(share, FULL_SHARE)
         return share
 
+    def refused_lately(self, server_id):
+        """Return whether a server had no room for a request just now."""
+        return self._full_until_s.get(server_id, 0.0) > self._now_s()
+
     def note_full(self, server_id):
         """Note that a server had no room for another request."""
         self._full_until_s[server_id] = self._now_s() + FULL_KEPT_S
