Give large zones two heads, and give nothing up for gaps that stay

Cause: streams waited for seconds inside servers although no server of their path had more than 1.25 of its memory reserved. The planner treats the first layer like any other, the second copies of the first layers were the first to be moved, and the cost of a path knew memory only.

Ruled out: memory (reserved shares of 0.9 to 1.2 where the streams waited, and zones with the same shares and two heads had a first event within 0.1 s).

Change: a zone that gives the least share of its memory to layers gets two servers with the first layer and keeps them when a gap is closed. Used slots of the first server count like used memory in the cost of a path, and are in the log. Gaps that cannot all be closed uncover no other layer. These are two changes of one function; they were measured together.

Seeded faults fail the new tests.

--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -43,6 +43,7 @@
         self._full_server = None
         self._room_wait_s = 0.0
         self._memory_share = 0.0
+        self._slot_share = 0.0
         self._events = events.EventFilter(call.last_event_id)
         self._first_event_s = None
         self._last_event_s = 0.0
@@ -67,6 +68,7 @@
             'first_event_ms': int(self._first_event_wait_s() * 1000),
             'room_wait_ms': int(self._room_wait_s * 1000),
             'memory_share': round(self._memory_share, 2),
+            'slot_share': round(self._slot_share, 2),
             'longest_pause_ms': int(self._longest_pause_s * 1000),
             'hops': len(hops),
             'zone': zones[0],
@@ -89,6 +91,7 @@
             book.reported_share(server, self._tokens)
             for server in target.servers
         )
+        self._slot_share = book.reported_slot_share(target.backend)
         self._is_crowded = self._find_full_server(target.servers)
         return None if self._is_crowded else target
 
--- a/pimentowalk/dispatch/tests/test_admission.py
+++ b/pimentowalk/dispatch/tests/test_admission.py
@@ -28,7 +28,7 @@
     load_s=14.0,
     accelerators={'v100': documents.Accelerator('v100', 15_000.0, 1.0, 1.0)},
 )
-SERVER = fakes.server(1, accelerator='v100')
+SERVER = fakes.server(1, accelerator='v100', slots=96)
 TOKENS = 400
 
 
--- a/pimentowalk/placement/planner.py
+++ b/pimentowalk/placement/planner.py
@@ -14,6 +14,12 @@
 # The worth of one more copy of a layer by the copies there are. A layer
 # without a copy stops the whole zone, so it outweighs any number of others.
 COPY_WORTH = (1000.0, 10.0, 1.0, 0.1)
+# A server takes as many requests as it has slots where it holds the first
+# layer: with one such server 96 streams fill a zone with memory for 130. Zones
+# that give more memory to layers have room for about 70 and need one.
+HEADS = {LAYER_MEMORY_SHARES[0]: 2}
+# Outweighs a second copy of as many layers as the largest server holds.
+HEAD_WORTH = 500.0
 
 
 @attrs.frozen
@@ -70,12 +76,15 @@
     return COPY_WORTH[min(copies, last)]
 
 
-def best_window(copies, size):
+def best_window(copies, size, heads=1):
     """Return (worth, first layer) of the window that is needed most.
 
-    Of equal windows the first is taken, so that ranges line up.
+    Of equal windows the first is taken, so that ranges line up. `heads` is
+    the number of copies that the first layer needs.
     """
     worths = [_worth(count) for count in copies]
+    if 0 < copies[0] < heads:
+        worths[0] += HEAD_WORTH
     total = sum(worths[:size])
     best, first = total, 0
     for start in range(1, len(copies) - size + 1):
@@ -113,6 +122,7 @@
 
 def _plan_zone(holders, engine):
     share = zone_share(holders, engine)
+    heads = HEADS.get(share, 1)
     held = [holder for holder in holders if not holder.is_empty]
     copies = coverage(held, engine.total_layers)
     found = []
@@ -125,18 +135,37 @@
     empty.sort(key=lambda pair: (-pair[0], pair[1].server_id))
     for size, holder in empty:
         if size > 0:
-            found.append(_assign(holder, copies, size))
+            found.append(_assign(holder, copies, size, heads))
+    return found + _moves(held, copies, engine, heads)
+
+
+def _moves(held, copies, engine, heads):
+    """Return the changes that close the gaps of a zone.
+
+    If they cannot all be closed, no covered layer is given up: the zone would
+    lack other layers instead, and more of them once a server joins.
+    """
+    moves, left = _move_on(held, copies, engine, heads, may_uncover=True)
+    if 0 in left:
+        moves, _ = _move_on(held, copies, engine, heads, may_uncover=False)
+    return moves
+
+
+def _move_on(held, copies, engine, heads, *, may_uncover):
+    """Return the changes and the copies of each layer after them."""
+    moves = []
     while 0 in copies:
-        moved = _move(held, copies, engine)
-        if moved is None:
+        found = _move(held, copies, engine, heads, may_uncover)
+        if found is None:
             break
+        moved, copies = found
         held = [h for h in held if h.server_id != moved.server_id]
-        found.append(moved)
-    return found
+        moves.append(moved)
+    return moves, copies
 
 
-def _assign(holder, copies, size):
-    _, first = best_window(copies, size)
+def _assign(holder, copies, size, heads):
+    _, first = best_window(copies, size, heads)
     for layer in range(first, first + size):
         copies[layer] += 1
     return Assignment(holder.server_id, first, first + size)
@@ -168,12 +197,15 @@
     return {first, *_extensions(holder, size, len(without))}
 
 
-def _move(held, copies, engine):
+def _move(held, copies, engine, heads, may_uncover):
     """Return the change that closes a gap at the least cost, or None.
 
+    With it come the copies of each layer after the change.
+
     A server that gives layers up does not wait for its streams. Each of them
     begins anew elsewhere and draws on the budget of repeats, so that what
-    counts first is how many are interrupted for each layer gained.
+    counts is how many are interrupted for each layer gained, after the heads
+    that the zone keeps.
     """
     best = None
     missing = copies.count(0)
@@ -189,17 +221,29 @@
                 gained = missing - after.count(0)
                 if gained <= 0:
                     continue
+                if not may_uncover and _uncovers(copies, after):
+                    continue
                 kept = (
                     first <= holder.first_layer
                     and holder.end_layer <= first + size
                 )
                 interrupted = 0 if kept else holder.streams
                 # Of equal changes the smallest server moves: it loads least.
-                key = (-interrupted / gained, gained, -size, holder.server_id)
+                key = (
+                    min(after[0], heads),
+                    -interrupted / gained,
+                    gained,
+                    -size,
+                    holder.server_id,
+                )
                 if best is None or key > best[0]:
                     best = key, holder, first, size, after
     if best is None:
         return None
     _, holder, first, size, after = best
-    copies[:] = after
-    return Assignment(holder.server_id, first, first + size)
+    return Assignment(holder.server_id, first, first + size), after
+
+
+def _uncovers(before, after):
+    """Return whether a layer that had a copy has none any more."""
+    return any(x and not y for x, y in zip(before, after, strict=True))
--- a/pimentowalk/placement/tests/test_planner.py
+++ b/pimentowalk/placement/tests/test_planner.py
@@ -190,3 +190,70 @@
         ENGINE, kept.accelerator, planner.LAYER_MEMORY_SHARES[-1]
     )
     assert 0 not in planner.coverage(_after(held, [assignment]), 80)
+
+
+@pytest.mark.parametrize(
+    'counts',
+    [{'a100': 1, 'v100': 14, 'l4': 5}, {'a100': 3, 'v100': 6, 'l4': 7}],
+)
+def test_zone_begins_with_two_heads(counts):
+    """Pattern: the crest fills the 96 slots of the only first server of a
+    zone, and streams wait there for seconds beside free memory.
+    """
+    assert planner.coverage(_full(counts=counts), 80)[0] >= 2
+
+
+def test_second_head_is_not_moved_into_a_gap():
+    """Others that are covered as well can close the gap."""
+    held = [
+        *_gap((30, 30)),
+        planner.Holder('head', 'z1', 'v100', 0, 4, 0),
+        planner.Holder('large-1', 'z1', 'a100', 57, 80, 30),
+        planner.Holder('large-2', 'z1', 'a100', 57, 80, 30),
+    ]
+    assert planner.zone_share(held, ENGINE) == planner.LAYER_MEMORY_SHARES[0]
+    (assignment,) = planner.plan(held, ENGINE)
+    assert assignment.server_id in ('c', 'd')
+
+
+def test_joining_server_becomes_the_second_head():
+    """A released head comes back empty while its zone runs on one.
+
+    Second copies of other layers are worth less.
+    """
+    held = [
+        planner.Holder(f'a{first}', 'z1', 'v100', first, first + 5)
+        for first in range(0, 80, 5)
+    ]
+    held += [
+        planner.Holder('others', 'z1', 'v100', 1, 6),
+        planner.Holder('large-1', 'z1', 'a100', 57, 80),
+        planner.Holder('large-2', 'z1', 'a100', 57, 80),
+        planner.Holder('new', 'z1', 'v100'),
+    ]
+    assert planner.zone_share(held, ENGINE) == planner.LAYER_MEMORY_SHARES[0]
+    (assignment,) = planner.plan(held, ENGINE)
+    assert (assignment.server_id, assignment.first_layer) == ('new', 0)
+
+
+def test_gap_that_cannot_be_closed_uncovers_nothing_else():
+    """Pattern: a zone loses a large server that its others cannot replace.
+
+    Moves that each gained a layer uncovered four others, so that the zone
+    still lacked them when the large server was replaced.
+    """
+    held = [
+        planner.Holder('sole', 'z1', 'v100', 10, 14),
+        planner.Holder('a100', 'z1', 'a100', 28, 56),
+        planner.Holder('twin', 'z1', 'v100', 30, 34),
+        *(
+            planner.Holder(f'l{first}', 'z1', 'l4', first, first + 8)
+            for first in (56, 64, 72)
+        ),
+    ]
+    before = planner.coverage(held, 80)
+    moves = planner.plan(held, ENGINE)
+    after = planner.coverage(_after(held, moves), 80)
+    assert {m.server_id for m in moves} == {'sole', 'twin'}
+    assert not planner._uncovers(before, after)
+    assert after.count(0) < before.count(0)
--- a/pimentowalk/routing/hops.py
+++ b/pimentowalk/routing/hops.py
@@ -58,6 +58,8 @@
     failures = outcomes.failure_share(backend.server_id)
     step_s = loads.step_s(backend) * layers
     share = loads.memory_share(backend, query.tokens)
+    if backend.first_layer == 0:
+        share = max(share, loads.slot_share(backend))
     over = max(0.0, share - KNEE_SHARE) / (1 - KNEE_SHARE)
     return (
         HOP_S
--- a/pimentowalk/routing/tests/test_herd.py
+++ b/pimentowalk/routing/tests/test_herd.py
@@ -44,6 +44,7 @@
         backends.Backend(
             'large', 1, 1, 'svc', '10.0.0.1', 80, 'z1',
             accelerator='a100', first_layer=0, end_layer=28,
+            slots=96,
         )
     ]  # fmt: skip
     for copy in range(3):
@@ -54,7 +55,7 @@
                 backends.Backend(
                     f's-{copy}-{number}', 1, 1, 'svc',
                     f'10.0.{copy + 1}.{number}', 80, 'z1', accelerator='l4',
-                    first_layer=first, end_layer=first + 8,
+                    first_layer=first, end_layer=first + 8, slots=96,
                 )
             )  # fmt: skip
     return found
--- a/pimentowalk/routing/tests/test_hops.py
+++ b/pimentowalk/routing/tests/test_hops.py
@@ -34,6 +34,7 @@
         80,
         zone,
         accelerator=kind,
+        slots=96,
         first_layer=first,
         end_layer=end,
     )
@@ -155,6 +156,21 @@
     assert not book._full_until_s
 
 
+def test_head_without_a_free_slot_is_avoided():
+    """Pattern: a zone begins with one small server, whose 96 slots are taken
+    while the memory of all servers has room; further streams wait there.
+    """
+    book = _book()
+    chains = {zone: _chain(zone) for zone in ('z1', 'z2')}
+    head = chains['z1'][0]
+    for _ in range(head.slots):
+        book.begin([head.server_id], 10)
+    assert book.memory_share(head) < 0.5
+    assert book.reported_slot_share(head) > 1.0
+    path = _policy(book).choose(chains['z1'] + chains['z2'], _query())
+    assert {hop.backend.zone for hop in path} == {'z2'}
+
+
 def test_work_of_other_nodes_counts():
     """Nodes that see only their own work choose the same servers."""
     book, other = _book(), work.WorkBook('n2', lambda: 0.0)
--- a/pimentowalk/routing/work.py
+++ b/pimentowalk/routing/work.py
@@ -179,6 +179,23 @@
             return max(share, FULL_SHARE)
         return share
 
+    def slot_share(self, backend):
+        """Return the share of its slots that a head would have in use.
+
+        A server holds as many requests as it has slots that begin with it;
+        all others wait there, although its memory has room.
+        """
+        return self._slots_used(backend, self.requests(backend.server_id))
+
+    def reported_slot_share(self, backend):
+        """Return the same by what is known, without what is estimated."""
+        return self._slots_used(
+            backend, self.reported_requests(backend.server_id)
+        )
+
+    def _slots_used(self, backend, requests):
+        return (requests + 1) / max(1, backend.slots)
+
     def refused_lately(self, server_id):
         """Return whether a server had no room for a request just now."""
         return self._full_until_s.get(server_id, 0.0) > self._now_s()
