Split the choice of a change of layers into named steps

The loop that weighed changes had four levels and returned a tuple. A change is a class now, with what it does to its zone and how it is ranked.

--- a/pimentowalk/placement/planner.py
+++ b/pimentowalk/placement/planner.py
@@ -155,12 +155,12 @@
     """Return the changes and the copies of each layer after them."""
     moves = []
     while 0 in copies:
-        found = _move(held, copies, engine, heads, may_uncover)
-        if found is None:
+        best = _best_change(held, copies, engine, heads, may_uncover)
+        if best is None:
             break
-        moved, copies = found
-        held = [h for h in held if h.server_id != moved.server_id]
-        moves.append(moved)
+        copies = best.copies
+        held = [h for h in held if h is not best.holder]
+        moves.append(best.assignment)
     return moves, copies
 
 
@@ -188,60 +188,79 @@
     return range(first, min(holder.first_layer, total_layers - size) + 1)
 
 
-def _changes(holder, size, without):
-    """Return the first layer of each range considered for a server.
+@attrs.frozen
+class _Change:
+    """A new range for a server, and what it does to its zone.
 
-    `without` has the copies of each layer that the other servers hold.
+    `copies` are those of each layer afterwards, `gained` the layers that lack
+    a copy no more, and `interrupted` the streams that begin anew elsewhere.
     """
-    _, first = best_window(without, size)
-    return {first, *_extensions(holder, size, len(without))}
-
 
-def _move(held, copies, engine, heads, may_uncover):
-    """Return the change that closes a gap at the least cost, or None.
+    holder: Holder
+    assignment: Assignment
+    copies: list
+    gained: int
+    interrupted: int
+
+    def rank(self, heads):
+        """Return what orders changes, the best last.
+
+        A server that gives layers up does not wait for its streams. Each of
+        them draws on the budget of repeats, so that what counts after the
+        heads of the zone is how many are interrupted for each layer gained.
+        Of equal changes the smallest server moves: it loads the least.
+        """
+        size = self.assignment.end_layer - self.assignment.first_layer
+        return (
+            min(self.copies[0], heads),
+            -self.interrupted / self.gained,
+            self.gained,
+            -size,
+            self.holder.server_id,
+        )
+
+
+def _changes(holder, copies, engine):
+    """Return the changes of one server that close a gap in part."""
+    found = []
+    others = list(copies)
+    for layer in range(holder.first_layer, holder.end_layer):
+        others[layer] -= 1
+    for size in _sizes(holder, engine):
+        _, needed_most = best_window(others, size)
+        extensions = _extensions(holder, size, engine.total_layers)
+        for first in sorted({needed_most, *extensions}):
+            change = _change(holder, copies, others, first, size)
+            if change.gained > 0:
+                found.append(change)
+    return found
 
-    With it come the copies of each layer after the change.
 
-    A server that gives layers up does not wait for its streams. Each of them
-    begins anew elsewhere and draws on the budget of repeats, so that what
-    counts is how many are interrupted for each layer gained, after the heads
-    that the zone keeps.
-    """
-    best = None
-    missing = copies.count(0)
-    for holder in held:
-        without = list(copies)
-        for layer in range(holder.first_layer, holder.end_layer):
-            without[layer] -= 1
-        for size in _sizes(holder, engine):
-            for first in sorted(_changes(holder, size, without)):
-                after = list(without)
-                for layer in range(first, first + size):
-                    after[layer] += 1
-                gained = missing - after.count(0)
-                if gained <= 0:
-                    continue
-                if not may_uncover and _uncovers(copies, after):
-                    continue
-                kept = (
-                    first <= holder.first_layer
-                    and holder.end_layer <= first + size
-                )
-                interrupted = 0 if kept else holder.streams
-                # Of equal changes the smallest server moves: it loads least.
-                key = (
-                    min(after[0], heads),
-                    -interrupted / gained,
-                    gained,
-                    -size,
-                    holder.server_id,
-                )
-                if best is None or key > best[0]:
-                    best = key, holder, first, size, after
-    if best is None:
-        return None
-    _, holder, first, size, after = best
-    return Assignment(holder.server_id, first, first + size), after
+def _change(holder, copies, others, first, size):
+    """Return what a range does, given the copies that others hold."""
+    end = first + size
+    after = list(others)
+    for layer in range(first, end):
+        after[layer] += 1
+    is_kept = first <= holder.first_layer and holder.end_layer <= end
+    return _Change(
+        holder,
+        Assignment(holder.server_id, first, end),
+        after,
+        copies.count(0) - after.count(0),
+        0 if is_kept else holder.streams,
+    )
+
+
+def _best_change(held, copies, engine, heads, may_uncover):
+    """Return the change that closes a gap at the least cost, or None."""
+    changes = [
+        change
+        for holder in held
+        for change in _changes(holder, copies, engine)
+        if may_uncover or not _uncovers(copies, change.copies)
+    ]
+    return max(changes, key=lambda change: change.rank(heads), default=None)
 
 
 def _uncovers(before, after):
