Give new tests checks that can fail, and log errors that vanished

Failures left no line in seven places: a node that dials control in vain, a connection that is refused at its handshake, a reply that could not be sent, a round trip that was not measured, a service that fails its health check, a missing proof that an attempt never ran, and a load header that cannot be read. They log now; decisions are as before. Three tests of that failed before, the other four lines have none.

--- a/pimentowalk/agent/links.py
+++ b/pimentowalk/agent/links.py
@@ -1,11 +1,15 @@
 """Round trips to the agents of next stages."""
 
 import asyncio
+import logging
 
 from pimentowalk.core import errors
+from pimentowalk.core import logs
 from pimentowalk.core import timers as timer_services
 from pimentowalk.wire import messages
 
+LOG = logging.getLogger(__name__)
+
 MEASURE_PERIOD_S = 2.0
 TIMEOUT_S = 2.0
 # A delay that was not confirmed for this long is no longer reported.
@@ -34,7 +38,12 @@
         begin_s = self._timers.now_s()
         try:
             await connection.call(messages.Empty(), TIMEOUT_S)
-        except (errors.PimentowalkError, TimeoutError):
+        except (errors.PimentowalkError, TimeoutError) as error:
+            LOG.info(
+                'round trip not measured: %s',
+                str(error) or 'no answer in time',
+                extra=logs.fields(step='measure', peer=connection.peer),
+            )
             return
         took_s = self._timers.now_s() - begin_s
         own_id = self._own.server_id
--- a/pimentowalk/agent/node.py
+++ b/pimentowalk/agent/node.py
@@ -275,6 +275,12 @@
             return
         alive = await self.check_alive()
         if alive != self.service_alive:
+            LOG.warning(
+                'the service answers again'
+                if alive
+                else 'the service fails its health check',
+                extra=logs.fields(step='health'),
+            )
             self.service_alive = alive
             await self.session.announce_now()
 
--- a/pimentowalk/control/links.py
+++ b/pimentowalk/control/links.py
@@ -6,6 +6,7 @@
 from pimentowalk.control import deltas
 from pimentowalk.core import errors
 from pimentowalk.core import identifiers
+from pimentowalk.core import logs
 from pimentowalk.core import registry
 from pimentowalk.core import timers
 from pimentowalk.wire import connection as wire
@@ -54,14 +55,25 @@
                 await self._open()
                 delay_s = FIRST_RETRY_S
                 await self._heartbeats()
-            except errors.PimentowalkError:
-                pass
+            except errors.PimentowalkError as error:
+                self._log_lost(str(error))
             except TimeoutError:
+                self._log_lost('no answer to a heartbeat')
                 self.peer.abort()
             await self._close()
             await self.session.timers.sleep(delay_s * self._spread)
             delay_s = min(delay_s * 2, LONGEST_RETRY_S)
 
+    def _log_lost(self, reason):
+        LOG.info(
+            'no link to control: %s',
+            reason,
+            extra=logs.fields(
+                step='control link',
+                peer=f'{self.address.host}:{self.address.port}',
+            ),
+        )
+
     async def _open(self):
         session = self.session
         peer = await wire.dial(
--- a/pimentowalk/control/server.py
+++ b/pimentowalk/control/server.py
@@ -9,6 +9,7 @@
 from pimentowalk.control import receiver
 from pimentowalk.control import requests
 from pimentowalk.core import errors
+from pimentowalk.core import logs
 from pimentowalk.core import registry
 from pimentowalk.wire import connection as wire
 from pimentowalk.wire import messages
@@ -150,8 +151,12 @@
             reply = await self._requests.answer(envelope.body, peer.peer)
         try:
             await peer.reply(envelope, reply)
-        except errors.PeerLost:
-            pass
+        except errors.PeerLost as error:
+            LOG.info(
+                'reply not sent: %s',
+                error,
+                extra=logs.fields(step='control request', peer=peer.peer),
+            )
         except errors.FrameError as error:
             # A reply may exceed the frame limit; the command has run.
             await peer.reply(envelope, wire.failure(error))
--- a/pimentowalk/control/tests/test_session.py
+++ b/pimentowalk/control/tests/test_session.py
@@ -1,5 +1,7 @@
 """Guard the way from control to the nodes over real connections."""
 
+import logging
+
 import attrs
 import pytest
 
@@ -54,3 +56,18 @@
                 await instance.server.stop()
             await harness.until(lambda: not node.homes)
             assert node.view.servers() == [server]
+
+
+async def test_lost_control_instance_is_logged(caplog):
+    """A node that dials in vain must leave a trace of why."""
+    caplog.set_level(logging.INFO)
+    async with harness.control() as found:
+        async with harness.session(found, services=[]) as node:
+            await harness.until(lambda: node.homes)
+            await found[0].server.stop()
+            await harness.until(
+                lambda: any(
+                    record.message.startswith('no link to control')
+                    for record in caplog.records
+                )
+            )
--- a/pimentowalk/dispatch/tests/test_admission.py
+++ b/pimentowalk/dispatch/tests/test_admission.py
@@ -9,6 +9,7 @@
 import random
 import types
 
+import attrs
 import pytest
 
 from pimentowalk.admission import room as admission_room
@@ -159,6 +160,33 @@
     assert order == ['begun', 'new']
 
 
+async def test_refused_stream_waits_for_room_at_a_server_that_returns(
+    dispatcher,
+):
+    """The path appears while its server still counts as full, and nothing
+    changes after that: the stream waited in vain until its caller gave up.
+    """
+    table = dispatcher.node.backends
+    run = refused_run(dispatcher)
+    table.suspect('i-1', 100, 'refused')
+    running = asyncio.ensure_future(run.run())
+    await asyncio.sleep(2 * stream.RESUME_PAUSE_S)
+    table.apply(attrs.evolve(SERVER, born_ms=101))
+    dispatcher.book.note_full('i-1')
+    await asyncio.wait_for(running, 2 * work.FULL_KEPT_S)
+    assert run.tried == 1
+
+
+async def test_log_tells_how_full_the_path_was(dispatcher):
+    """A late stream is explained by what the node knew when it chose."""
+    fill(dispatcher, 500)
+    run = run_of(dispatcher)
+    await run.run()
+    summary = run.summary()
+    assert summary['memory_share'] == 0.9
+    assert summary['slot_share'] == round(2 / SERVER.slots, 2)
+
+
 async def test_missing_layer_is_not_called_a_lack_of_room(dispatcher):
     """Callers come back sooner where only a server has to be replaced."""
     dispatcher.node.backends.suspect('i-1', 100, 'refused')
--- a/pimentowalk/dispatch/tests/test_resuming.py
+++ b/pimentowalk/dispatch/tests/test_resuming.py
@@ -5,6 +5,7 @@
 import pytest
 
 from pimentowalk.core import errors
+from pimentowalk.dispatch import call_run
 from pimentowalk.dispatch import calls
 from pimentowalk.dispatch import stream
 from pimentowalk.dispatch.tests import fakes
@@ -119,14 +120,18 @@
     monkeypatch.setattr(stream, 'RESUME_WAIT_S', 0.2)
     run, _ = begin(refusals(1))
     deny(run, 1000)
+    since_s = run._dispatcher.timers.now_s()
     with pytest.raises(errors.OutcomeUnknown):
         await run.run()
     assert run.tried == 1
+    waited_s = run._dispatcher.timers.now_s() - since_s
+    assert waited_s < stream.RESUME_WAIT_S + 3 * call_run.REPEAT_POLL_S
 
 
 async def test_denied_stream_that_has_not_begun_is_refused_at_once():
     """It can come back, while waiting would use up its time."""
     run, _ = begin(refusals(1), started=False)
+    run._avoid = NeverAvoid()
     deny(run, 1)
     with pytest.raises(errors.PimentowalkError) as found:
         await run.run()
--- a/pimentowalk/entry/model_run.py
+++ b/pimentowalk/entry/model_run.py
@@ -1,13 +1,17 @@
 """One attempt of a model request on one chain."""
 
 import asyncio
+import logging
 
 from pimentowalk.core import errors
+from pimentowalk.core import logs
 from pimentowalk.entry import failures
 from pimentowalk.entry import pool
 from pimentowalk.entry import watchdog
 from pimentowalk.wire import messages
 
+LOG = logging.getLogger(__name__)
+
 # The longest time between tokens, for deadlines of 30 s and more; for
 # shorter ones the same share of the deadline, but never below the minimum.
 STALL_S = 2.0
@@ -253,7 +257,12 @@
         )
         try:
             status = await self._link.peer.call(query, PROOF_TIMEOUT_S)
-        except (errors.PimentowalkError, TimeoutError):
+        except (errors.PimentowalkError, TimeoutError) as error:
+            LOG.info(
+                'no proof that an attempt never ran: %s',
+                str(error) or 'no answer in time',
+                extra=logs.fields(step='proof', request_id=spec.request_id),
+            )
             return False
         return (
             isinstance(status, messages.AttemptStatus)
--- a/pimentowalk/placement/tests/test_executor.py
+++ b/pimentowalk/placement/tests/test_executor.py
@@ -152,6 +152,30 @@
     assert world.missing() == 0
 
 
+async def test_server_with_many_streams_is_not_moved(world):
+    """Pattern: the move that closes a gap interrupts 78 streams, where
+    another server could have moved.
+    """
+    single = _needed(world)
+    rest = [b for b in world.table.usable('svc') if b != single]
+    moves = planner.plan(
+        [
+            planner.Holder(
+                b.server_id, 'z1', b.accelerator, b.first_layer, b.end_layer
+            )
+            for b in rest
+        ],
+        test_planner.ENGINE,
+    )
+    mover = moves[0].server_id
+    world.streams[mover] = 78
+    world.orders.clear()
+    world.table.apply(attrs.evolve(single, state=backends.GONE))
+    await world.timers.advance(0.5)
+    assert world.orders
+    assert mover not in [name for name, _, _ in world.orders]
+
+
 async def test_replacement_that_joins_just_after_spares_a_move(world):
     """A moved server interrupts streams, an empty one does not."""
     world.orders.clear()
--- a/pimentowalk/platform/engines.py
+++ b/pimentowalk/platform/engines.py
@@ -3,16 +3,20 @@
 import asyncio
 import functools
 import json
+import logging
 
 import aiohttp
 from aiohttp import client_proto
 import yarl
 
 from pimentowalk.core import errors
+from pimentowalk.core import logs
 from pimentowalk.dispatch import calls
 from pimentowalk.dispatch import transport
 from pimentowalk.platform import names
 
+LOG = logging.getLogger(__name__)
+
 # A server on the local network accepts within milliseconds; one that is
 # dark does not answer at all.
 CONNECT_TIMEOUT_S = 0.5
@@ -275,8 +279,15 @@
 
 def _load(text):
     """Return (running, waiting, slots), or None."""
+    if text is None:
+        return None
     try:
         running, waiting, slots = (int(part) for part in text.split(','))
-    except (AttributeError, ValueError):
+    except ValueError:
+        LOG.info(
+            'unreadable load in an answer: %.80s',
+            text,
+            extra=logs.fields(step='forward'),
+        )
         return None
     return running, waiting, slots
--- a/pimentowalk/platform/tests/test_engines.py
+++ b/pimentowalk/platform/tests/test_engines.py
@@ -1,6 +1,7 @@
 """Guard what is taken for an answer of a backend server."""
 
 import asyncio
+import logging
 import socket
 import struct
 
@@ -156,3 +157,13 @@
     with pytest.raises(calls.Unreachable) as caught:
         await client.open(_call(), calls.Target(backend), 1000, 0)
     assert calls.is_proof(caught.value)
+
+
+def test_unreadable_load_is_logged(caplog):
+    """A load that cannot be read must not look like one that is missing."""
+    caplog.set_level(logging.INFO)
+    assert engines._load(None) is None
+    assert not caplog.records
+    assert engines._load('3,x,96') is None
+    assert '3,x,96' in caplog.text
+    assert engines._load('3,1,96') == (3, 1, 96)
--- a/pimentowalk/platform/tests/test_gateway.py
+++ b/pimentowalk/platform/tests/test_gateway.py
@@ -25,6 +25,15 @@
     assert headers['Pimentowalk-Response-Seal'].startswith('seal-m-')
 
 
+async def test_placement_knows_the_streams_of_a_server(cluster):
+    """A leader that does not know them moves the server with most of them."""
+    gateway = cluster.gateways[0]
+    gateway.dispatcher.book.begin(['i-1', 'i-2'], 10)
+    gateway.dispatcher.book.begin(['i-1'], 10)
+    found = [gateway._executor._streams(name) for name in ('i-1', 'i-2')]
+    assert found == [2, 1]
+
+
 async def test_server_gets_account_and_path_but_not_the_key(cluster):
     """The key is the caller's secret; the account is found by it."""
     await cluster.layers_placed()
--- a/pimentowalk/wire/connection.py
+++ b/pimentowalk/wire/connection.py
@@ -1,7 +1,6 @@
 """Peer connections: framed streams with calls, and a server for them."""
 
 import asyncio
-import contextlib
 import itertools
 import logging
 
@@ -310,10 +309,18 @@
             connection = PeerConnection(
                 reader, writer, self._hello, version=self._version
             )
-            with contextlib.suppress(errors.PimentowalkError):
-                await connection.handshake()
-                self._accept(connection)
-                await connection.run()
+            await connection.handshake()
+            self._accept(connection)
+            await connection.run()
+        except errors.PimentowalkError as error:
+            LOG.info(
+                'connection not accepted: %s',
+                error,
+                extra=logs.fields(
+                    step='accept',
+                    peer=str(writer.get_extra_info('peername')),
+                ),
+            )
         except asyncio.CancelledError:
             pass
         finally:
--- a/pimentowalk/wire/tests/test_wire.py
+++ b/pimentowalk/wire/tests/test_wire.py
@@ -1,6 +1,7 @@
 """Guard the frame format and the connections."""
 
 import asyncio
+import logging
 import pathlib
 
 import attrs
@@ -13,6 +14,7 @@
 from pimentowalk.wire import connection
 from pimentowalk.wire import messages
 from pimentowalk.wire import schema
+from tools.tests import waiting
 
 HELLO = messages.Hello('node-a', 'entry', 1, 'zone-1')
 ALL_BODIES = [cls for _, cls in messages.FRAMES.entries()]
@@ -143,3 +145,15 @@
     received = await reader.read()
     assert codec.MAGIC in received
     writer.close()
+
+
+async def test_refused_connection_is_logged(caplog):
+    """A caller of another kind must leave a trace of why it was refused."""
+    caplog.set_level(logging.INFO)
+    server = connection.PeerServer('127.0.0.1', 0, HELLO, lambda peer: None)
+    await server.start()
+    _, writer = await asyncio.open_connection('127.0.0.1', server.port)
+    writer.write(b'GET / HTTP/1.1\r\n\r\n' + b' ' * 64)
+    await waiting.until(lambda: 'connection not accepted' in caplog.text)
+    writer.close()
+    await server.stop()
