Compute the shares of a path once for each choice

The fullest server is found once now, and a full server is returned instead of noted on the side. No decision changes.

--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -86,33 +86,34 @@
         if not hops:
             return None
         target = calls.Target(hops[0].backend, tuple(hops))
-        book = self._dispatcher.book
-        self._memory_share = max(
-            book.reported_share(server, self._tokens)
-            for server in target.servers
-        )
-        self._slot_share = book.reported_slot_share(target.backend)
-        self._is_crowded = self._find_full_server(target.servers)
+        self._full_server = self._find_full_server(target)
+        self._is_crowded = self._full_server is not None
         return None if self._is_crowded else target
 
-    def _find_full_server(self, servers):
-        """Note a server without room for the stream; return whether so.
+    def _find_full_server(self, target):
+        """Return a server without room for the stream, or None.
 
         A stream that has begun is tried wherever it was not refused: its
         caller cannot come back.
         """
         book = self._dispatcher.book
+        self._slot_share = book.reported_slot_share(target.backend)
+        self._memory_share, fullest = max(
+            (
+                (book.reported_share(server, self._tokens), server)
+                for server in target.servers
+            ),
+            key=lambda pair: pair[0],
+        )
         has_begun = self._responder.started
         if has_begun and not self._refusals:
-            return False
-        for server in servers:
-            if book.refused_lately(server.server_id) or (
-                not has_begun
-                and book.reported_share(server, self._tokens) >= ADMITTED_SHARE
-            ):
-                self._full_server = server
-                return True
-        return False
+            return None
+        for server in target.servers:
+            if book.refused_lately(server.server_id):
+                return server
+        if not has_begun and self._memory_share >= ADMITTED_SHARE:
+            return fullest
+        return None
 
     async def _choose_first(self):
         """Choose a path, after the streams that wait for room already."""
