Report departures to control before a node session ends

Cause: control learned that an agent had ended only from its closed connection, and kept the record for a grace of 0.5 s (for reconnects) and up to 0.25 s until the next expiry check. A command that started within that time, or a control instance that was late, still listed the server.

The last heartbeat of a session now carries `leaving` as a call to every control instance, bounded by one second. Control removes the record before it answers, and does not restore it for frames of the same incarnation that arrive late on another connection. Old control instances ignore the field. `pimentowalk servers` shows which instance answered and how long ago it heard each server.

test_agent_that_has_stopped_is_listed_nowhere and test_stop_does_not_wait_for_a_frozen_control failed without the call in NodeSession.stop and pass with it.

--- a/pimentowalk/cli/inspection.py
+++ b/pimentowalk/cli/inspection.py
@@ -12,6 +12,10 @@
 AGENT_ROLE = 'agent'
 # Limits the concurrent requests to one control instance.
 PARALLEL_REQUESTS = 32
+SERVER_COLUMNS = (
+    'server_id service kind zone host port model version first_layer '
+    'end_layer accelerator draining'
+)
 
 
 @options_module.with_shared_options
@@ -95,23 +99,37 @@
 
 @options_module.with_shared_options
 def servers(*, service: str = '', options: Options):
-    """Show the announced backend servers.
+    """Show the announced backend servers and when each was last heard.
 
     :param service: show only the servers of this service
     """
-    selected = [
-        server
-        for server in asyncio.run(_find_servers(options))
-        if service in ('', server.service)
-    ]
+    status, found = asyncio.run(_find_servers(options))
+    silent_s = {node.node_id: node.silent_s for node in status.nodes}
+    selected = [server for server in found if service in ('', server.service)]
     if options.json:
-        output.show_json({'servers': selected})
+        output.show_json(
+            {
+                'answered_by': status.answered_by,
+                'servers': [
+                    {
+                        **output.to_json_data(server),
+                        'silent_s': silent_s[server.server_id],
+                    }
+                    for server in selected
+                ],
+            }
+        )
         return
-    _show(
-        selected,
-        'server_id service kind zone host port model version first_layer '
-        'end_layer accelerator draining',
-    )
+    print(f'answered by {status.answered_by}')
+    columns = SERVER_COLUMNS.split()
+    rows = [
+        [
+            *[getattr(server, name) for name in columns],
+            f'{silent_s[server.server_id]:.1f}',
+        ]
+        for server in selected
+    ]
+    output.show_table([*columns, 'silent_s'], rows)
 
 
 async def _query(options, command):
@@ -133,7 +151,7 @@
                 for server_id in sorted(server_ids)
             ]
         )
-    return [server for server in results if server is not None]
+    return result, [server for server in results if server is not None]
 
 
 async def _find_server(control, request_slots, server_id):
--- a/pimentowalk/cli/tests/test_cli.py
+++ b/pimentowalk/cli/tests/test_cli.py
@@ -225,7 +225,9 @@
     _, shown = run_json(capsys, 'status', '--behind')
     assert [node['node_id'] for node in shown['nodes']] == ['agent-1']
     _, shown = run_json(capsys, 'servers', '--service', 'verkstad')
-    assert shown == {'servers': []}
+    assert shown == {'answered_by': 'c2', 'servers': []}
+    _, shown = run_json(capsys, 'servers')
+    assert shown['servers'][0]['silent_s'] == 0.1
 
 
 @pytest.mark.parametrize(
--- a/pimentowalk/control/client.py
+++ b/pimentowalk/control/client.py
@@ -142,8 +142,9 @@
             link.announce()
 
     async def stop(self):
-        """Close all connections."""
+        """Leave all control instances and close the connections."""
         await timers_module.cancel_all(self._tasks)
+        await asyncio.gather(*[link.leave() for link in self._links.values()])
         for link in self._links.values():
             await link.stop()
 
--- a/pimentowalk/control/directory.py
+++ b/pimentowalk/control/directory.py
@@ -38,6 +38,8 @@
     def __init__(self, heartbeat_s=1.0):
         self._expiry_s = MISSED_HEARTBEATS * heartbeat_s
         self._nodes = {}
+        # Nodes that said that they leave: (incarnation, time).
+        self._departed = {}
         self._owners = {}
         self._announced_servers = {}
         self._servers_by_range = {}
@@ -87,8 +89,12 @@
 
     def _find_current(self, connection, now_s):
         # An older incarnation may still have an open connection; its frames
-        # must not restore its record.
-        node = self._nodes.get(connection.hello.node_id)
+        # must not restore its record. Nor may frames of a node that has left.
+        hello = connection.hello
+        incarnation, _ = self._departed.get(hello.node_id, (None, 0.0))
+        if incarnation == hello.incarnation:
+            return None
+        node = self._nodes.get(hello.node_id)
         if node is None:
             self.record_connection(connection, connection.hello, now_s)
             return self._nodes[connection.hello.node_id]
@@ -119,6 +125,10 @@
         node = self._find_current(connection, now_s)
         if node is None:
             return
+        if heartbeat.leaving:
+            self._departed[node.node_id] = node.incarnation, now_s
+            self._remove(node)
+            return
         node.heard_s = now_s
         node.version_in_force = heartbeat.version_in_force
         node.draining = heartbeat.draining
@@ -155,6 +165,11 @@
                 silent_connections.append(node.connection)
             if silent or disconnected:
                 self._remove(node)
+        self._departed = {
+            node_id: (incarnation, left_s)
+            for node_id, (incarnation, left_s) in self._departed.items()
+            if now_s - left_s <= self._expiry_s
+        }
         return silent_connections
 
     def _remove(self, node):
--- a/pimentowalk/control/links.py
+++ b/pimentowalk/control/links.py
@@ -19,6 +19,8 @@
 # An instance that this node subscribes to must answer a heartbeat within
 # this many heartbeat periods; after that the connection is closed.
 ANSWER_TIMEOUT_HEARTBEATS = 3
+# A node that stops waits at most this long for control to acknowledge it.
+LEAVE_TIMEOUT_S = 1.0
 FRAMES = registry.Registry('frame from control')
 
 
@@ -100,6 +102,24 @@
         self.is_subscribed = False
         self.session.update_subscriptions()
 
+    async def leave(self):
+        """Report that the node stops, so that its record is removed now.
+
+        Without the acknowledgement, the record ends with the connection.
+        """
+        if not self.is_open:
+            return
+        try:
+            await self.peer.call(
+                self._make_heartbeat(leaving=True), LEAVE_TIMEOUT_S
+            )
+        except (errors.PimentowalkError, TimeoutError) as error:
+            LOG.warning(
+                'control did not acknowledge that the node leaves: %r',
+                error,
+                extra=logs.fields(step='leave', peer=self.peer.peer),
+            )
+
     async def stop(self):
         """Close the connection once the queued frames have been sent."""
         if self.peer is not None:
@@ -119,7 +139,7 @@
             self._last_announcement = server
             self.post(messages.Announce(server))
 
-    def _make_heartbeat(self):
+    def _make_heartbeat(self, *, leaving=False):
         session = self.session
         draining = session.draining()
         if self._last_announcement is not None:
@@ -129,6 +149,7 @@
             session.hello.incarnation,
             session.configuration.version,
             draining,
+            leaving,
         )
 
     async def _send_heartbeats(self):
--- a/pimentowalk/control/server.py
+++ b/pimentowalk/control/server.py
@@ -194,6 +194,9 @@
     if envelope.call_id:
         await peer.reply(envelope, messages.Empty())
     node = server.directory.node(peer.hello.node_id)
+    if node is None:
+        # The node is leaving, or belongs to an older incarnation.
+        return
     if envelope.body.version_in_force >= server.state.version:
         node.heartbeats_behind = 0
         return
--- a/pimentowalk/control/tests/test_directory.py
+++ b/pimentowalk/control/tests/test_directory.py
@@ -175,3 +175,27 @@
         (True, True),
         (False, False),
     ]
+
+
+def test_node_that_leaves_is_removed_at_once(directory):
+    """A drained server stays listed if its end is inferred from silence."""
+    connection = agent()
+    announce(directory, connection)
+    leaving = attrs.evolve(heartbeat(connection), leaving=True)
+    directory.record_heartbeat(connection, leaving, 1.0)
+    assert directory.server('server-1') is None
+    assert directory.node('agent-1') is None
+
+
+def test_late_frames_do_not_restore_a_node_that_left(directory):
+    """An announcement that overtakes the leave lists a dead server again."""
+    connection, second = agent(), agent()
+    server = announce(directory, connection)
+    leaving = attrs.evolve(heartbeat(connection), leaving=True)
+    directory.record_heartbeat(connection, leaving, 1.0)
+    directory.record_announcement(second, server, 1.1)
+    directory.record_heartbeat(second, heartbeat(second), 1.2)
+    assert directory.server('server-1') is None
+    directory.expire(10.0)
+    announce(directory, agent(incarnation=2), 11.0)
+    assert directory.server('server-1') is not None
--- a/pimentowalk/control/tests/test_session.py
+++ b/pimentowalk/control/tests/test_session.py
@@ -1,12 +1,20 @@
 """Tests of pushes and views from control to nodes over TCP."""
 
+import asyncio
 import logging
 
 import attrs
 import pytest
 
+from pimentowalk.control import links
 from pimentowalk.control.tests import builders
 from pimentowalk.control.tests import harness
+from pimentowalk.wire import connection
+
+
+async def never_reply(peer, envelope, body):
+    """Stand in for a peer that hangs before it answers a call."""
+    await asyncio.Event().wait()
 
 
 async def test_publish_reaches_a_node():
@@ -77,3 +85,33 @@
                     for record in caplog.records
                 )
             )
+
+
+async def test_agent_that_has_stopped_is_listed_nowhere():
+    """A command that follows the end of an agent still lists its server."""
+    server = builders.backend()
+    async with harness.control_instances(3) as instances:
+        async with harness.agent_session(instances, lambda: server):
+            await harness.wait_until(
+                lambda: all(
+                    instance.server.directory.server(server.server_id)
+                    for instance in instances
+                )
+            )
+        for instance in instances:
+            directory = instance.server.directory
+            assert directory.server(server.server_id) is None
+            assert directory.node('agent-1') is None
+
+
+async def test_stop_does_not_wait_for_a_frozen_control(monkeypatch, caplog):
+    """A control instance that hangs must not keep an agent from ending."""
+    monkeypatch.setattr(links, 'LEAVE_TIMEOUT_S', 0.05)
+    server = builders.backend()
+    async with harness.control_instances() as instances:
+        async with harness.agent_session(instances, lambda: server) as node:
+            await harness.wait_until(lambda: node.subscribed_ids)
+            monkeypatch.setattr(
+                connection.PeerConnection, 'reply', never_reply
+            )
+    assert 'did not acknowledge' in caplog.text
--- a/pimentowalk/wire/frames.capnp
+++ b/pimentowalk/wire/frames.capnp
@@ -218,6 +218,7 @@
   incarnation @1 :UInt64;
   versionInForce @2 :UInt64;
   draining @3 :Bool;
+  leaving @4 :Bool;
 }
 
 struct Watch {
--- a/pimentowalk/wire/messages.py
+++ b/pimentowalk/wire/messages.py
@@ -342,12 +342,16 @@
 @message('heartbeat')
 @attrs.frozen
 class Heartbeat:
-    """Report that a node is alive and which version it has in force."""
+    """Report that a node is alive and which version it has in force.
+
+    The last heartbeat of a node that stops has `leaving` set.
+    """
 
     node_id: str
     incarnation: int
     version_in_force: int
     draining: bool = False
+    leaving: bool = False
 
 
 @message('watch')
