Bound the responses of backend servers

Cause: a response could go on without end. A refusal was accepted as proof that a call had not run even if it named another request.

A response is now cut after head_bytes without content, body_bytes of a body that is read whole, event_bytes of one event, or event_timeout_s of bytes that complete no event. Silence ends nothing by itself, so that slow streams go on. Only whole events count as progress. A refusal that names another request is a broken answer. The limits are settings of the section [responses].

--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -13,6 +13,7 @@
 from pimentowalk.dispatch import plain
 from pimentowalk.dispatch import silence
 from pimentowalk.dispatch import stream
+from pimentowalk.dispatch import transport as dispatch_transport
 from pimentowalk.routing import hops as routing_hops
 from pimentowalk.routing import outcomes as routing_outcomes
 from pimentowalk.wire import node_messages
@@ -51,6 +52,7 @@
         zone,
         rng=None,
         path_policy='cheapest',
+        limits=None,
     ):
         self.node = node
         self.transport = transport
@@ -60,6 +62,7 @@
         self.crashes = crashes
         self.metrics = metrics
         self.zone = zone
+        self.limits = limits or dispatch_transport.ResponseLimits()
         self.rng = rng or random.Random()
         self.outcomes = routing_outcomes.OutcomeTracker(timers.now_s)
         self.paths = routing_hops.POLICIES.get(path_policy)(
--- a/pimentowalk/dispatch/events.py
+++ b/pimentowalk/dispatch/events.py
@@ -3,8 +3,6 @@
 import re
 
 ID_LINE = re.compile(rb'^id:[ ]?(\d+)[ ]*\r?$', re.MULTILINE)
-# Bounds the memory for an event that never ends.
-MAX_EVENT_BYTES = 1 << 20
 
 
 class EventFilter:
@@ -21,9 +19,9 @@
     1
     """
 
-    def __init__(self, last_id):
+    def __init__(self, last_id, max_event_bytes=262_144):
         self.last_id = last_id
-        self.count = 0
+        self._max_event_bytes = max_event_bytes
         self._partial = b''
 
     def discard_partial(self):
@@ -40,14 +38,13 @@
         data = self._partial + data
         end = _end_of_events(data)
         if end == 0:
-            if len(data) > MAX_EVENT_BYTES:
+            if len(data) > self._max_event_bytes:
                 raise ValueError('event is too long')
             self._partial = data
             return b''
         self._partial = data[end:]
         whole = data[:end]
         ids = [int(found) for found in ID_LINE.findall(whole)]
-        self.count += 1
         if not ids:
             return whole
         if ids[0] > self.last_id:
--- a/pimentowalk/dispatch/plain.py
+++ b/pimentowalk/dispatch/plain.py
@@ -5,6 +5,7 @@
 from pimentowalk.core import errors
 from pimentowalk.dispatch import call_run
 from pimentowalk.dispatch import calls
+from pimentowalk.dispatch import transport
 
 # A repeatable call without a response is tried elsewhere after this share of
 # its remaining time.
@@ -82,7 +83,9 @@
                     )
                 # The whole body is read first, so that the call can still
                 # be retried if the connection breaks within the body.
-                body = await _read_all(response)
+                body = await transport.read_body(
+                    response, dispatcher.limits, target.backend.address
+                )
             dispatcher.outcomes.record(
                 target.backend.server_id,
                 failed=response.status >= FIRST_SERVER_ERROR_STATUS,
@@ -133,10 +136,3 @@
         return errors.OutcomeUnknown(
             failure.message, step=failure.step, peer=failure.peer
         )
-
-
-async def _read_all(response):
-    chunks = []
-    while chunk := await response.read():
-        chunks.append(chunk)
-    return b''.join(chunks)
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -5,6 +5,7 @@
 from pimentowalk.core import errors
 from pimentowalk.dispatch import calls
 from pimentowalk.dispatch import events
+from pimentowalk.dispatch import transport
 from pimentowalk.dispatch import watched_run
 
 FIRST_SERVER_ERROR_STATUS = 500
@@ -45,7 +46,10 @@
         self._admission_wait_s = 0.0
         self._memory_share = 0.0
         self._slot_share = 0.0
-        self._events = events.EventFilter(call.last_event_id)
+        self._events = events.EventFilter(
+            call.last_event_id, dispatcher.limits.event_bytes
+        )
+        self._partial_since_s = None
         self._first_event_s = None
         self._last_event_s = 0.0
         self._longest_pause_s = 0.0
@@ -209,9 +213,8 @@
                 await self._pass_error(response)
                 return
             self._events.discard_partial()
+            self._partial_since_s = None
             while data := await response.read():
-                self.progress_s = dispatcher.timers.now_s()
-                self._report_count = 0
                 if not self._has_output:
                     self._has_output = True
                     self._executions += 1
@@ -227,13 +230,33 @@
             response.close()
 
     async def _pass_events(self, response, data):
+        """Forward whole events; raise Broken for bytes that complete none.
+
+        Only whole events count as progress. A server that sends single bytes
+        has stalled like one that sends nothing. Silence is no fault here: a
+        slow server may send its next event late.
+        """
+        now_s = self._dispatcher.timers.now_s()
         try:
             whole = self._events.feed(data)
         except ValueError as error:
             raise calls.Broken(
                 str(error), peer=self._target.backend.address
             ) from None
+        if not whole and self._partial_since_s is not None:
+            timeout_s = self._dispatcher.limits.event_timeout_s
+            if now_s - self._partial_since_s > timeout_s:
+                raise calls.Broken(
+                    f'no event was completed within {timeout_s:.1f} s',
+                    peer=self._target.backend.address,
+                )
+        elif self._events.has_partial:
+            self._partial_since_s = now_s
+        else:
+            self._partial_since_s = None
         if whole:
+            self.progress_s = now_s
+            self._report_count = 0
             if self._first_event_s is None:
                 self._first_event_s = self.progress_s
             else:
@@ -257,11 +280,11 @@
             response.status >= FIRST_SERVER_ERROR_STATUS and can_retry
         ):
             raise calls.Broken(f'status {response.status}', peer=address)
-        chunks = []
-        while chunk := await response.read():
-            chunks.append(chunk)
+        body = await transport.read_body(
+            response, self._dispatcher.limits, address
+        )
         await self._responder.start(response)
-        await self._responder.write(b''.join(chunks))
+        await self._responder.write(body)
         await self._responder.finish()
 
     def _handle_failure(self, error):
--- a/pimentowalk/dispatch/tests/fakes.py
+++ b/pimentowalk/dispatch/tests/fakes.py
@@ -5,6 +5,7 @@
 from pimentowalk.admission import room as admission_room
 from pimentowalk.core import metrics as core_metrics
 from pimentowalk.core import timers as core_timers
+from pimentowalk.dispatch import transport
 from pimentowalk.membership import backends as membership
 from pimentowalk.topology import backends
 
@@ -34,6 +35,7 @@
     return types.SimpleNamespace(
         timers=timers,
         zone='z1',
+        limits=transport.ResponseLimits(),
         node=types.SimpleNamespace(backends=table, live_nodes=1),
         metrics=core_metrics.Metrics('test'),
         admission=admission_room.AdmissionQueue(timers),
--- a/pimentowalk/dispatch/tests/test_asking.py
+++ b/pimentowalk/dispatch/tests/test_asking.py
@@ -37,6 +37,7 @@
     dispatcher = types.SimpleNamespace(
         timers=timers,
         checks=checks,
+        limits=transport.ResponseLimits(),
         node=types.SimpleNamespace(backends=table),
     )
     call = types.SimpleNamespace(
--- a/pimentowalk/dispatch/tests/test_events.py
+++ b/pimentowalk/dispatch/tests/test_events.py
@@ -55,9 +55,9 @@
 
 def test_endless_event_is_an_error():
     """An event without an end must not fill the memory."""
-    event_filter = events.EventFilter(0)
+    event_filter = events.EventFilter(0, max_event_bytes=100)
     with pytest.raises(ValueError, match='too long'):
-        event_filter.feed(b'x' * (events.MAX_EVENT_BYTES + 1))
+        event_filter.feed(b'x' * 101)
 
 
 def test_retries_are_bounded_by_share_and_number():
--- a/pimentowalk/dispatch/transport.py
+++ b/pimentowalk/dispatch/transport.py
@@ -4,6 +4,39 @@
 
 import attrs
 
+from pimentowalk.dispatch import calls
+
+
+@attrs.frozen
+class ResponseLimits:
+    """Bounds on what one response of a backend server may occupy.
+
+    `head_bytes` bounds the bytes before the body and between its parts, which
+    are no content. `body_bytes` bounds a body that is read whole, and
+    `event_bytes` one event of a stream. Bytes that arrive without completing
+    an event are accepted for `event_timeout_s`.
+    """
+
+    head_bytes: int = 65_536
+    body_bytes: int = 4_194_304
+    event_bytes: int = 262_144
+    event_timeout_s: float = 2.0
+
+
+async def read_body(response, limits, peer):
+    """Return the whole body of a response; raise Broken if it is too long."""
+    chunks = []
+    size_bytes = 0
+    while chunk := await response.read():
+        size_bytes += len(chunk)
+        if size_bytes > limits.body_bytes:
+            raise calls.Broken(
+                f'the body is longer than {limits.body_bytes} bytes',
+                peer=peer,
+            )
+        chunks.append(chunk)
+    return b''.join(chunks)
+
 
 @attrs.frozen
 class ServerReport:
--- a/pimentowalk/gateway/core.py
+++ b/pimentowalk/gateway/core.py
@@ -43,11 +43,20 @@
 
     `engines` is the client for backend servers, `decode(content)` returns
     the document of stored content, and `read_seeds()` returns the seed
-    addresses that the settings name at that time.
+    addresses that the settings name at that time. `limits` bounds the
+    responses of backend servers.
     """
 
     def __init__(
-        self, settings, bounds, engines, *, decode, read_seeds, timers
+        self,
+        settings,
+        bounds,
+        engines,
+        *,
+        decode,
+        read_seeds,
+        timers,
+        limits=None,
     ):
         self.settings = settings
         self.bounds = bounds
@@ -98,6 +107,7 @@
             crashes=self.crashes,
             metrics=self.metrics,
             zone=settings.zone,
+            limits=limits,
         )
         self.replica = None
         if settings.data_folder:
--- a/pimentowalk/platform/daemon.py
+++ b/pimentowalk/platform/daemon.py
@@ -13,6 +13,7 @@
 from pimentowalk.core import logs
 from pimentowalk.core import sockets
 from pimentowalk.core import timers as core_timers
+from pimentowalk.dispatch import transport
 from pimentowalk.gateway import core
 from pimentowalk.mesh import status as mesh_status
 from pimentowalk.platform import control_api
@@ -38,15 +39,25 @@
     """A gateway node that serves the addresses and APIs of the platform."""
 
     def __init__(
-        self, settings, bounds, read_seeds, timers=None, listeners=None
+        self,
+        settings,
+        bounds,
+        read_seeds,
+        timers=None,
+        listeners=None,
+        responses=None,
     ):
+        limits = _response_limits(
+            responses or gateway_settings.ResponseSettings()
+        )
         super().__init__(
             settings,
             bounds,
-            engines.BackendClient(),
+            engines.BackendClient(limits),
             decode=documents.decode_stored,
             read_seeds=read_seeds,
             timers=timers or core_timers.TimerService(),
+            limits=limits,
         )
         self._listeners = listeners or sockets.ListenerSet()
         self._runners = []
@@ -157,11 +168,14 @@
         the time that is left until the stop.
         """
         await self._front_site.stop()
+        self._close_connections()
+
+    def _close_connections(self):
         remaining_s = (
             self.bounds.stop_ms / 1000 - STOP_MARGIN_S - SHUTDOWN_DELAY_S
         )
         for connection in self._front_runner.server.connections:
-            if self.front.is_busy(connection):
+            if self.front.is_busy(connection) or not _is_idle(connection):
                 # Closes the connection after the current response.
                 self._closing_tasks.append(
                     asyncio.ensure_future(connection.shutdown(remaining_s))
@@ -222,7 +236,26 @@
         return self._seeds
 
 
-async def serve(settings_path, settings, bounds, listeners):
+def _is_idle(connection):
+    """Return whether an aiohttp connection waits for its next request.
+
+    A request that has been read may not have reached its handler yet; then
+    the future that the connection waits for is done or gone.
+    """
+    waiter = connection._waiter
+    return waiter is not None and not waiter.done()
+
+
+def _response_limits(responses):
+    return transport.ResponseLimits(
+        responses.max_head_bytes,
+        responses.max_body_bytes,
+        responses.max_event_bytes,
+        responses.event_timeout_ms / 1000,
+    )
+
+
+async def serve(settings_path, settings, bounds, responses, listeners):
     """Run a gateway until SIGTERM or SIGINT."""
     logs.configure(
         settings.name,
@@ -231,7 +264,13 @@
     )
 
     seeds = SeedFile(settings_path, settings.seeds)
-    gateway = Gateway(settings, bounds, seeds.read, listeners=listeners)
+    gateway = Gateway(
+        settings,
+        bounds,
+        seeds.read,
+        listeners=listeners,
+        responses=responses,
+    )
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, gateway.request_stop)
--- a/pimentowalk/platform/engines.py
+++ b/pimentowalk/platform/engines.py
@@ -35,12 +35,43 @@
 
 
 class StrictResponseHandler(client_proto.ResponseHandler):
-    """Fail a body without a Content-Length if its connection is reset.
+    """Fail responses that are truncated or consist of bytes without end.
 
-    aiohttp treats any end of the connection as the end of such a body, so
-    that a body truncated by a reset would pass for complete.
+    aiohttp treats any end of the connection as the end of a body without a
+    Content-Length, so that a body truncated by a reset would pass for
+    complete. It also accepts any number of interim responses, empty lines
+    and chunk extensions, which are no content.
     """
 
+    def __init__(self, loop, max_head_bytes):
+        super().__init__(loop=loop)
+        self._max_head_bytes = max_head_bytes
+        self._bytes_without_content = 0
+
+    def _content_bytes(self):
+        return getattr(self._payload, 'total_bytes', 0)
+
+    def data_received(self, data):
+        content_bytes = self._content_bytes()
+        super().data_received(data)
+        if self._content_bytes() > content_bytes:
+            self._bytes_without_content = 0
+            return
+        self._bytes_without_content += len(data)
+        if self._bytes_without_content > self._max_head_bytes:
+            self._fail_response()
+
+    def _fail_response(self):
+        error = aiohttp.ClientPayloadError(
+            f'more than {self._max_head_bytes} bytes without content'
+        )
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(error)
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
     def connection_lost(self, exc):
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
@@ -58,10 +89,12 @@
     another request.
     """
 
-    def __init__(self):
+    def __init__(self, max_head_bytes):
         super().__init__(force_close=True, limit=0, use_dns_cache=False)
         self._factory = functools.partial(
-            StrictResponseHandler, loop=asyncio.get_running_loop()
+            StrictResponseHandler,
+            loop=asyncio.get_running_loop(),
+            max_head_bytes=max_head_bytes,
         )
 
 
@@ -92,13 +125,14 @@
 class BackendClient(transport.Transport):
     """Send calls, report queries and orders to backend servers."""
 
-    def __init__(self):
+    def __init__(self, limits=None):
+        self._limits = limits or transport.ResponseLimits()
         self._session = None
 
     async def start(self):
         """Create the client session in the running event loop."""
         self._session = aiohttp.ClientSession(
-            connector=StrictConnector(),
+            connector=StrictConnector(self._limits.head_bytes),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(
@@ -155,15 +189,20 @@
     def _validate_response(self, call, response, peer):
         """Return the response, or raise if it does not answer this call."""
         headers = response.headers
+        answered_id = headers.get(names.REQUEST_ID, call.request_id)
+        if answered_id != call.request_id:
+            # Not even a refusal: it may be an earlier one, written again.
+            response.close()
+            raise calls.Broken('the answer names another request', peer=peer)
         if names.NOT_EXECUTED in headers or response.status == MISDIRECTED:
             culprit = headers.get(names.AT_SERVER, '')
             response.close()
             raise calls.Refused(
                 f'refused with {response.status}', peer=peer, culprit=culprit
             )
-        if headers.get(names.REQUEST_ID) != call.request_id:
+        if names.REQUEST_ID not in headers:
             response.close()
-            raise calls.Broken('the answer names another request', peer=peer)
+            raise calls.Broken('the answer names no request', peer=peer)
         return BackendResponse(
             response, _parse_load(headers.get(names.LOAD)), peer
         )
@@ -258,7 +297,9 @@
                     method, f'http://{peer}{path}', headers=headers, json=body
                 ) as response,
             ):
-                text = await response.read()
+                text = await transport.read_body(
+                    BackendResponse(response, None, peer), self._limits, peer
+                )
         except TimeoutError:
             raise calls.NoAnswer(
                 f'no answer to {path}', peer=peer, culprit=peer
--- a/pimentowalk/platform/tests/test_engines.py
+++ b/pimentowalk/platform/tests/test_engines.py
@@ -9,6 +9,7 @@
 import pytest_asyncio
 
 from pimentowalk.dispatch import calls
+from pimentowalk.dispatch import transport
 from pimentowalk.platform import documents
 from pimentowalk.platform import engines
 from pimentowalk.platform.tests import samples
@@ -141,6 +142,108 @@
         await _exchange(client, content)
 
 
+class EndlessServer(RawServer):
+    """Send first bytes, then others without end until the peer closes."""
+
+    def __init__(self, first, repeated):
+        super().__init__(first)
+        self._repeated = repeated
+        self.sent_bytes = 0
+        self.closed = asyncio.Event()
+
+    async def _serve(self, reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(self._content)
+        try:
+            while True:
+                writer.write(self._repeated)
+                await writer.drain()
+                self.sent_bytes += len(self._repeated)
+                await asyncio.sleep(0)
+        except ConnectionError:
+            self.closed.set()
+        finally:
+            writer.close()
+
+
+async def _endless_exchange(client, first, repeated):
+    server = EndlessServer(first, repeated)
+    await server.start()
+    try:
+        backend = backends.Backend('s', 1, 1, 'svc', '127.0.0.1', server.port)
+        answer = await client.send(_call(), calls.Target(backend), 1000, 0)
+        try:
+            await transport.read_body(
+                answer, transport.ResponseLimits(), backend.address
+            )
+        finally:
+            answer.close()
+    finally:
+        async with asyncio.timeout(5):
+            await server.closed.wait()
+        server.stop()
+    return server
+
+
+@pytest.mark.parametrize(
+    ('first', 'repeated'),
+    [
+        (b'', b'x' * 1000),
+        (b'', b'\r\n' * 500),
+        (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 40),
+        (b'HTTP/1.1 200 OK\r\n', b'X-A: b\r\n' * 100),
+        (RESPONSE_HEAD, b'X-A: b\r\n' * 100),
+        (RESPONSE_HEAD + b'\r\n', b'x' * 10_000),
+        (
+            RESPONSE_HEAD + b'Transfer-Encoding: chunked\r\n\r\n3;',
+            b'e' * 1000,
+        ),
+        (
+            RESPONSE_HEAD
+            + b'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n',
+            b'T: x\r\n' * 100,
+        ),
+    ],
+    ids=[
+        'no-status-line',
+        'empty-lines',
+        'interim-responses',
+        'anonymous-head',
+        'head',
+        'body',
+        'chunk-extension',
+        'trailers',
+    ],
+)
+async def test_response_without_end_is_cut(client, first, repeated):
+    """A server that never stops sending occupies a node for good."""
+    async with asyncio.timeout(10):
+        with pytest.raises(calls.Broken):
+            await _endless_exchange(client, first, repeated)
+
+
+async def test_report_without_end_is_cut(client):
+    """A check of a faulty server must not fill the memory of the node."""
+    server = EndlessServer(b'HTTP/1.1 200 OK\r\n\r\n', b'x' * 100_000)
+    await server.start()
+    backend = backends.Backend('s', 1, 1, 'svc', '127.0.0.1', server.port)
+    with pytest.raises(calls.TryFailed):
+        await client.report(backend)
+    async with asyncio.timeout(5):
+        await server.closed.wait()
+    server.stop()
+
+
+async def test_refusal_of_another_request_proves_nothing(client):
+    """An earlier refusal, written again, would hide that a call has run."""
+    content = (
+        b'HTTP/1.1 503 Full\r\nPimentowalk-Not-Executed: 1\r\n'
+        b'Pimentowalk-Request-Id: r0\r\nContent-Length: 0\r\n\r\n'
+    )
+    with pytest.raises(calls.Broken):
+        await _exchange(client, content)
+
+
 @pytest.mark.parametrize(
     'head',
     [
--- a/pimentowalk/settings/gateway.py
+++ b/pimentowalk/settings/gateway.py
@@ -57,6 +57,16 @@
     retry_extra: float = 100.0
 
 
+@attrs.frozen
+class ResponseSettings:
+    """Bounds on the responses of backend servers."""
+
+    max_head_bytes: int = 65_536
+    max_body_bytes: int = 4_194_304
+    max_event_bytes: int = 262_144
+    event_timeout_ms: float = 2000.0
+
+
 def address(text):
     """Return the address written as `host:port`.
 
@@ -112,23 +122,36 @@
     'retry_ratio': values.number(0, 10),
     'retry_extra': values.number(0, 1e9),
 }
+RESPONSE_PARSERS = {
+    'max_head_bytes': values.integer(1024, 2**30),
+    'max_body_bytes': values.integer(1024, 2**30),
+    'max_event_bytes': values.integer(1024, 2**30),
+    'event_timeout_ms': values.number(100, 3_600_000, 'milliseconds'),
+}
+SECTIONS = ('bounds', 'gateway', 'responses')
 
 
 def load(path):
-    """Return the gateway and bound settings; raise SettingsError."""
+    """Return the settings of all sections; raise SettingsError.
+
+    The sections are `gateway`, `bounds` and `responses`, in this order.
+    """
     document = ini.read(path)
     loaded = None
     if document.sections:
         for name in document.sections:
-            if name not in ('gateway', 'bounds'):
+            if name not in SECTIONS:
                 document.report(
-                    name, '', 'unknown section; known: bounds, gateway'
+                    name, '', f'unknown section; known: {", ".join(SECTIONS)}'
                 )
         gateway = ini.build(
             GatewaySettings, document, 'gateway', GATEWAY_PARSERS
         )
         bounds = ini.build(BoundSettings, document, 'bounds', BOUND_PARSERS)
-        loaded = gateway, bounds
+        responses = ini.build(
+            ResponseSettings, document, 'responses', RESPONSE_PARSERS
+        )
+        loaded = gateway, bounds, responses
     if document.problems or loaded is None:
         raise errors.SettingsError(
             '\n'.join(str(problem) for problem in document.problems)
