--- a/pimentowalk/platform/tests/test_gateway.py
+++ b/pimentowalk/platform/tests/test_gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import aiohttp
+from aiohttp import web_protocol
 import pytest
 
 from pimentowalk.mesh import status as mesh_status
@@ -228,6 +229,36 @@
     await running
 
 
+async def test_stop_answers_a_request_that_was_just_read(cluster, monkeypatch):
+    """A request must not be cut between its arrival and its handler."""
+    gateway = cluster.gateways[0]
+    address = gateway.settings.front
+    receive = web_protocol.RequestHandler.data_received
+
+    def receive_and_stop(protocol, data):
+        receive(protocol, data)
+        if b'/no' in data:
+            gateway._close_connections()
+
+    monkeypatch.setattr(
+        web_protocol.RequestHandler, 'data_received', receive_and_stop
+    )
+    # The second request finds a connection that waits for it.
+    for count in (1, 2):
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        request = b'GET /first HTTP/1.1\r\nHost: a.example\r\n\r\n'
+        for _ in range(count - 1):
+            writer.write(request)
+            await reader.readuntil(b'}')
+        writer.write(request.replace(b'first', b'no'))
+        async with asyncio.timeout(5):
+            answer = await reader.read()
+        assert answer.startswith(b'HTTP/1.1 ')
+        writer.close()
+
+
 async def test_node_that_knows_only_a_diskless_seed_finds_control(cluster):
     """Seeds may be replaced by nodes without a control replica."""
     host = '127.0.0.4'
