Give each call of a plain service a connection of its own

Cause: an agent kept connections for idempotent calls. A second copy of a reply that arrived late on such a connection was taken as the reply to the next call, so that its caller got the answer of another.

All calls now use single-use connections, as non-idempotent ones did. The new test got b'1' as the second reply before and gets b'2' now.

--- a/pimentowalk/agent/service_calls.py
+++ b/pimentowalk/agent/service_calls.py
@@ -80,8 +80,7 @@
         self._timers = timers
         self._gate = gate
         self._check_health = check_health
-        self._pooled_session = None
-        self._single_use_session = None
+        self._session = None
         limits = fair_queue.QueueLimits(max_running=PLAIN_MAX_RUNNING)
         self.queue = fair_queue.FairQueue(limits)
         self.calls = {}
@@ -90,25 +89,23 @@
         self.on_finished = lambda frame: None
 
     async def start(self):
-        """Open the HTTP sessions."""
-        self._pooled_session = aiohttp.ClientSession(
-            auto_decompress=False, skip_auto_headers=AUTO_HEADERS
-        )
-        # For some methods aiohttp retries a request whose pooled connection
-        # was closed. A new connection for each call prevents that.
-        self._single_use_session = aiohttp.ClientSession(
+        """Open the HTTP session."""
+        # Each call has a connection of its own. For some methods aiohttp
+        # retries a request whose pooled connection was closed, and a copy of
+        # an earlier reply that arrives late on a pooled connection would be
+        # taken as the reply to the next call.
+        self._session = aiohttp.ClientSession(
             auto_decompress=False,
             skip_auto_headers=AUTO_HEADERS,
             connector=aiohttp.TCPConnector(force_close=True),
         )
 
     async def stop(self):
-        """Cancel the running calls and close the HTTP sessions."""
+        """Cancel the running calls and close the HTTP session."""
         tasks = [call.task for call in self.calls.values() if call.task]
         await timer_services.cancel_all(tasks)
-        for session in (self._pooled_session, self._single_use_session):
-            if session is not None:
-                await session.close()
+        if self._session is not None:
+            await self._session.close()
 
     def open(self, entry, frame, send_reply):
         """Queue a call or refuse it."""
@@ -196,11 +193,6 @@
             self.admit()
 
     async def _send(self, frame, due_s):
-        session = (
-            self._single_use_session
-            if frame.non_idempotent
-            else self._pooled_session
-        )
         remaining_s = None
         if due_s < math.inf:
             remaining_s = max(0.001, due_s - self._timers.now_s())
@@ -210,7 +202,7 @@
             if header.name.lower() not in HOP_BY_HOP_HEADERS
         ]
         try:
-            async with session.request(
+            async with self._session.request(
                 frame.method,
                 self._url + frame.path,
                 headers=headers,
--- a/pimentowalk/agent/tests/test_service_calls.py
+++ b/pimentowalk/agent/tests/test_service_calls.py
@@ -1,9 +1,11 @@
 """Tests of calls to plain services."""
 
 import asyncio
+import math
 
 import attrs
 
+from pimentowalk.agent import service_calls
 from pimentowalk.agent.tests import fakes
 from pimentowalk.wire import messages
 
@@ -151,3 +153,49 @@
     plain_setup.service.may_reply.set()
     assert (await pending).state == 'finished'
     assert (await query(plain_setup, frame)).state == 'failed'
+
+
+class RepeatingService:
+    """Send a second copy of each reply when the next request arrives."""
+
+    def __init__(self):
+        self.port = 0
+        self._server = None
+        self._count = 0
+
+    async def start(self):
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader, writer):
+        reply = b''
+        try:
+            while True:
+                await reader.readuntil(b'\r\n\r\n')
+                self._count += 1
+                writer.write(reply)
+                body = str(self._count).encode()
+                reply = b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n' + body
+                writer.write(reply)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    def stop(self):
+        """Stop listening."""
+        self._server.close()
+
+
+async def test_late_copy_of_a_reply_reaches_no_other_caller():
+    """On a kept connection it would answer the next call."""
+    service = RepeatingService()
+    await service.start()
+    calls = service_calls.ServiceCalls(
+        f'http://127.0.0.1:{service.port}', None, None, None, None
+    )
+    await calls.start()
+    frame = fakes.service_call(method='GET', non_idempotent=False)
+    replies = [await calls._send(frame, math.inf) for _ in range(3)]
+    await calls.stop()
+    service.stop()
+    assert [reply['body'] for reply in replies] == [b'1', b'2', b'3']
