Check the lease of the leader again before an order is sent

Cause: the leader checked its lease when it planned, then asked the server for a report, and read its term when the order went out. A process that was suspended in between sent an order of an ended leadership, even with the term of its successor as the fence. After a hand-over the next leader could also order a server that still executed the order of the previous one.

An order now carries the term in which it was planned, is dropped if the lease has ended after the report, and is not sent to a busy server.

--- a/pimentowalk/placement/executor.py
+++ b/pimentowalk/placement/executor.py
@@ -49,7 +49,9 @@
     """Order servers to load the layer ranges of the plan.
 
     `streams(server_id)` returns how many requests run through a server.
-    `order(backend, assignment, fence, preempt=...)` sends an order. It raises
+    `order(backend, assignment, fence, preempt=..., may_send=...)` sends an
+    order, unless `may_send()` is false by then: the process may have been
+    suspended beyond its lease since the plan was made. It raises
     PimentowalkError if the order was rejected or its outcome is unknown. A
     server that gives up layers for missing ones is preempted instead of
     drained: a stream of a frozen node would delay it until the caller of the
@@ -180,25 +182,30 @@
             backend.born_ms,
             now_s + load_s * LOAD_MARGIN + CONFIRM_TIMEOUT_S,
         )
-        task = asyncio.ensure_future(self._send_order(backend, assignment))
+        # Read together with the lease: after a change of leaders, the term
+        # is that of the next one.
+        task = asyncio.ensure_future(
+            self._send_order(backend, assignment, self._fence())
+        )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _send_order(self, backend, assignment):
+    async def _send_order(self, backend, assignment, fence):
         fields = logs.fields(
             step='placement',
             peer=backend.address,
             server=backend.server_id,
             layers=f'{assignment.first_layer}-{assignment.end_layer}',
             held=f'{backend.first_layer}-{backend.end_layer}',
-            fence=self._fence(),
+            fence=fence,
         )
         try:
             await self._order(
                 backend,
                 assignment,
-                self._fence(),
+                fence,
                 preempt=backend.layer_count > 0,
+                may_send=self._is_leader,
             )
         except errors.PimentowalkError as error:
             LOG.warning('order failed: %s', error, extra=fields)
--- a/pimentowalk/placement/tests/test_executor.py
+++ b/pimentowalk/placement/tests/test_executor.py
@@ -31,6 +31,8 @@
         self.is_leader = True
         self.replies = True
         self.executes = True
+        self.report_s = 0.0
+        self.term = 5
         self.orders = []
         self.streams = {}
         for number, kind in enumerate(ACCELERATORS):
@@ -50,13 +52,16 @@
             self.table,
             self.timers,
             is_leader=lambda: self.is_leader,
-            fence=lambda: 5,
+            fence=lambda: self.term,
             document=lambda: DOCUMENT,
             order=self._order,
             streams=lambda server_id: self.streams.get(server_id, 0),
         )
 
-    async def _order(self, backend, assignment, fence, *, preempt):
+    async def _order(self, backend, assignment, fence, *, preempt, may_send):
+        await self.timers.sleep(self.report_s)
+        if not may_send():
+            raise errors.NotLeader('the leadership ended')
         self.orders.append((backend.server_id, preempt, fence))
         if not self.replies:
             raise errors.PeerLost('no answer', peer=backend.address)
@@ -234,3 +239,29 @@
 def _is_sole_holder(harness, backend):
     rest = [b for b in harness.table.usable('svc') if b != backend]
     return 0 in planner.coverage(rest, 80)
+
+
+async def test_order_is_not_sent_after_the_leadership_ended():
+    """A paused leader would act beside its successor, with its fence."""
+    created = ExecutorHarness()
+    created.report_s = 0.5
+    running = asyncio.ensure_future(created.executor.run())
+    await created.timers.advance(2.3)
+    assert created.executor._orders and not created.orders
+    created.is_leader = False
+    created.term = 6
+    await created.timers.advance(2.0)
+    assert created.orders == []
+    running.cancel()
+
+
+async def test_order_carries_the_term_in_which_it_was_planned():
+    """The fence of the next leader would let an old order pass."""
+    created = ExecutorHarness()
+    created.report_s = 0.5
+    running = asyncio.ensure_future(created.executor.run())
+    await created.timers.advance(2.3)
+    created.term = 6
+    await created.timers.advance(0.6)
+    assert {fence for _, _, fence in created.orders} == {5}
+    running.cancel()
--- a/pimentowalk/platform/__main__.py
+++ b/pimentowalk/platform/__main__.py
@@ -20,7 +20,8 @@
     """Run a gateway.
 
     :param settings_path: INI file with the section [gateway] and, if
-        needed, [bounds] and [responses]; defaults to the path in PIMENTOWALK_SETTINGS
+        needed, [bounds] and [responses]; defaults to the path in
+        PIMENTOWALK_SETTINGS
     """
     path = settings_path or os.environ.get(SETTINGS_VARIABLE, '')
     try:
--- a/pimentowalk/platform/engines.py
+++ b/pimentowalk/platform/engines.py
@@ -252,13 +252,35 @@
             )
         return data
 
-    async def order_layers(self, backend, assignment, fence, *, preempt=False):
+    async def order_layers(
+        self,
+        backend,
+        assignment,
+        fence,
+        *,
+        preempt=False,
+        may_send=lambda: True,
+    ):
         """Order a server to hold a range of layers; raise PimentowalkError.
 
         The precondition is the number of orders that the server has accepted,
-        so that an order that arrives late cannot override a newer one.
+        so that an order that arrives late cannot override a newer one. A
+        server that executes the order of an earlier leader gets no other one.
+        `may_send()` is asked last, since the report takes time.
         """
         report = await self.report(backend)
+        if report.get('busy'):
+            raise errors.Conflict(
+                'the server executes another order',
+                step='place',
+                peer=backend.address,
+            )
+        if not may_send():
+            raise errors.NotLeader(
+                'the leadership ended before the order was sent',
+                step='place',
+                peer=backend.address,
+            )
         body = {
             'operation': 'place',
             'from': assignment.first_layer,
--- a/pimentowalk/platform/tests/test_engines.py
+++ b/pimentowalk/platform/tests/test_engines.py
@@ -5,14 +5,18 @@
 import socket
 import struct
 
+from aiohttp import web
 import pytest
 import pytest_asyncio
 
+from pimentowalk.core import errors
 from pimentowalk.dispatch import calls
 from pimentowalk.dispatch import transport
+from pimentowalk.placement import planner
 from pimentowalk.platform import documents
 from pimentowalk.platform import engines
 from pimentowalk.platform.tests import samples
+from pimentowalk.platform.tests import standin
 from pimentowalk.topology import backends
 
 # SO_LINGER with a timeout of 0: close() sends a reset.
@@ -26,13 +30,18 @@
         self._content = content
         self._resets = resets
         self._server = None
+        self._tasks = set()
         self.port = 0
 
     async def start(self):
         """Listen on a free port, chosen by the operating system."""
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        self._server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
+    async def _accept(self, reader, writer):
+        self._tasks.add(asyncio.current_task())
+        await self._serve(reader, writer)
+
     async def _serve(self, reader, writer):
         await reader.readuntil(b'\r\n\r\n')
         writer.write(self._content)
@@ -45,9 +54,10 @@
             )
         writer.close()
 
-    def stop(self):
-        """Stop listening."""
+    async def stop(self):
+        """Stop listening and wait until the connections are closed."""
         self._server.close()
+        await asyncio.gather(*self._tasks)
 
 
 def _call():
@@ -88,7 +98,7 @@
             answer.close()
         return answer.status, b''.join(chunks)
     finally:
-        server.stop()
+        await server.stop()
 
 
 RESPONSE_HEAD = b'HTTP/1.1 200 OK\r\nPimentowalk-Request-Id: r1\r\n'
@@ -163,7 +173,7 @@
         except ConnectionError:
             self.closed.set()
         finally:
-            writer.close()
+            writer.transport.abort()
 
 
 async def _endless_exchange(client, first, repeated):
@@ -181,7 +191,7 @@
     finally:
         async with asyncio.timeout(5):
             await server.closed.wait()
-        server.stop()
+        await server.stop()
     return server
 
 
@@ -231,7 +241,7 @@
         await client.report(backend)
     async with asyncio.timeout(5):
         await server.closed.wait()
-    server.stop()
+    await server.stop()
 
 
 async def test_refusal_of_another_request_proves_nothing(client):
@@ -280,3 +290,48 @@
     assert engines._parse_load('3,x,96') is None
     assert '3,x,96' in caplog.text
     assert engines._parse_load('3,1,96') == (3, 1, 96)
+
+
+class OrderedServer(standin.StandInServer):
+    """A server whose report can say that it executes an order."""
+
+    is_busy = False
+
+    async def _report(self, request):
+        return web.json_response({'sequence': 3, 'busy': self.is_busy})
+
+
+@pytest_asyncio.fixture
+async def ordered_server():
+    server = OrderedServer('m-1', '127.0.0.1', 'model')
+    server.accepted_orders = 3
+    await server.start()
+    yield server
+    await server.stop()
+
+
+ASSIGNMENT = planner.Assignment('m-1', 0, 8)
+
+
+def _backend(server):
+    return backends.Backend('m-1', 1, 1, 'svc', '127.0.0.1', server.port)
+
+
+async def test_order_is_sent_only_with_a_valid_lease(client, ordered_server):
+    """The lease of a leader may end while it waits for the report."""
+    backend = _backend(ordered_server)
+    with pytest.raises(errors.NotLeader):
+        await client.order_layers(
+            backend, ASSIGNMENT, 5, may_send=lambda: False
+        )
+    assert ordered_server.layers is None
+    await client.order_layers(backend, ASSIGNMENT, 5)
+    assert ordered_server.layers == (0, 8)
+
+
+async def test_busy_server_gets_no_second_order(client, ordered_server):
+    """After a hand-over the next leader would repeat a running order."""
+    ordered_server.is_busy = True
+    with pytest.raises(errors.Conflict):
+        await client.order_layers(_backend(ordered_server), ASSIGNMENT, 5)
+    assert ordered_server.layers is None
