Cover each zone whose servers can hold all layers

Cause: the planner chose the share of memory by whether a zone survives the loss of its largest server, and took the lowest one if none does, even if the zone then could not hold all layers. It closed gaps by single changes, which does not help where all ranges are adjacent.

A zone now takes the lowest share that holds all layers. Where single changes do not close a gap, the ranges beside it are shifted, in order, so that each server loads few layers (placement/tiling.py). Zones that start empty, or that have lacked layers for 4 s, may use up to 0.90 of the memory; those that are still too small are covered together. The leader logs when a zone loses its last path and when it has one again.

--- a/pimentowalk/placement/executor.py
+++ b/pimentowalk/placement/executor.py
@@ -29,6 +29,9 @@
 # A server that has left does not return, but its replacement may join soon
 # after: within 20 ms in a rolling release.
 DEPARTED_MOVE_AFTER_S = 0.1
+# A server that crashed is back within a few seconds. After this time, a zone
+# that lacks layers is planned without the servers that it has lost.
+SHORT_ZONE_AFTER_S = 4.0
 # Loads take longer while other servers load as well.
 LOAD_MARGIN = 1.5
 # A failed order is given again after this time.
@@ -72,6 +75,7 @@
         self._tasks = set()
         self._leader_since_s = None
         self._gap_since_s = {}
+        self._short_since_s = {}
         self._checked_s = float('-inf')
         self._checked_generation = None
         self._started_s = timers.now_s()
@@ -83,6 +87,7 @@
             if not self._is_leader():
                 self._leader_since_s = None
                 self._orders.clear()
+                self._short_since_s.clear()
                 continue
             now_s = self._timers.now_s()
             if self._leader_since_s is None:
@@ -119,7 +124,11 @@
         backends = {b.server_id: b for b in self._table.usable(service.name)}
         self._drop_settled_orders(service.name, backends, now_s)
         servers = [self._planned_server(b) for b in backends.values()]
-        assignments = planner.plan(servers, service.engine)
+        assignments = planner.plan(
+            servers,
+            service.engine,
+            self._short_zones(service, servers, now_s),
+        )
         has_gap = self._has_lasting_gap(
             service.name, assignments, backends, now_s
         )
@@ -131,6 +140,39 @@
                 continue
             self._start_order(backend, assignment, service.engine, now_s)
 
+    def _short_zones(self, service, servers, now_s):
+        """Return the zones that have lacked layers for a long time.
+
+        A server counts as holding the layers that it was ordered to load.
+        """
+        zones = {}
+        for server in servers:
+            zones.setdefault(server.zone, []).append(server)
+        result = set()
+        for zone, members in zones.items():
+            key = service.name, zone
+            total_layers = service.engine.total_layers
+            missing = planner.coverage(members, total_layers).count(0)
+            if not missing:
+                if self._short_since_s.pop(key, None) is not None:
+                    self._log_zone('zone holds all layers', key, 0)
+                continue
+            if key not in self._short_since_s:
+                self._short_since_s[key] = now_s
+                self._log_zone('zone lacks layers', key, missing)
+            if now_s - self._short_since_s[key] >= SHORT_ZONE_AFTER_S:
+                result.add(zone)
+        return result
+
+    def _log_zone(self, message, key, missing):
+        service, zone = key
+        LOG.info(
+            message,
+            extra=logs.fields(
+                step='placement', service=service, zone=zone, missing=missing
+            ),
+        )
+
     def _has_lasting_gap(self, name, assignments, backends, now_s):
         moves = any(backends[a.server_id].layer_count for a in assignments)
         if not moves:
--- a/pimentowalk/placement/planner.py
+++ b/pimentowalk/placement/planner.py
@@ -7,10 +7,15 @@
 
 import attrs
 
+from pimentowalk.placement import tiling
+
 # Shares of the memory of an accelerator for layers; the rest holds the KV
 # caches of requests. docs/platform.md has the calculation. A zone uses the
 # lowest share at which it can cover all layers without its largest server.
 LAYER_MEMORY_SHARES = (0.58, 0.64, 0.70)
+# Shares for a zone that no lower share covers. Little memory is left for
+# requests, but a path that crosses zones occupies the link that all share.
+SCARCE_MEMORY_SHARES = (0.80, 0.90)
 # Value of one more copy of a layer, by the number of copies it has. A layer
 # without a copy stops the whole zone, so that it outweighs all other layers.
 COPY_VALUES = (1000.0, 10.0, 1.0, 0.1)
@@ -97,34 +102,104 @@
 
 
 def layer_memory_share(servers, engine):
-    """Return the share of memory that the layers of one zone may use."""
+    """Return the share of memory that the layers of one zone may use.
+
+    It is the lowest one at which the zone survives the loss of its largest
+    server, or else the lowest one at which it holds all layers.
+    """
     for share in LAYER_MEMORY_SHARES:
-        sizes = [
-            layer_capacity(engine, server.accelerator, share)
-            for server in servers
-        ]
+        sizes = _capacities(servers, engine, share)
         if sum(sizes) - max(sizes, default=0) >= engine.total_layers:
             return share
     # No share survives the loss, so prefer memory for requests.
-    return LAYER_MEMORY_SHARES[0]
+    return covering_share(servers, engine) or LAYER_MEMORY_SHARES[0]
+
+
+def covering_share(servers, engine, shares=LAYER_MEMORY_SHARES):
+    """Return the lowest share at which servers hold all layers, or None."""
+    for share in shares:
+        if sum(_capacities(servers, engine, share)) >= engine.total_layers:
+            return share
+    return None
+
+
+def _capacities(servers, engine, share):
+    return [
+        layer_capacity(engine, server.accelerator, share) for server in servers
+    ]
 
 
-def plan(servers, engine):
+def plan(servers, engine, short_zones=frozenset()):
     """Return the assignments that differ from the current ranges.
 
     Empty servers take the ranges that their zone needs most. Then, while a
     zone lacks a layer, a server is moved to it or its range is extended,
-    whichever interrupts the fewest streams per layer gained.
+    whichever interrupts the fewest streams per layer gained. If no such
+    change closes the gap, ranges next to it are shifted.
+
+    `short_zones` have lacked layers for so long that lost servers are not
+    expected back. They may use more memory for layers, like zones that start
+    empty. Those that still cannot hold all layers are planned together, one
+    after the other, so that their paths cross between zones rarely.
     """
-    assignments = []
     zones = {}
     for server in servers:
         zones.setdefault(server.zone, []).append(server)
-    for zone in sorted(zones):
-        assignments += _plan_zone(zones[zone], engine)
+    groups, incomplete = [], []
+    for zone in sorted(zones, key=lambda zone: (-len(zones[zone]), zone)):
+        members = zones[zone]
+        is_short = zone in short_zones or _is_short(members, engine)
+        shares = LAYER_MEMORY_SHARES
+        if is_short:
+            shares += SCARCE_MEMORY_SHARES
+        if is_short and covering_share(members, engine, shares) is None:
+            incomplete += members
+        else:
+            groups.append((members, shares))
+    if incomplete:
+        groups.append((incomplete, LAYER_MEMORY_SHARES + SCARCE_MEMORY_SHARES))
+    assignments = []
+    for members, shares in groups:
+        assignments += _plan_group(members, engine, shares)
     return assignments
 
 
+def _is_short(servers, engine):
+    """Return whether a zone starts empty or already uses more memory."""
+    return all(server.is_empty for server in servers) or any(
+        server.end_layer - server.first_layer
+        > layer_capacity(engine, server.accelerator, LAYER_MEMORY_SHARES[-1])
+        for server in servers
+    )
+
+
+def _plan_group(servers, engine, shares):
+    """Return the assignments of the servers that form paths together."""
+    share = covering_share(servers, engine, shares)
+    crosses_zones = len({server.zone for server in servers}) > 1
+    is_covered = 0 not in coverage(servers, engine.total_layers)
+    if share is not None and crosses_zones and not is_covered:
+        return retile(servers, engine, shares[shares.index(share) :])
+    assignments = _plan_zone(servers, engine)
+    changed = {a.server_id: a for a in assignments}
+    planned = [_after(server, changed) for server in servers]
+    if share is None or 0 not in coverage(planned, engine.total_layers):
+        return assignments
+    return retile(servers, engine, shares[shares.index(share) :])
+
+
+def _after(server, changed):
+    """Return a server with the range that it is assigned, if any."""
+    assignment = changed.get(server.server_id)
+    if assignment is None:
+        return server
+    return attrs.evolve(
+        server,
+        first_layer=assignment.first_layer,
+        end_layer=assignment.end_layer,
+    )
+
+
 def _plan_zone(servers, engine):
     share = layer_memory_share(servers, engine)
     first_layer_copies = FIRST_LAYER_COPIES.get(share, 1)
@@ -288,3 +363,44 @@
 def _uncovers(before, after):
     """Return whether a layer with a copy before has none after."""
     return any(x and not y for x, y in zip(before, after, strict=True))
+
+
+def retile(servers, engine, shares):
+    """Return assignments that close all gaps by shifting ranges.
+
+    `shares` are the shares of memory that may be used, the lowest first.
+    """
+    current = {server.server_id: server for server in servers}
+    for share in shares:
+        closed = _close_by_shifts(current, engine, share)
+        if closed is not None:
+            current = closed
+            break
+    return [
+        Assignment(server.server_id, moved.first_layer, moved.end_layer)
+        for server in servers
+        if (moved := current[server.server_id]) != server
+    ]
+
+
+def _close_by_shifts(current, engine, share):
+    """Return the servers by id without a gap, or None if one remains."""
+    current = dict(current)
+
+    def capacity(server, share):
+        return layer_capacity(engine, server.accelerator, share)
+
+    for _ in range(engine.total_layers):
+        found = tiling.release(
+            list(current.values()), engine.total_layers, capacity, share
+        )
+        if found is None:
+            break
+        gap, released = found
+        ranges = tiling.fill(gap, released, capacity, share)
+        for server_id, (first, end) in ranges.items():
+            current[server_id] = attrs.evolve(
+                current[server_id], first_layer=first, end_layer=end
+            )
+    copies = coverage(current.values(), engine.total_layers)
+    return None if 0 in copies else current
--- a/pimentowalk/placement/tests/test_executor.py
+++ b/pimentowalk/placement/tests/test_executor.py
@@ -265,3 +265,22 @@
     await created.timers.advance(0.6)
     assert {fence for _, _, fence in created.orders} == {5}
     running.cancel()
+
+
+async def test_zone_that_stays_short_is_covered_with_more_memory(
+    harness,
+):
+    """Servers that crashed come back, but lost ones do not."""
+    held = {b.server_id: b.layer_count for b in harness.table.usable('svc')}
+    for server_id in ['s0', 's1', 's2']:
+        harness.table.drop(harness.table.get(server_id))
+    await harness.timers.advance(executor.SHORT_ZONE_AFTER_S - 1.0)
+    assert harness.missing_layers() > 0
+    await harness.timers.advance(2.0)
+    assert harness.missing_layers() == 0
+    grown = [
+        b
+        for b in harness.table.usable('svc')
+        if b.layer_count > held[b.server_id]
+    ]
+    assert grown
