Send nodes the sums of all loads instead of single reports

Cause: each node reported its outstanding work twice a second, and control sent every report on to every node. With 70 nodes a node of 0.39 cores decoded 140 frames a second, each with the servers that one other node uses; with 390 nodes it would be 780.

A control instance now adds the reports up by server and sends one summary in each batch, after the sequence of the receiver's own report that it includes, which the receiver subtracts. The retry budget is shared the same way. Control instances use their own sums. Nodes of an older release, which do not set acceptsSummaries, still get single reports, and reports from older instances are applied as before.

--- a/pimentowalk/admission/window_budget.py
+++ b/pimentowalk/admission/window_budget.py
@@ -29,6 +29,15 @@
     uses: dict
 
 
+@attrs.frozen
+class _Summary:
+    """The counts of all other nodes, and when they were received."""
+
+    received_s: float
+    nodes: int
+    uses: dict
+
+
 class WindowBudget:
     """Allow retries up to a ratio of the requests plus a fixed number.
 
@@ -52,6 +61,7 @@
         self._requests = collections.defaultdict(collections.deque)
         self._retries = collections.defaultdict(collections.deque)
         self._reports = {}
+        self._summary = None
 
     def count_request(self, service):
         """Count the first attempt of a request."""
@@ -63,17 +73,17 @@
         With `share` below 1, the rest of the budget is left to other callers.
         """
         self._expire_reports()
-        nodes = max(nodes, len(self._reports) + 1)
-        counts = [x.uses.get(service, (0, 0)) for x in self._reports.values()]
+        reporting, other_requests, other_retries = self._of_others(service)
+        reporting += 1
+        nodes = max(nodes, reporting)
         requests = self._count_recent(self._requests[service])
         retries = self._count_recent(self._retries[service])
         recent_s = self._now_s() - REPORT_DELAY_S
         unreported = sum(at_s >= recent_s for at_s in self._retries[service])
-        reporting = len(counts) + 1
-        limit = (requests + sum(x for x, _ in counts)) * self._ratio
+        limit = (requests + other_requests) * self._ratio
         limit += self._extra * reporting / nodes
         remaining = limit * SAFETY_SHARE * share - (retries - unreported)
-        remaining -= sum(x for _, x in counts)
+        remaining -= other_retries
         allowance = remaining / reporting
         if share == 1:
             reserve = limit * (1 - SAFETY_SHARE) * UNEVEN_SHARE / reporting
@@ -101,8 +111,31 @@
             {use.service: (use.requests, use.repeats) for use in uses},
         )
 
+    def record_summary(self, nodes, uses):
+        """Replace the counts of all other nodes, and their number.
+
+        `uses` maps services to (requests, retries).
+        """
+        self._reports.clear()
+        self._summary = _Summary(self._now_s(), nodes, uses)
+
+    def _of_others(self, service):
+        """Return (nodes, requests, retries) of the other nodes."""
+        if self._summary is not None:
+            requests, retries = self._summary.uses.get(service, (0, 0))
+            return self._summary.nodes, requests, retries
+        counts = [x.uses.get(service, (0, 0)) for x in self._reports.values()]
+        return (
+            len(counts),
+            sum(requests for requests, _ in counts),
+            sum(retries for _, retries in counts),
+        )
+
     def _expire_reports(self):
         oldest_s = self._now_s() - REPORT_EXPIRY_S
+        summary = self._summary
+        if summary is not None and summary.received_s < oldest_s:
+            self._summary = None
         for node_id, report in list(self._reports.items()):
             if report.received_s < oldest_s:
                 del self._reports[node_id]
--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -4,12 +4,11 @@
 import logging
 import random
 
-import attrs
-
 from pimentowalk.admission import room as admission_room
 from pimentowalk.core import errors
 from pimentowalk.core import logs
 from pimentowalk.dispatch import checks as dispatch_checks
+from pimentowalk.dispatch import load_exchange
 from pimentowalk.dispatch import plain
 from pimentowalk.dispatch import silence
 from pimentowalk.dispatch import stream
@@ -79,15 +78,13 @@
         self.admission = admission_room.AdmissionQueue(timers)
         self.runs = set()
         self._verifying = {}
-        self._was_busy = False
-        node.subscribe(node_messages.LoadNews, in_flight.record_report)
-        node.subscribe(node_messages.LoadNews, self._record_retries)
+        self._loads = load_exchange.LoadExchange(node, in_flight, budget)
         node.subscribe(node_messages.CheckRequest, self._on_check_request)
         node.on_document(self._on_document)
 
     def start(self):
         """Start the periodic tasks."""
-        self.timers.every(LOAD_REPORT_INTERVAL_S, self._publish_load)
+        self.timers.every(LOAD_REPORT_INTERVAL_S, self._loads.publish)
         self.timers.every(PROGRESS_CHECK_INTERVAL_S, self._check_progress)
         self.timers.every(CLEANUP_INTERVAL_S, self._remove_departed)
         self.timers.every(EXPIRY_INTERVAL_S, self._expire_silent)
@@ -121,20 +118,6 @@
         else:
             self.node.backends.drop(backend)
 
-    def _publish_load(self):
-        body = attrs.evolve(
-            self.in_flight.report(), repeats=self.budget.report()
-        )
-        is_busy = bool(body.loads) or any(x.requests for x in body.repeats)
-        # One empty report tells the other nodes that the work has ended.
-        if is_busy or self._was_busy:
-            self.node.publish_load(body)
-        self._was_busy = is_busy
-
-    def _record_retries(self, body):
-        if body.node_id != self.node.node_id:
-            self.budget.record_report(body.node_id, body.repeats)
-
     def _check_progress(self):
         now_s = self.timers.now_s()
         streams = [r for r in self.runs if isinstance(r, stream.StreamRun)]
--- /dev/null
+++ b/pimentowalk/dispatch/tests/test_load_exchange.py
@@ -0,0 +1,123 @@
+"""Test that summaries count the work of each node exactly once."""
+
+import random
+
+import pytest
+
+from pimentowalk.admission import window_budget
+from pimentowalk.dispatch import load_exchange
+from pimentowalk.mesh import load_sums
+from pimentowalk.routing import work
+from pimentowalk.wire import node_messages
+
+NODES = 6
+
+
+class Node:
+    """A node whose reports reach the sums of a control instance."""
+
+    def __init__(self, node_id, now_s):
+        self.node_id = node_id
+        self.published = []
+        self.callbacks = {}
+        self.in_flight = work.InFlightTracker(node_id, now_s)
+        self.budget = window_budget.WindowBudget(
+            now_s, window_s=10, ratio=0.2, extra=60
+        )
+        self.exchange = load_exchange.LoadExchange(
+            self, self.in_flight, self.budget
+        )
+
+    def subscribe(self, frame_class, callback):
+        self.callbacks[frame_class] = callback
+
+    def publish_load(self, body):
+        self.published.append(body)
+
+    def receive(self, body):
+        self.callbacks[type(body)](body)
+
+
+@pytest.fixture
+def now():
+    return [100.0]
+
+
+@pytest.fixture
+def nodes(now):
+    return [Node(f'n{number}', lambda: now[0]) for number in range(NODES)]
+
+
+def deliver(sums, node, now_s):
+    """Send the sums to one node."""
+    node.receive(node_messages.LoadIncluded(sums.sequence_of(node.node_id)))
+    node.receive(sums.take_summary(now_s))
+
+
+def test_work_of_all_nodes_is_counted_once(nodes, now):
+    """Counted twice, its own work would make a node avoid idle servers."""
+    rng = random.Random(5)
+    sums = load_sums.LoadSums()
+    for _ in range(40):
+        now[0] += 0.5
+        for node in nodes:
+            if rng.random() < 0.7:
+                node.in_flight.begin([f's{rng.randrange(3)}'], 100)
+            node.exchange.publish()
+            for body in node.published:
+                sums.record(body, now[0])
+            node.published.clear()
+        for node in nodes:
+            sums._has_changed = True
+            deliver(sums, node, now[0])
+        now[0] += work.UNREPORTED_S + 0.1
+        for number in range(3):
+            expected = sum(
+                n.in_flight._own_tokens[f's{number}'] for n in nodes
+            )
+            for node in nodes:
+                assert node.in_flight.tokens(f's{number}') == expected
+
+
+def test_newer_own_work_is_added_to_an_older_summary(nodes, now):
+    """A summary includes the report of a node that it has replaced since."""
+    node = nodes[0]
+    sums = load_sums.LoadSums()
+    node.in_flight.begin(['s1'], 100)
+    node.exchange.publish()
+    sums.record(node.published[0], now[0])
+    now[0] += 1.0
+    node.in_flight.begin(['s1'], 100)
+    node.exchange.publish()
+    deliver(sums, node, now[0])
+    now[0] += 1.0
+    assert node.in_flight.tokens('s1') == 200
+
+
+def test_budget_of_retries_is_shared_over_summaries(nodes, now):
+    """Each node alone would use the budget of all."""
+    sums = load_sums.LoadSums()
+    taken = 0
+    for _ in range(20):
+        now[0] += 0.4
+        for node in nodes:
+            node.budget.count_request('svc')
+            while node.budget.take('svc', NODES):
+                taken += 1
+            node.exchange.publish()
+            for body in node.published:
+                sums.record(body, now[0])
+            node.published.clear()
+        for node in nodes:
+            sums._has_changed = True
+            deliver(sums, node, now[0])
+    requests = 20 * NODES
+    assert 0.5 * 60 < taken <= requests * 0.2 + 60
+
+
+def test_reports_of_an_older_control_instance_are_still_applied(nodes, now):
+    """During an upgrade a node may depend on an instance without sums."""
+    load = [node_messages.ServerLoad('s1', 1, 70)]
+    nodes[0].receive(node_messages.LoadNews('n9', load))
+    nodes[0].receive(node_messages.LoadNews('n0', load))
+    assert nodes[0].in_flight.tokens('s1') == 70
--- a/pimentowalk/mesh/hub.py
+++ b/pimentowalk/mesh/hub.py
@@ -9,6 +9,7 @@
 from pimentowalk.core import errors
 from pimentowalk.core import logs
 from pimentowalk.core import registry
+from pimentowalk.mesh import load_sums
 from pimentowalk.wire import connection as wire
 from pimentowalk.wire import messages
 from pimentowalk.wire import node_messages
@@ -55,6 +56,7 @@
         self._tasks = set()
         self._batched_backends = {}
         self._batched_loads = {}
+        self._load_sums = load_sums.LoadSums()
         self._peers = wire.PeerServer(
             host,
             port,
@@ -161,16 +163,13 @@
             ],
         )
 
-    def _relay_repeat(self, body):
-        """Relay a frame to the subscribers that also receive repeats."""
-        self._post_all(
-            body,
-            [
-                peer
-                for peer, record in self._records.items()
-                if record.status.subscribed and not record.status.changes_only
-            ],
-        )
+    def _repeat_peers(self):
+        """Return the statuses of the subscribers that receive repeats."""
+        return {
+            peer: record.status
+            for peer, record in self._records.items()
+            if record.status.subscribed and not record.status.changes_only
+        }
 
     def _post_all(self, body, peers):
         # Encoded once for all peers: encoding takes longer than sending.
@@ -182,6 +181,7 @@
         """Relay repeated announcements or a load with the next batch."""
         if isinstance(body, node_messages.LoadNews):
             self._batched_loads[body.node_id] = body
+            self._load_sums.record(body, self._timers.now_s())
             return
         for backend in body.backends:
             self._batched_backends[backend.server_id] = backend
@@ -189,12 +189,33 @@
     def _send_batch(self):
         loads, self._batched_loads = self._batched_loads, {}
         backends, self._batched_backends = self._batched_backends, {}
+        peers = self._repeat_peers()
         if backends:
-            self._relay_repeat(
-                node_messages.BackendNews(list(backends.values()))
+            self._post_all(
+                node_messages.BackendNews(list(backends.values())),
+                list(peers),
             )
+        single = [p for p, s in peers.items() if not s.accepts_summaries]
         for body in loads.values():
-            self._relay_repeat(body)
+            self._post_all(body, single)
+        self._send_summary([p for p, s in peers.items() if p not in single])
+
+    def _send_summary(self, peers):
+        """Send the sums of all loads, also to the node of this hub."""
+        summary = self._load_sums.take_summary(self._timers.now_s())
+        if summary is None:
+            return
+        for peer in peers:
+            sequence = self._load_sums.sequence_of(peer.hello.node_id)
+            peer.post(node_messages.LoadIncluded(sequence))
+        self._post_all(summary, peers)
+        if self.replica is not None:
+            # Other control instances receive the same reports.
+            own_sequence = self._load_sums.sequence_of(self.node.node_id)
+            self.node.handle_own_frame(
+                node_messages.LoadIncluded(own_sequence)
+            )
+            self.node.handle_own_frame(summary)
 
     def start_request(self, peer, envelope):
         """Answer a control request without blocking the connection."""
@@ -244,8 +265,7 @@
 
 @FRAMES.register('loadNews')
 async def on_load(hub, peer, envelope):
-    """Apply the load of a node and relay it with the next batch."""
-    hub.node.handle_frame(envelope.body)
+    """Sum up the load of a node for the next batch."""
     hub.relay_batched(envelope.body)
 
 
--- /dev/null
+++ b/pimentowalk/mesh/load_sums.py
@@ -0,0 +1,76 @@
+"""The load of all nodes that report to a control instance, summed up."""
+
+import attrs
+
+from pimentowalk.routing import load_totals
+from pimentowalk.wire import node_messages
+
+
+@attrs.frozen
+class _Use:
+    """The sequence of the last report of a node, and its retries."""
+
+    sequence: int
+    repeats: list
+
+
+class LoadSums:
+    """Build one `LoadSummary` of the reports of all nodes.
+
+    A node hears one frame in each batch, whose size depends on the servers in
+    use, instead of the reports of all other nodes.
+    """
+
+    def __init__(self):
+        self._totals = load_totals.LoadTotals()
+        self._uses = {}
+        self._has_changed = False
+
+    def record(self, body, now_s):
+        """Record the `LoadNews` of a node, unless it is older than known."""
+        known = self._uses.get(body.node_id)
+        if known is not None and 0 < body.sequence < known.sequence:
+            return
+        loads = {x.server_id: (x.requests, x.tokens) for x in body.loads}
+        self._totals.record(body.node_id, loads, now_s)
+        self._uses[body.node_id] = _Use(body.sequence, body.repeats)
+        self._has_changed = True
+
+    def sequence_of(self, node_id):
+        """Return the sequence of the included report of a node, or 0."""
+        use = self._uses.get(node_id)
+        return use.sequence if use is not None else 0
+
+    def take_summary(self, now_s):
+        """Return the summary if it has changed since the last one."""
+        for node_id in self._totals.expire(now_s):
+            del self._uses[node_id]
+            self._has_changed = True
+        if not self._has_changed:
+            return None
+        self._has_changed = False
+        return node_messages.LoadSummary(
+            len(self._totals),
+            [
+                node_messages.ServerLoad(server_id, requests, tokens)
+                for server_id, (
+                    requests,
+                    tokens,
+                ) in self._totals.by_server().items()
+            ],
+            self._sum_repeats(),
+        )
+
+    def _sum_repeats(self):
+        sums = {}
+        for use in self._uses.values():
+            for item in use.repeats:
+                requests, repeats = sums.get(item.service, (0, 0))
+                sums[item.service] = (
+                    requests + item.requests,
+                    repeats + item.repeats,
+                )
+        return [
+            node_messages.RepeatUse(service, requests, repeats)
+            for service, (requests, repeats) in sums.items()
+        ]
--- a/pimentowalk/mesh/node.py
+++ b/pimentowalk/mesh/node.py
@@ -16,6 +16,11 @@
 LOG = logging.getLogger(__name__)
 
 HANDLERS = registry.Registry('frame for a node')
+LOAD_FRAMES = (
+    node_messages.LoadNews,
+    node_messages.LoadIncluded,
+    node_messages.LoadSummary,
+)
 
 
 class MeshNode:
@@ -139,6 +144,7 @@
             self.document_version,
             self.draining,
             link.address.node_id in sources[1:],
+            True,
         )
 
     def push_sources(self):
@@ -214,6 +220,13 @@
 
     def handle_frame(self, body):
         """Apply a frame from another node."""
+        if self.replica is not None and isinstance(body, LOAD_FRAMES):
+            # A control instance sums up the reports by itself.
+            return
+        self.handle_own_frame(body)
+
+    def handle_own_frame(self, body):
+        """Apply a frame from another node or from the hub of this node."""
         HANDLERS.get(body.FRAME_NAME)(self, body)
         for callback in self._callbacks.get(type(body), ()):
             callback(body)
@@ -271,5 +284,11 @@
     """Leave a frame to the callbacks of `MeshNode.subscribe`."""
 
 
-for _name in ('loadNews', 'crashNote', 'checkRequest'):
+for _name in (
+    'loadNews',
+    'loadIncluded',
+    'loadSummary',
+    'crashNote',
+    'checkRequest',
+):
     HANDLERS.register(_name)(_do_nothing)
--- a/pimentowalk/mesh/tests/test_homes.py
+++ b/pimentowalk/mesh/tests/test_homes.py
@@ -7,6 +7,7 @@
 from pimentowalk.core import timers as core_timers
 from pimentowalk.membership import backends as membership
 from pimentowalk.mesh import hub as mesh_hub
+from pimentowalk.mesh import load_sums
 from pimentowalk.mesh import node as mesh_node
 from pimentowalk.topology import backends
 from pimentowalk.wire import codec
@@ -59,6 +60,7 @@
     def __init__(self, node_id):
         self.hello = types.SimpleNamespace(node_id=node_id)
         self.bodies = []
+        self.posted = []
 
     def encoded(self, body):
         """Return the encoded frame."""
@@ -69,7 +71,8 @@
         self.bodies.append(codec.decode(frame[codec.HEADER.size :]).body)
 
     def post(self, body):
-        """Ignore the first view."""
+        """Record a body that is sent to this peer only."""
+        self.posted.append(body)
 
 
 def server(sequence, **others):
@@ -101,6 +104,7 @@
     ]
     assert peers['second'].bodies == changes
     repeats = [node_messages.BackendNews([server(2)]), load]
+    # These peers are of a release that accepts no summaries.
     assert peers['first'].bodies == [changes[0], *repeats, changes[1]]
 
 
@@ -108,3 +112,55 @@
     """A relay without subscribers must not encode a frame."""
     assert isinstance(node_with_links('z1', {}).hub, mesh_hub.Hub)
     node_with_links('z1', {}).hub.relay(node_messages.LoadNews('n9', []))
+
+
+def test_node_hears_one_summary_instead_of_all_reports():
+    """With 390 nodes, 780 reports a second would use up a small node."""
+    hub = node_with_links('z1', {}).hub
+    old, new = FakePeer('old'), FakePeer('new')
+    for peer in (old, new):
+        status = node_messages.NodeStatus(
+            '10.0.0.2', 1, '', True, 0, False, False, peer is new
+        )
+        hub.record_status(peer, status)
+    for number in range(40):
+        hub.relay_batched(
+            node_messages.LoadNews(
+                f'n{number}',
+                [node_messages.ServerLoad('i-1', 2, 100)],
+                [node_messages.RepeatUse('svc', 5, 1)],
+                3,
+            )
+        )
+    hub.relay_batched(node_messages.LoadNews('new', [], [], 7))
+    hub._send_batch()
+    assert len(old.bodies) == 41
+    assert new.bodies == [
+        node_messages.LoadSummary(
+            41,
+            [node_messages.ServerLoad('i-1', 80, 4000)],
+            [node_messages.RepeatUse('svc', 200, 40)],
+        )
+    ]
+    assert new.posted[-1] == node_messages.LoadIncluded(7)
+    hub._send_batch()
+    assert len(new.bodies) == 1
+
+
+def test_reports_that_arrive_late_are_not_summed_up():
+    """A delayed report would restore work that has ended."""
+    sums = load_sums.LoadSums()
+    sums.record(node_messages.LoadNews('n1', [], [], 5), 0.0)
+    late = [node_messages.ServerLoad('i-1', 2, 100)]
+    sums.record(node_messages.LoadNews('n1', late, [], 4), 0.1)
+    assert sums.take_summary(0.2).loads == []
+
+
+def test_reports_of_silent_nodes_leave_the_sums():
+    """The load of a node that is down must not keep servers full."""
+    sums = load_sums.LoadSums()
+    load = [node_messages.ServerLoad('i-1', 2, 100)]
+    sums.record(node_messages.LoadNews('n1', load, [], 1), 0.0)
+    assert sums.take_summary(0.1).nodes == 1
+    assert sums.take_summary(0.2) is None
+    assert sums.take_summary(5.0) == node_messages.LoadSummary(0, [], [])
--- a/pimentowalk/routing/tests/test_hops.py
+++ b/pimentowalk/routing/tests/test_hops.py
@@ -5,6 +5,7 @@
 import pytest
 
 from pimentowalk.routing import hops
+from pimentowalk.routing import load_totals
 from pimentowalk.routing import outcomes
 from pimentowalk.routing import work
 from pimentowalk.topology import backends
@@ -212,7 +213,7 @@
     third = work.InFlightTracker('n3', lambda: now[0])
     other.begin(['s'], 100)
     tracker.record_report(other.report())
-    now[0] = work.REPORT_EXPIRY_S + 1
+    now[0] = load_totals.REPORT_EXPIRY_S + 1
     tracker.record_report(third.report())
     assert tracker.tokens('s') == 0
 
--- a/pimentowalk/routing/tests/test_work.py
+++ b/pimentowalk/routing/tests/test_work.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from pimentowalk.routing import load_totals
 from pimentowalk.routing import work
 from pimentowalk.wire import node_messages
 
@@ -61,10 +62,10 @@
 def test_reports_of_silent_nodes_expire(tracker, now):
     """The load of a node that is down must not keep servers full."""
     report(tracker, 'n1', s1=(2, 300))
-    now[0] += work.REPORT_EXPIRY_S / 2
+    now[0] += load_totals.REPORT_EXPIRY_S / 2
     report(tracker, 'n2', s1=(1, 100))
     assert tracker.tokens('s1') == 400
-    now[0] += work.REPORT_EXPIRY_S * 0.6
+    now[0] += load_totals.REPORT_EXPIRY_S * 0.6
     report(tracker, 'n3', s2=(1, 10))
     assert tracker.tokens('s1') == 100
     assert tracker.requests('s1') == 1
@@ -75,3 +76,20 @@
     tracker.begin(['s1'], 50)
     report(tracker, 'own', s1=(1, 50))
     assert tracker.tokens('s1') == 50
+
+
+def test_summary_replaces_single_reports_and_expires(tracker, now):
+    """Without new summaries, the work of nodes that are down would stay."""
+    report(tracker, 'n1', s1=(2, 300), s2=(1, 10))
+    tracker.record_summary(3, {'s1': (4, 500)})
+    assert tracker.tokens('s1') == 500
+    assert tracker.tokens('s2') == 0
+    now[0] += load_totals.REPORT_EXPIRY_S + 0.1
+    assert tracker.tokens('s1') == 0
+
+
+def test_unreported_work_is_estimated_for_the_nodes_of_a_summary(tracker):
+    """Nodes with the same summary would all choose the same server."""
+    tracker.record_summary(3, {})
+    tracker.begin(['s1'], 50)
+    assert tracker.tokens('s1') == 50 * 4
--- a/pimentowalk/routing/work.py
+++ b/pimentowalk/routing/work.py
@@ -5,10 +5,9 @@
 
 import collections
 
+from pimentowalk.routing import load_totals
 from pimentowalk.wire import node_messages
 
-# A report this old is dropped: its requests have ended or its node is down.
-REPORT_EXPIRY_S = 2.0
 # Mean delay until requests started at another node are known here: half the
 # report period plus half the period at which control forwards reports.
 UNREPORTED_S = 0.375
@@ -33,8 +32,10 @@
         self._now_s = now_s
         self._own_requests = collections.Counter()
         self._own_tokens = collections.Counter()
-        self._reports = {}
-        self._reported_totals = {}
+        self._reports = load_totals.LoadTotals()
+        self._summary = {}
+        self._summarized_s = float('-inf')
+        self._other_nodes = 0
         self._recent_starts = collections.deque()
         self._recent_requests = collections.Counter()
         self._recent_tokens = collections.Counter()
@@ -82,36 +83,30 @@
         if body.node_id != self._node_id:
             now_s = self._now_s()
             loads = {x.server_id: (x.requests, x.tokens) for x in body.loads}
-            self._remove_report(body.node_id)
-            self._add_to_totals(loads, 1)
-            # Appended last, so that reports stay ordered by arrival.
-            self._reports[body.node_id] = now_s, loads
-            self._expire_reports(now_s - REPORT_EXPIRY_S)
-
-    def _expire_reports(self, oldest_s):
-        while self._reports:
-            node_id, (received_s, _) = next(iter(self._reports.items()))
-            if received_s >= oldest_s:
-                return
-            self._remove_report(node_id)
-
-    def _remove_report(self, node_id):
-        _, loads = self._reports.pop(node_id, (0.0, {}))
-        self._add_to_totals(loads, -1)
-
-    def _add_to_totals(self, loads, sign):
-        """Add the load of one node to the totals, or subtract it.
-
-        Every node reports twice a second. Summing over all nodes on each
-        lookup would take a third of the processor time of a small node.
+            self._reports.record(body.node_id, loads, now_s)
+            self._reports.expire(now_s)
+            self._other_nodes = len(self._reports)
+
+    def record_summary(self, nodes, loads):
+        """Replace the load of all other nodes, and their number.
+
+        `loads` maps server ids to (requests, tokens).
         """
-        for server_id, (requests, tokens) in loads.items():
-            old = self._reported_totals.get(server_id, (0, 0))
-            total = old[0] + sign * requests, old[1] + sign * tokens
-            if total == (0, 0):
-                self._reported_totals.pop(server_id, None)
-            else:
-                self._reported_totals[server_id] = total
+        self._reports.clear()
+        self._summary = loads
+        self._summarized_s = self._now_s()
+        self._other_nodes = nodes
+
+    def _reported(self, server_id):
+        """Return (requests, tokens) of the other nodes at a server."""
+        found = self._summary.get(server_id)
+        if found is None:
+            return self._reports.of_server(server_id)
+        age_s = self._now_s() - self._summarized_s
+        if age_s > load_totals.REPORT_EXPIRY_S:
+            self._summary = {}
+            return self._reports.of_server(server_id)
+        return found
 
     def _estimate_unreported(self, recent, server_id):
         """Estimate what other nodes have started since their last reports.
@@ -128,7 +123,7 @@
             if self._recent_requests[started_id] <= 0:
                 del self._recent_requests[started_id]
                 del self._recent_tokens[started_id]
-        return recent[server_id] * len(self._reports)
+        return recent[server_id] * self._other_nodes
 
     def requests(self, server_id):
         """Return the requests in flight at a server, with an estimate."""
@@ -139,12 +134,11 @@
 
     def reported_requests(self, server_id):
         """Return the requests in flight at a server, without the estimate."""
-        reported = self._reported_totals.get(server_id, (0, 0))[0]
-        return self._own_requests[server_id] + reported
+        return self._own_requests[server_id] + self._reported(server_id)[0]
 
     def tokens(self, server_id):
         """Return the tokens in flight at a server, with an estimate."""
-        remote = self._reported_totals.get(server_id, (0, 0))[1]
+        remote = self._reported(server_id)[1]
         remote += self._estimate_unreported(self._recent_tokens, server_id)
         return self._own_tokens[server_id] + remote
 
@@ -177,7 +171,7 @@
             return 1.0
         server_id = backend.server_id
         tokens = self._own_tokens[server_id] + more_tokens
-        tokens += self._reported_totals.get(server_id, (0, 0))[1]
+        tokens += self._reported(server_id)[1]
         return self._full_if_refused(backend, tokens / capacity)
 
     def _full_if_refused(self, backend, share):
--- a/pimentowalk/wire/frames.capnp
+++ b/pimentowalk/wire/frames.capnp
@@ -375,6 +375,7 @@
   version @4 :UInt64;
   draining @5 :Bool;
   changesOnly @6 :Bool;
+  acceptsSummaries @7 :Bool;
 }
 
 struct ControlAddress {
@@ -440,6 +441,7 @@
   nodeId @0 :Text;
   loads @1 :List(ServerLoad);
   repeats @2 :List(RepeatUse);
+  sequence @3 :UInt64;
 }
 
 struct CrashNote {
@@ -453,6 +455,16 @@
   bornMs @1 :UInt64;
 }
 
+struct LoadSummary {
+  nodes @0 :UInt64;
+  loads @1 :List(ServerLoad);
+  repeats @2 :List(RepeatUse);
+}
+
+struct LoadIncluded {
+  sequence @0 :UInt64;
+}
+
 struct Frame {
   configVersion @0 :UInt64;
   callId @1 :UInt64;
@@ -501,5 +513,7 @@
     loadNews @43 :LoadNews;
     crashNote @44 :CrashNote;
     checkRequest @45 :CheckRequest;
+    loadSummary @46 :LoadSummary;
+    loadIncluded @47 :LoadIncluded;
   }
 }
--- a/pimentowalk/wire/node_messages.py
+++ b/pimentowalk/wire/node_messages.py
@@ -27,7 +27,8 @@
     `identity` is that of the data directory of the node, empty if it has no
     disk. `subscribed` requests pushes; `changes_only` excludes repeated
     announcements and loads from them. `version` is that of the document in
-    force.
+    force. A node with `accepts_summaries` receives the loads of all nodes
+    summed up instead of one by one.
     """
 
     host: str
@@ -37,6 +38,7 @@
     version: int
     draining: bool
     changes_only: bool = False
+    accepts_summaries: bool = False
 
 
 @messages.message('controlNews')
@@ -98,11 +100,15 @@
 @messages.message('loadNews')
 @attrs.frozen
 class LoadNews:
-    """The outstanding work of a node; servers not listed have none."""
+    """The outstanding work of a node; servers not listed have none.
+
+    `sequence` increases with each report of the node.
+    """
 
     node_id: str
     loads: list[ServerLoad]
     repeats: list[RepeatUse] = attrs.field(factory=list)
+    sequence: int = 0
 
 
 @messages.message('crashNote')
@@ -126,3 +132,27 @@
 
     server_id: str
     born_ms: int
+
+
+@messages.message('loadSummary')
+@attrs.frozen
+class LoadSummary:
+    """The outstanding work of all nodes that report to a control instance.
+
+    `nodes` is the number of nodes whose reports are summed up.
+    """
+
+    nodes: int
+    loads: list[ServerLoad]
+    repeats: list[RepeatUse]
+
+
+@messages.message('loadIncluded')
+@attrs.frozen
+class LoadIncluded:
+    """The report of the receiver that the next `LoadSummary` includes.
+
+    `sequence` is that of the report, 0 if there is none.
+    """
+
+    sequence: int
