Search other zones only if they may have the cheapest path

Cause: each choice searched the paths of all zones, and compared each server with every partial path. Streams that wait for capacity choose fifty times a second, and the time grew faster than the number of servers.

The zone of the caller is searched each time. Costs of other zones are remembered for 0.25 s and checked against the servers searched; the cheapest zone is searched again before it is used. Of the partial paths to a boundary only the cheapest of each zone is kept. A test compares the search with one over all paths.

--- a/pimentowalk/routing/hops.py
+++ b/pimentowalk/routing/hops.py
@@ -27,6 +27,9 @@
 # retry budget in addition to the time lost.
 FAILURE_COST_S = 1.0
 MAX_HOPS = 32
+# Costs of paths in other zones are searched again after this time. Loads of
+# other nodes are known with a greater delay anyway.
+ZONE_COST_TTL_S = 0.25
 # Costs are increased at random by up to this share, so that nodes with the
 # same view of the load do not all choose the same server.
 JITTER_SHARE = 0.1
@@ -96,14 +99,32 @@
     backend: object
 
 
+@attrs.frozen
+class _ZoneCost:
+    """The cost of the cheapest path within a zone, infinite if none.
+
+    `servers` are the ids and ranges of the servers that were searched.
+    """
+
+    cost_s: float
+    found_s: float
+    servers: tuple
+
+
 @POLICIES.register('cheapest')
 class CheapestPath:
-    """Find the path of least total cost by dynamic programming."""
+    """Find the path of least total cost by dynamic programming.
+
+    The zone of the caller is searched for each request, and another one only
+    if its last known cost is the least of all. Streams that wait for capacity
+    ask often, so that searching all zones would use up a small node.
+    """
 
     def __init__(self, loads, rng, outcomes):
         self._loads = loads
         self._rng = rng
         self._outcomes = outcomes
+        self._zone_costs = {}
 
     def choose(self, backends, query):
         """Return the hops of a path, or None if a layer is missing.
@@ -122,18 +143,54 @@
             zones.setdefault(backend.zone, []).append(backend)
         if query.head is not None:
             zone = query.head.backend.zone
-            zones = {zone: zones.get(zone, [])}
-        found = [self._search(servers, query) for servers in zones.values()]
-        best = min(
-            (path for path in found if path is not None),
-            key=lambda path: path.cost_s,
-            default=None,
-        )
+            best = self._search(zones.get(zone, []), query)
+        else:
+            best = self._search_zones(zones, query)
         best = best or self._search(candidates, query)
         return self._hops(best) if best else None
 
+    def _search_zones(self, zones, query):
+        """Return the cheapest path within a single zone, or None."""
+        best = self._search(zones.pop(query.zone, []), query)
+        while zones:
+            costs_s = {
+                zone: self._zone_cost_s(zone, servers, query)
+                for zone, servers in zones.items()
+            }
+            zone = min(costs_s, key=costs_s.get)
+            best_cost_s = best.cost_s if best else float('inf')
+            if costs_s[zone] >= best_cost_s:
+                break
+            found = self._search_zone(zone, zones.pop(zone), query)
+            if found is not None and found.cost_s < best_cost_s:
+                best = found
+        return best
+
+    def _zone_cost_s(self, zone, servers, query):
+        """Return the last known cost of a zone, or a new one if outdated."""
+        known = self._zone_costs.get(zone)
+        if (
+            known is None
+            or self._loads.now_s() - known.found_s > ZONE_COST_TTL_S
+            or known.servers != _ranges(servers)
+        ):
+            self._search_zone(zone, servers, query)
+            known = self._zone_costs[zone]
+        return known.cost_s
+
+    def _search_zone(self, zone, servers, query):
+        """Return the cheapest path within a zone, and remember its cost."""
+        path = self._search(servers, query)
+        self._zone_costs[zone] = _ZoneCost(
+            path.cost_s if path else float('inf'),
+            self._loads.now_s(),
+            _ranges(servers),
+        )
+        return path
+
     def _search(self, candidates, query):
-        partial_paths = []
+        # The cheapest partial path to each boundary, by zone.
+        partial_paths = {}
         final = None
         if query.head is not None:
             if query.head.end_layer >= query.total_layers:
@@ -143,7 +200,7 @@
                 first_layer=0,
                 end_layer=query.head.end_layer,
             )
-            partial_paths.append(_PartialPath(0.0, 1, None, head))
+            _keep_cheapest(partial_paths, _PartialPath(0.0, 1, None, head))
             candidates = [
                 b
                 for b in candidates
@@ -158,7 +215,7 @@
                 if final is None or found.cost_s < final.cost_s:
                     final = found
             else:
-                partial_paths.append(found)
+                _keep_cheapest(partial_paths, found)
         return final
 
     def _extend(self, partial_paths, backend, query):
@@ -171,24 +228,23 @@
             if backend.zone != query.zone:
                 cost_s += self._loads.remote_zone_cost_s(backend.zone)
             best = _PartialPath(cost_s, 1, None, backend)
-        hop_costs_s = {}
-        for previous in partial_paths:
-            boundary = previous.backend.end_layer
-            if not backend.first_layer <= boundary < backend.end_layer:
-                continue
-            if previous.hop_count >= MAX_HOPS:
+        for boundary in range(backend.first_layer, backend.end_layer):
+            by_zone = partial_paths.get(boundary)
+            if by_zone is None:
                 continue
-            if boundary not in hop_costs_s:
-                hop_costs_s[boundary] = jitter * self._hop_cost_s(
-                    backend, backend.end_layer - boundary, query
-                )
-            cost_s = previous.cost_s + hop_costs_s[boundary]
-            if previous.backend.zone != backend.zone:
-                cost_s += CROSS_ZONE_COST_S
-            if best is None or cost_s < best.cost_s:
-                best = _PartialPath(
-                    cost_s, previous.hop_count + 1, previous, backend
-                )
+            hop_cost_s = jitter * self._hop_cost_s(
+                backend, backend.end_layer - boundary, query
+            )
+            for previous in by_zone.values():
+                if previous.hop_count >= MAX_HOPS:
+                    continue
+                cost_s = previous.cost_s + hop_cost_s
+                if previous.backend.zone != backend.zone:
+                    cost_s += CROSS_ZONE_COST_S
+                if best is None or cost_s < best.cost_s:
+                    best = _PartialPath(
+                        cost_s, previous.hop_count + 1, previous, backend
+                    )
         return best
 
     def _hop_cost_s(self, backend, layers, query):
@@ -207,6 +263,19 @@
         return hops
 
 
+def _ranges(servers):
+    return tuple((b.server_id, b.first_layer, b.end_layer) for b in servers)
+
+
+def _keep_cheapest(partial_paths, path):
+    """Keep a path unless a cheaper one ends at its boundary in its zone."""
+    backend = path.backend
+    by_zone = partial_paths.setdefault(backend.end_layer, {})
+    known = by_zone.get(backend.zone)
+    if known is None or path.cost_s < known.cost_s:
+        by_zone[backend.zone] = path
+
+
 @POLICIES.register('first_fit')
 class FirstFit:
     """Greedily take the server that reaches furthest; the baseline."""
--- a/pimentowalk/routing/tests/test_hops.py
+++ b/pimentowalk/routing/tests/test_hops.py
@@ -235,3 +235,103 @@
         _server_ids(policy.choose(servers, _query()))[0] for _ in range(50)
     }
     assert heads == {'z1-0', 'replica'}
+
+
+def _large_zones(rng, count):
+    """Return servers of five zones with random ranges, and their loads."""
+    servers = []
+    for number in range(count):
+        size = rng.randint(4, 24)
+        first = rng.randint(0, 80 - size)
+        servers.append(
+            _server(f's{number}', first, first + size, f'z{number % 5 + 1}')
+        )
+    return servers
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_search_finds_the_cheapest_path(seed, monkeypatch):
+    """A search that drops too many partial paths sends work to full servers.
+
+    The reference considers every path, with the same costs.
+    """
+    monkeypatch.setattr(hops, 'JITTER_SHARE', 0.0)
+    rng = random.Random(seed)
+    servers = _large_zones(rng, 60)
+    tracker = _tracker()
+    for server in servers:
+        tracker.begin([server.server_id], rng.randrange(60_000))
+    policy = _policy(tracker)
+    for zone in ('z1', 'z4'):
+        query = hops.PathQuery(80, 1000, zone)
+        own = [s for s in servers if s.zone == zone]
+        expected = _cheapest_by_search(own, query, tracker, {})
+        found = policy._search(
+            sorted(own, key=lambda b: (b.end_layer, b.first_layer)), query
+        )
+        assert (found is None) == (expected is None)
+        if found is not None:
+            assert found.cost_s == pytest.approx(expected)
+
+
+def _cheapest_by_search(servers, query, tracker, known, boundary=0):
+    """Return the cost of the cheapest path from a boundary, or None."""
+    if boundary == 80:
+        return 0.0
+    if boundary not in known:
+        costs = []
+        for server in servers:
+            if not server.first_layer <= boundary < server.end_layer:
+                continue
+            if boundary == 0 and server.first_layer != 0:
+                continue
+            rest = _cheapest_by_search(
+                servers, query, tracker, known, server.end_layer
+            )
+            if rest is not None:
+                cost = hops.hop_cost_s(
+                    server,
+                    server.end_layer - boundary,
+                    query,
+                    tracker,
+                    outcomes.OutcomeTracker(lambda: 0.0),
+                )
+                costs.append(cost + rest)
+        known[boundary] = min(costs, default=None)
+    return known[boundary]
+
+
+def test_waiting_streams_search_few_zones(monkeypatch):
+    """Each stream that waits asks for a path fifty times a second."""
+    servers = [s for n in range(1, 6) for s in _chain(f'z{n}')]
+    policy = _policy()
+    searched = []
+    search = policy._search
+
+    def counting_search(candidates, query):
+        searched.append(candidates[0].zone)
+        return search(candidates, query)
+
+    monkeypatch.setattr(policy, '_search', counting_search)
+    for _ in range(10):
+        assert policy.choose(servers, _query())
+    assert len(searched) <= 5 + 9
+
+
+def test_zone_that_becomes_cheaper_is_used_in_time():
+    """A remembered cost would keep all work in a zone that has slowed."""
+    now = [0.0]
+    tracker = work.InFlightTracker('n1', lambda: now[0])
+    tracker.set_engines({'svc': ENGINE})
+    policy = _policy(tracker)
+    servers = _chain('z1') + _chain('z2')
+    assert policy.choose(servers, _query())[0].backend.zone == 'z1'
+    now[0] += 0.1
+    tracker.record_summary(
+        1, {s.server_id: (90, 80_000) for s in servers if s.zone == 'z1'}
+    )
+    assert policy.choose(servers, _query())[0].backend.zone == 'z2'
+    tracker.record_summary(
+        1, {s.server_id: (90, 90_000) for s in servers if s.zone == 'z2'}
+    )
+    assert policy.choose(servers, _query())[0].backend.zone == 'z1'
--- a/pimentowalk/routing/work.py
+++ b/pimentowalk/routing/work.py
@@ -43,6 +43,10 @@
         self._slowness = {}
         self._full_until_s = {}
 
+    def now_s(self):
+        """Return the time on the clock of this tracker."""
+        return self._now_s()
+
     def set_engines(self, engines):
         """Set the engine of each service."""
         self._engines = dict(engines)
