Send heartbeats instead of repeated announcements to nodes

All nodes also reported their status to each of five control instances 2.5 times a second.

A repeat is now a key of 64 bits, a sequence and an age in one frame a batch. A node that does not know a key asks for its announcement. Nodes of older releases get announcements as before. The status goes to instances that do not push to the node once a second, and a node counts as live for 2.5 s.

--- a/pimentowalk/membership/backends.py
+++ b/pimentowalk/membership/backends.py
@@ -30,7 +30,6 @@
 
     backend: backends.Backend
     heard_s: float
-    joined_s: float
     suspect_since_s: float | None = None
     suspect_sequence: int = 0
 
@@ -46,6 +45,7 @@
         self._period_s = period_s
         self._records = {}
         self._removed = {}
+        self._ids_by_key = {}
         self._callbacks = []
         self.generation = 0
         self._last_heard_s = float('-inf')
@@ -79,7 +79,8 @@
         now_s = self.now_s()
         heard_s = now_s - age_s
         if record is None or record.backend.born_ms != backend.born_ms:
-            self._records[backend.server_id] = Record(backend, heard_s, now_s)
+            self._records[backend.server_id] = Record(backend, heard_s)
+            self._ids_by_key[backend.key] = backend.server_id
             self._remove_predecessors(backend)
             self._log('backend server joined', backend)
             self._notify()
@@ -97,6 +98,30 @@
             self._notify()
         return True
 
+    def apply_heartbeat(self, key, sequence, age_s=0.0):
+        """Apply an announcement that changes nothing but its times.
+
+        Returns whether the incarnation with this key is known.
+        """
+        record = self._records.get(self._ids_by_key.get(key))
+        if record is None or record.backend.key != key:
+            return False
+        now_s = self.now_s()
+        record.heard_s = max(record.heard_s, now_s - age_s)
+        if sequence <= record.backend.sequence:
+            return True
+        self._last_heard_s = now_s
+        record.backend = attrs.evolve(record.backend, sequence=sequence)
+        if self._clears_suspicion(record, now_s):
+            record.suspect_since_s = None
+            self._notify()
+        return True
+
+    def with_keys(self, keys):
+        """Return the announcements of incarnations with these keys."""
+        wanted = set(keys)
+        return [b for b in self.announcements() if b.key in wanted]
+
     def _update_heard(self, record, backend, age_s):
         """Record when another node heard the same announcement."""
         if record is not None and backend.order == record.backend.order:
@@ -153,6 +178,11 @@
         for server_id, (_, removed_s) in list(self._removed.items()):
             if now_s - removed_s > REMOVED_RETENTION_S:
                 del self._removed[server_id]
+        self._ids_by_key = {
+            key: server_id
+            for key, server_id in self._ids_by_key.items()
+            if server_id in self._records
+        }
         # If no server is heard, this node is partitioned or was suspended,
         # and its last view is the best one.
         if now_s - self._last_heard_s > self._period_s:
--- a/pimentowalk/mesh/hub.py
+++ b/pimentowalk/mesh/hub.py
@@ -17,9 +17,9 @@
 LOG = logging.getLogger(__name__)
 
 FRAMES = registry.Registry('frame of a node')
-# A node is not counted as live after three missed status reports; see
-# `links.STATUS_INTERVAL_S`.
-NODE_TIMEOUT_S = 1.5
+# A node is not counted as live after two missed status reports; see
+# `links.IDLE_STATUS_INTERVAL_S`.
+NODE_TIMEOUT_S = 2.5
 # A connection without status reports is closed after this time; its node
 # connects again.
 CONNECTION_TIMEOUT_S = 5.0
@@ -190,15 +190,16 @@
         loads, self._batched_loads = self._batched_loads, {}
         backends, self._batched_backends = self._batched_backends, {}
         peers = self._repeat_peers()
+        summed = [p for p, s in peers.items() if s.accepts_summaries]
+        single = [p for p, s in peers.items() if not s.accepts_summaries]
         if backends:
             self._post_all(
-                node_messages.BackendNews(list(backends.values())),
-                list(peers),
+                node_messages.BackendNews(list(backends.values())), single
             )
-        single = [p for p, s in peers.items() if not s.accepts_summaries]
+            self._post_all(_heartbeats(backends.values()), summed)
         for body in loads.values():
             self._post_all(body, single)
-        self._send_summary([p for p, s in peers.items() if p not in single])
+        self._send_summary(summed)
 
     def _send_summary(self, peers):
         """Send the sums of all loads, also to the node of this hub."""
@@ -243,6 +244,22 @@
         return await self.requests.answer(request, peer)
 
 
+def _heartbeats(backends):
+    return node_messages.BackendHeartbeats(
+        [backend.key for backend in backends],
+        [backend.sequence for backend in backends],
+        [backend.heard_ms for backend in backends],
+    )
+
+
+@FRAMES.register('backendRequest')
+async def on_backend_request(hub, peer, envelope):
+    """Send announcements that a node has only had heartbeats of."""
+    found = hub.node.backends.with_keys(envelope.body.keys)
+    if found:
+        peer.post(node_messages.BackendNews(found))
+
+
 @FRAMES.register('nodeStatus')
 async def on_status(hub, peer, envelope):
     """Record the status of a node; answer with `ControlNews`."""
--- a/pimentowalk/mesh/links.py
+++ b/pimentowalk/mesh/links.py
@@ -8,11 +8,15 @@
 from pimentowalk.core import timers as core_timers
 from pimentowalk.wire import connection as wire
 from pimentowalk.wire import messages
+from pimentowalk.wire import node_messages
 
 LOG = logging.getLogger(__name__)
 
-# Interval of status reports; see `hub.NODE_TIMEOUT_S`.
+# Interval of status reports to the instances that push to this node.
 STATUS_INTERVAL_S = 0.4
+# Interval of status reports to all others, which only count the node as
+# live; see `hub.NODE_TIMEOUT_S`.
+IDLE_STATUS_INTERVAL_S = 1.0
 # The link reconnects if a status report is not answered within this time,
 # which detects connections that broke without a reset.
 STATUS_TIMEOUT_S = 1.0
@@ -114,7 +118,11 @@
                 status.subscribed,
                 status.changes_only,
             ):
-                await self._timers.sleep(STATUS_INTERVAL_S)
+                await self._timers.sleep(
+                    STATUS_INTERVAL_S
+                    if status.subscribed
+                    else IDLE_STATUS_INTERVAL_S
+                )
 
     def _log_lost(self, error):
         if self._was_open:
@@ -133,4 +141,6 @@
                 extra=logs.fields(step='mesh', peer=peer.peer),
             )
             return
-        self._node.handle_frame(envelope.body)
+        unknown_keys = self._node.handle_frame(envelope.body)
+        if unknown_keys:
+            self.post(node_messages.BackendRequest(unknown_keys))
--- a/pimentowalk/mesh/node.py
+++ b/pimentowalk/mesh/node.py
@@ -219,17 +219,22 @@
         self.hub.relay_batched(body)
 
     def handle_frame(self, body):
-        """Apply a frame from another node."""
+        """Apply a frame from another node.
+
+        Returns the keys of backend servers that it names and that are not
+        known yet, or None.
+        """
         if self.replica is not None and isinstance(body, LOAD_FRAMES):
             # A control instance sums up the reports by itself.
-            return
-        self.handle_own_frame(body)
+            return None
+        return self.handle_own_frame(body)
 
     def handle_own_frame(self, body):
         """Apply a frame from another node or from the hub of this node."""
-        HANDLERS.get(body.FRAME_NAME)(self, body)
+        unknown_keys = HANDLERS.get(body.FRAME_NAME)(self, body)
         for callback in self._callbacks.get(type(body), ()):
             callback(body)
+        return unknown_keys
 
     def apply_document(self, version, content):
         """Put a committed document in force if its version is newer."""
@@ -274,6 +279,18 @@
         node.backends.apply(backend, backend.heard_ms / 1000)
 
 
+@HANDLERS.register('backendHeartbeats')
+def on_heartbeats(node, body):
+    """Apply repeated announcements; return the keys that are unknown."""
+    return [
+        key
+        for key, sequence, age_ms in zip(
+            body.keys, body.sequences, body.ages_ms, strict=True
+        )
+        if not node.backends.apply_heartbeat(key, sequence, age_ms / 1000)
+    ]
+
+
 @HANDLERS.register('suspicion')
 def on_suspicion(node, body):
     """Exclude a server that failed at another node."""
--- a/pimentowalk/mesh/tests/test_homes.py
+++ b/pimentowalk/mesh/tests/test_homes.py
@@ -2,6 +2,7 @@
 
 import types
 
+import attrs
 import pytest
 
 from pimentowalk.core import timers as core_timers
@@ -164,3 +165,62 @@
     assert sums.take_summary(0.1).nodes == 1
     assert sums.take_summary(0.2) is None
     assert sums.take_summary(5.0) == node_messages.LoadSummary(0, [], [])
+
+
+def test_node_hears_heartbeats_instead_of_repeated_announcements():
+    """Each server announces itself each period, mostly without a change."""
+    hub = node_with_links('z1', {}).hub
+    peer = FakePeer('new')
+    hub.record_status(
+        peer,
+        node_messages.NodeStatus(
+            '10.0.0.2', 1, '', True, 0, False, False, True
+        ),
+    )
+    hub.node.announce(server(1))
+    hub.node.announce(server(2))
+    hub._send_batch()
+    assert peer.bodies == [
+        node_messages.BackendNews([server(1)]),
+        node_messages.BackendHeartbeats([server(2).key], [2], [0]),
+    ]
+    node = node_with_links('z1', {})
+    assert node.handle_frame(peer.bodies[1]) == [server(2).key]
+    node.handle_frame(peer.bodies[0])
+    assert node.handle_frame(peer.bodies[1]) == []
+    assert node.backends.get('i-1').sequence == 2
+
+
+async def test_unknown_server_is_asked_for():
+    """A node that missed a join would never use the server."""
+    hub = node_with_links('z1', {}).hub
+    hub.node.announce(server(3))
+    peer = FakePeer('new')
+    request = node_messages.BackendRequest([server(3).key, 7])
+    await mesh_hub.FRAMES.get('backendRequest')(
+        hub, peer, types.SimpleNamespace(body=request)
+    )
+    (news,) = peer.posted
+    assert [b.server_id for b in news.backends] == ['i-1']
+
+
+def test_heartbeat_of_a_former_incarnation_is_unknown():
+    """It would keep a server in use that has restarted without layers."""
+    node = node_with_links('z1', {})
+    node.announce(server(5))
+    node.announce(attrs.evolve(server(0), born_ms=200))
+    assert not node.backends.apply_heartbeat(server(5).key, 6)
+    assert node.backends.get('i-1').sequence == 0
+
+
+def test_heartbeat_clears_a_suspicion_like_an_announcement():
+    """A server that was only slow would stay excluded."""
+    now = [0.0]
+    table = membership.BackendTable(lambda: now[0], 1.2)
+    table.apply(server(5))
+    table.suspect('i-1', 100, 'no answer')
+    now[0] += membership.MIN_SUSPECT_S + 0.1
+    assert table.apply_heartbeat(server(5).key, 5)
+    assert table.usable('svc') == []
+    assert table.apply_heartbeat(server(5).key, 6)
+    assert len(table.usable('svc')) == 1
--- a/pimentowalk/topology/backends.py
+++ b/pimentowalk/topology/backends.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from pimentowalk.core import identifiers
+
 READY = 'ready'
 DRAINING = 'draining'
 GONE = 'gone'
@@ -41,6 +43,11 @@
         """Return `host:port`."""
         return f'{self.host}:{self.port}'
 
+    @property
+    def key(self):
+        """Return a 64-bit key of the incarnation."""
+        return identifiers.hash64(self.server_id, str(self.born_ms))
+
     @property
     def order(self):
         """Return the sort key of the announcements of a server."""
--- a/pimentowalk/wire/frames.capnp
+++ b/pimentowalk/wire/frames.capnp
@@ -465,6 +465,16 @@
   sequence @0 :UInt64;
 }
 
+struct BackendHeartbeats {
+  keys @0 :List(UInt64);
+  sequences @1 :List(UInt64);
+  agesMs @2 :List(UInt64);
+}
+
+struct BackendRequest {
+  keys @0 :List(UInt64);
+}
+
 struct Frame {
   configVersion @0 :UInt64;
   callId @1 :UInt64;
@@ -515,5 +525,7 @@
     checkRequest @45 :CheckRequest;
     loadSummary @46 :LoadSummary;
     loadIncluded @47 :LoadIncluded;
+    backendHeartbeats @48 :BackendHeartbeats;
+    backendRequest @49 :BackendRequest;
   }
 }
--- a/pimentowalk/wire/node_messages.py
+++ b/pimentowalk/wire/node_messages.py
@@ -28,7 +28,8 @@
     disk. `subscribed` requests pushes; `changes_only` excludes repeated
     announcements and loads from them. `version` is that of the document in
     force. A node with `accepts_summaries` receives the loads of all nodes
-    summed up instead of one by one.
+    summed up instead of one by one, and heartbeats instead of announcements
+    that repeat earlier ones.
     """
 
     host: str
@@ -156,3 +157,25 @@
     """
 
     sequence: int
+
+
+@messages.message('backendHeartbeats')
+@attrs.frozen
+class BackendHeartbeats:
+    """Announcements that change nothing but their times.
+
+    `keys` are those of the incarnations (`Backend.key`), `sequences` and
+    `ages_ms` the sequences and ages of their announcements, in that order.
+    """
+
+    keys: list[int]
+    sequences: list[int]
+    ages_ms: list[int]
+
+
+@messages.message('backendRequest')
+@attrs.frozen
+class BackendRequest:
+    """A request for the announcements of incarnations not known yet."""
+
+    keys: list[int]
