Sum up the reports of restarted nodes; keep costs by service

Found by reading: the sums of a control instance ignored reports with a lower sequence, so that the work of a node that had restarted was unknown for up to 2 s. Such a gap now means a restart. Remembered costs of zones were shared by services with engines of their own, which replaced each other. The new test failed before; no measured run of its own.

--- a/pimentowalk/mesh/load_sums.py
+++ b/pimentowalk/mesh/load_sums.py
@@ -6,6 +6,11 @@
 from pimentowalk.wire import node_messages
 
 
+# A report that is this many behind the newest one is not late: the node has
+# restarted and counts anew.
+RESTART_GAP = 16
+
+
 @attrs.frozen
 class _Use:
     """The sequence of the last report of a node, and its retries."""
@@ -28,8 +33,8 @@
 
     def record(self, body, now_s):
         """Record the `LoadNews` of a node, unless it is older than known."""
-        known = self._uses.get(body.node_id)
-        if known is not None and 0 < body.sequence < known.sequence:
+        behind = self.sequence_of(body.node_id) - body.sequence
+        if 0 < behind < RESTART_GAP and body.sequence:
             return
         loads = {x.server_id: (x.requests, x.tokens) for x in body.loads}
         self._totals.record(body.node_id, loads, now_s)
--- a/pimentowalk/mesh/tests/test_homes.py
+++ b/pimentowalk/mesh/tests/test_homes.py
@@ -224,3 +224,13 @@
     assert table.usable('svc') == []
     assert table.apply_heartbeat(server(5).key, 6)
     assert len(table.usable('svc')) == 1
+
+
+def test_reports_of_a_restarted_node_are_summed_up():
+    """It counts anew; its work would be unknown until the old part expires."""
+    sums = load_sums.LoadSums()
+    load = [node_messages.ServerLoad('i-1', 2, 100)]
+    sums.record(node_messages.LoadNews('n1', [], [], 500), 0.0)
+    sums.record(node_messages.LoadNews('n1', load, [], 1), 0.5)
+    assert sums.take_summary(0.6).loads == load
+    assert sums.sequence_of('n1') == 1
--- a/pimentowalk/routing/hops.py
+++ b/pimentowalk/routing/hops.py
@@ -168,20 +168,21 @@
 
     def _zone_cost_s(self, zone, servers, query):
         """Return the last known cost of a zone, or a new one if outdated."""
-        known = self._zone_costs.get(zone)
+        key = servers[0].service, zone
+        known = self._zone_costs.get(key)
         if (
             known is None
             or self._loads.now_s() - known.found_s > ZONE_COST_TTL_S
             or known.servers != _ranges(servers)
         ):
             self._search_zone(zone, servers, query)
-            known = self._zone_costs[zone]
+            known = self._zone_costs[key]
         return known.cost_s
 
     def _search_zone(self, zone, servers, query):
         """Return the cheapest path within a zone, and remember its cost."""
         path = self._search(servers, query)
-        self._zone_costs[zone] = _ZoneCost(
+        self._zone_costs[servers[0].service, zone] = _ZoneCost(
             path.cost_s if path else float('inf'),
             self._loads.now_s(),
             _ranges(servers),
