Count copies of layers in one place

placement/tiling.py had its own copy of planner.coverage; the function is now there, and the planner, the executor and the tests use it.

--- a/pimentowalk/dispatch/tests/test_load_exchange.py
+++ b/pimentowalk/dispatch/tests/test_load_exchange.py
@@ -54,6 +54,17 @@
     node.receive(sums.take_summary(now_s))
 
 
+def exchange_all(sums, nodes, now_s):
+    """Sum up what the nodes have published, and send all the sums."""
+    for node in nodes:
+        for body in node.published:
+            sums.record(body, now_s)
+        node.published.clear()
+    for node in nodes:
+        sums._has_changed = True
+        deliver(sums, node, now_s)
+
+
 def test_work_of_all_nodes_is_counted_once(nodes, now):
     """Counted twice, its own work would make a node avoid idle servers."""
     rng = random.Random(5)
@@ -64,12 +75,7 @@
             if rng.random() < 0.7:
                 node.in_flight.begin([f's{rng.randrange(3)}'], 100)
             node.exchange.publish()
-            for body in node.published:
-                sums.record(body, now[0])
-            node.published.clear()
-        for node in nodes:
-            sums._has_changed = True
-            deliver(sums, node, now[0])
+        exchange_all(sums, nodes, now[0])
         now[0] += work.UNREPORTED_S + 0.1
         for number in range(3):
             expected = sum(
@@ -105,12 +111,7 @@
             while node.budget.take('svc', NODES):
                 taken += 1
             node.exchange.publish()
-            for body in node.published:
-                sums.record(body, now[0])
-            node.published.clear()
-        for node in nodes:
-            sums._has_changed = True
-            deliver(sums, node, now[0])
+        exchange_all(sums, nodes, now[0])
     requests = 20 * NODES
     assert 0.5 * 60 < taken <= requests * 0.2 + 60
 
--- a/pimentowalk/mesh/load_sums.py
+++ b/pimentowalk/mesh/load_sums.py
@@ -5,7 +5,6 @@
 from pimentowalk.routing import load_totals
 from pimentowalk.wire import node_messages
 
-
 # A report that is this many behind the newest one is not late: the node has
 # restarted and counts anew.
 RESTART_GAP = 16
--- a/pimentowalk/placement/executor.py
+++ b/pimentowalk/placement/executor.py
@@ -8,6 +8,7 @@
 from pimentowalk.core import errors
 from pimentowalk.core import logs
 from pimentowalk.placement import planner
+from pimentowalk.placement import tiling
 
 LOG = logging.getLogger(__name__)
 
@@ -152,7 +153,7 @@
         for zone, members in zones.items():
             key = service.name, zone
             total_layers = service.engine.total_layers
-            missing = planner.coverage(members, total_layers).count(0)
+            missing = tiling.coverage(members, total_layers).count(0)
             if not missing:
                 if self._short_since_s.pop(key, None) is not None:
                     self._log_zone('zone holds all layers', key, 0)
--- a/pimentowalk/placement/planner.py
+++ b/pimentowalk/placement/planner.py
@@ -69,15 +69,6 @@
     return min(max(wanted, min(max_layers, 1)), engine.total_layers)
 
 
-def coverage(servers, total_layers):
-    """Return the number of copies of each layer."""
-    copies = [0] * total_layers
-    for server in servers:
-        for layer in range(server.first_layer, server.end_layer):
-            copies[layer] += 1
-    return copies
-
-
 def _copy_value(copies):
     last = len(COPY_VALUES) - 1
     return COPY_VALUES[min(copies, last)]
@@ -177,13 +168,13 @@
     """Return the assignments of the servers that form paths together."""
     share = covering_share(servers, engine, shares)
     crosses_zones = len({server.zone for server in servers}) > 1
-    is_covered = 0 not in coverage(servers, engine.total_layers)
+    is_covered = 0 not in tiling.coverage(servers, engine.total_layers)
     if share is not None and crosses_zones and not is_covered:
         return retile(servers, engine, shares[shares.index(share) :])
     assignments = _plan_zone(servers, engine)
     changed = {a.server_id: a for a in assignments}
     planned = [_after(server, changed) for server in servers]
-    if share is None or 0 not in coverage(planned, engine.total_layers):
+    if share is None or 0 not in tiling.coverage(planned, engine.total_layers):
         return assignments
     return retile(servers, engine, shares[shares.index(share) :])
 
@@ -204,7 +195,7 @@
     share = layer_memory_share(servers, engine)
     first_layer_copies = FIRST_LAYER_COPIES.get(share, 1)
     loaded = [server for server in servers if not server.is_empty]
-    copies = coverage(loaded, engine.total_layers)
+    copies = tiling.coverage(loaded, engine.total_layers)
     assignments = []
     empty = [
         (layer_capacity(engine, server.accelerator, share), server)
@@ -402,5 +393,5 @@
             current[server_id] = attrs.evolve(
                 current[server_id], first_layer=first, end_layer=end
             )
-    copies = coverage(current.values(), engine.total_layers)
+    copies = tiling.coverage(current.values(), engine.total_layers)
     return None if 0 in copies else current
--- a/pimentowalk/placement/tests/test_executor.py
+++ b/pimentowalk/placement/tests/test_executor.py
@@ -10,6 +10,7 @@
 from pimentowalk.membership import backends as membership
 from pimentowalk.placement import executor
 from pimentowalk.placement import planner
+from pimentowalk.placement import tiling
 from pimentowalk.placement.tests import test_planner
 from pimentowalk.topology import backends
 from pimentowalk.topology import documents
@@ -78,7 +79,7 @@
 
     def missing_layers(self):
         """Return how many layers no usable server holds."""
-        copies = planner.coverage(self.table.usable('svc'), 80)
+        copies = tiling.coverage(self.table.usable('svc'), 80)
         return copies.count(0)
 
 
@@ -238,7 +239,7 @@
 
 def _is_sole_holder(harness, backend):
     rest = [b for b in harness.table.usable('svc') if b != backend]
-    return 0 in planner.coverage(rest, 80)
+    return 0 in tiling.coverage(rest, 80)
 
 
 async def test_order_is_not_sent_after_the_leadership_ended():
--- a/pimentowalk/placement/tests/test_planner.py
+++ b/pimentowalk/placement/tests/test_planner.py
@@ -3,6 +3,7 @@
 import pytest
 
 from pimentowalk.placement import planner
+from pimentowalk.placement import tiling
 from pimentowalk.topology import documents
 
 ENGINE = documents.Engine(
@@ -53,7 +54,7 @@
 def test_first_plan_covers_every_layer_of_each_zone():
     """A layer without a copy stops all requests of its zone."""
     loaded = _planned_servers()
-    assert min(planner.coverage(loaded, 80)) >= 1
+    assert min(tiling.coverage(loaded, 80)) >= 1
 
 
 def test_plan_fits_into_memory():
@@ -72,7 +73,7 @@
 def test_joining_server_takes_the_layers_with_the_fewest_copies():
     """A server that returns empty restores the copies that it had loaded."""
     loaded = _planned_servers()
-    copies = planner.coverage(loaded, 80)
+    copies = tiling.coverage(loaded, 80)
     joined = [*loaded, planner.Server('new', 'z1', 'v100')]
     (assignment,) = planner.plan(joined, ENGINE)
     chosen = copies[assignment.first_layer : assignment.end_layer]
@@ -88,8 +89,8 @@
     loaded = _planned_servers()
     del loaded[lost]
     after = _apply_assignments(loaded, planner.plan(loaded, ENGINE))
-    missing = planner.coverage(loaded, 80).count(0)
-    assert planner.coverage(after, 80).count(0) < max(missing, 1)
+    missing = tiling.coverage(loaded, 80).count(0)
+    assert tiling.coverage(after, 80).count(0) < max(missing, 1)
 
 
 def test_gap_is_closed_with_few_moves():
@@ -106,7 +107,7 @@
     loaded = _apply_assignments(servers, planner.plan(servers, ENGINE))
     for zone in ('z1', 'z2'):
         own = [server for server in loaded if server.zone == zone]
-        assert min(planner.coverage(own, 80)) >= 1
+        assert min(tiling.coverage(own, 80)) >= 1
 
 
 def test_unknown_accelerator_gets_nothing():
@@ -146,7 +147,7 @@
     large = [server for server in loaded if server.accelerator == 'l4']
     remaining = [server for server in loaded if server not in large[:3]]
     moves = planner.plan(remaining, ENGINE)
-    assert 0 not in planner.coverage(_apply_assignments(remaining, moves), 80)
+    assert 0 not in tiling.coverage(_apply_assignments(remaining, moves), 80)
 
 
 def _zone_with_gap(streams):
@@ -196,7 +197,7 @@
     assert size <= planner.layer_capacity(
         ENGINE, extended.accelerator, planner.LAYER_MEMORY_SHARES[-1]
     )
-    assert 0 not in planner.coverage(
+    assert 0 not in tiling.coverage(
         _apply_assignments(loaded, [assignment]), 80
     )
 
@@ -209,7 +210,7 @@
     """Peak load fills the 96 slots of the only server with the first layer of
     a zone, and streams wait there for seconds although memory is free.
     """
-    assert planner.coverage(_planned_servers(counts=counts), 80)[0] >= 2
+    assert tiling.coverage(_planned_servers(counts=counts), 80)[0] >= 2
 
 
 def test_second_copy_of_the_first_layer_is_not_moved_into_a_gap():
@@ -266,9 +267,9 @@
             for first in (56, 64, 72)
         ),
     ]
-    before = planner.coverage(loaded, 80)
+    before = tiling.coverage(loaded, 80)
     moves = planner.plan(loaded, ENGINE)
-    after = planner.coverage(_apply_assignments(loaded, moves), 80)
+    after = tiling.coverage(_apply_assignments(loaded, moves), 80)
     assert {m.server_id for m in moves} == {'sole', 'spare'}
     assert not planner._uncovers(before, after)
     assert after.count(0) < before.count(0)
--- a/pimentowalk/placement/tests/test_tiling.py
+++ b/pimentowalk/placement/tests/test_tiling.py
@@ -6,6 +6,7 @@
 import pytest
 
 from pimentowalk.placement import planner
+from pimentowalk.placement import tiling
 from pimentowalk.placement.tests import test_planner
 
 ENGINE = test_planner.ENGINE
@@ -35,7 +36,7 @@
 
 def missing(servers):
     """Return the number of layers without a copy."""
-    return planner.coverage(servers, TOTAL_LAYERS).count(0)
+    return tiling.coverage(servers, TOTAL_LAYERS).count(0)
 
 
 def check_memory(servers):
--- a/pimentowalk/placement/tiling.py
+++ b/pimentowalk/placement/tiling.py
@@ -36,9 +36,10 @@
     return Gap(first, end)
 
 
-def _copies(kept, total_layers):
+def coverage(servers, total_layers):
+    """Return the number of copies of each layer."""
     copies = [0] * total_layers
-    for server in kept:
+    for server in servers:
         for layer in range(server.first_layer, server.end_layer):
             copies[layer] += 1
     return copies
@@ -94,13 +95,13 @@
     """
     kept = [server for server in servers if not server.is_empty]
     released = [server for server in servers if server.is_empty]
-    gap = find_gap(_copies(kept, total_layers))
+    gap = find_gap(coverage(kept, total_layers))
     if gap is None:
         return None
     layer = gap.first_layer
     available = sum(capacity(server, share) for server in released)
     while available < gap.size:
-        copies = _copies(kept, total_layers)
+        copies = coverage(kept, total_layers)
         ranked = []
         for server in kept:
             size = capacity(server, share)
@@ -113,7 +114,7 @@
         kept.remove(chosen)
         released.append(chosen)
         available += size
-        gap = _gap_around(_copies(kept, total_layers), layer)
+        gap = _gap_around(coverage(kept, total_layers), layer)
     return gap, released
 
 
