Show how completely each zone holds the layers

A zone without a path of its own was visible only in the layer ranges of single servers. The status of a gateway and its command list the copies of layers by zone, and the gauges missing_layers and incomplete_zones sum them up.

--- a/pimentowalk/cli/gateways.py
+++ b/pimentowalk/cli/gateways.py
@@ -34,6 +34,11 @@
         status.backends,
         'server_id address service zone state layers heard_s suspected',
     )
+    _show(
+        'layers by zone',
+        status.zones,
+        'service zone servers full_copies missing_layers',
+    )
     _show('client accounts', status.accounts, 'name keys')
 
 
--- a/pimentowalk/gateway/core.py
+++ b/pimentowalk/gateway/core.py
@@ -22,6 +22,7 @@
 from pimentowalk.mesh import freshness as mesh_freshness
 from pimentowalk.mesh import leader as mesh_leader
 from pimentowalk.mesh import node as mesh_node
+from pimentowalk.mesh import status as mesh_status
 from pimentowalk.mesh import view_file
 from pimentowalk.placement import executor as placement
 from pimentowalk.routing import work
@@ -109,6 +110,12 @@
             zone=settings.zone,
             limits=limits,
         )
+        self.metrics.gauge(
+            'missing_layers', lambda: mesh_status.missing_layers(self.node)
+        )
+        self.metrics.gauge(
+            'incomplete_zones', lambda: mesh_status.incomplete_zones(self.node)
+        )
         self.replica = None
         if settings.data_folder:
             self._build_control()
--- a/pimentowalk/mesh/status.py
+++ b/pimentowalk/mesh/status.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from pimentowalk.placement import tiling
+
 
 @attrs.frozen
 class MemberStatus:
@@ -26,6 +28,21 @@
     suspected: bool
 
 
+@attrs.frozen
+class ZoneStatus:
+    """The layers that the usable servers of a service in a zone hold.
+
+    `full_copies` is the least number of copies of a layer; at 0 the zone has
+    no path of its own, and `missing_layers` tells how many layers it lacks.
+    """
+
+    service: str
+    zone: str
+    servers: int
+    full_copies: int
+    missing_layers: int
+
+
 @attrs.frozen
 class AccountStatus:
     """A client account; `keys` is the number of its keys."""
@@ -48,6 +65,7 @@
     members: list[MemberStatus]
     backends: list[BackendStatus]
     accounts: list[AccountStatus]
+    zones: list[ZoneStatus]
 
 
 def gateway_status(node, freshness):
@@ -69,9 +87,44 @@
             AccountStatus(account.name, len(account.keys))
             for account in (document.accounts if document else ())
         ],
+        zones=zone_statuses(node),
     )
 
 
+def zone_statuses(node):
+    """Return how completely each zone holds the layers of each service."""
+    result = []
+    services = node.document.services.values() if node.document else ()
+    for service in services:
+        if service.engine is None:
+            continue
+        zones = {}
+        for backend in node.backends.usable(service.name):
+            zones.setdefault(backend.zone, []).append(backend)
+        for zone, servers in sorted(zones.items()):
+            copies = tiling.coverage(servers, service.engine.total_layers)
+            result.append(
+                ZoneStatus(
+                    service.name,
+                    zone,
+                    len(servers),
+                    min(copies),
+                    copies.count(0),
+                )
+            )
+    return result
+
+
+def missing_layers(node):
+    """Return the number of layers that zones lack, over all services."""
+    return sum(status.missing_layers for status in zone_statuses(node))
+
+
+def incomplete_zones(node):
+    """Return the number of zones without a path of their own."""
+    return sum(not status.full_copies for status in zone_statuses(node))
+
+
 def _members(node, news):
     votes = {}
     if node.replica is not None:
--- a/pimentowalk/platform/tests/test_gateway.py
+++ b/pimentowalk/platform/tests/test_gateway.py
@@ -316,3 +316,17 @@
         joining, 'GET', '/look/2f', request_id='r1'
     )
     assert status == 200
+
+
+async def test_status_and_metrics_show_a_zone_without_a_path(cluster):
+    """An operator must see that a zone has lost its last path."""
+    await cluster.wait_for_layers()
+    gateway = cluster.gateways[0]
+    (complete,) = mesh_status.zone_statuses(gateway.node)
+    assert (complete.servers, complete.missing_layers) == (2, 0)
+    assert complete.full_copies == 2
+    for server in cluster.servers[:2]:
+        server.layers = (0, 5)
+    await cluster.platform.announce()
+    await waiting.until(lambda: mesh_status.missing_layers(gateway.node) == 3)
+    assert 'pimentowalk_gateway_incomplete_zones 1' in gateway.metrics.render()
