Survive SIGHUP during the start of a gateway

Found by the soak, seeds 6001 and 6009: after all gateways had been killed and the settings had changed, a gateway ended with -1. SIGHUP reached it while it imported its libraries and had its default action. A change of the file between the first read and the first look at its times was missed too.

The signal is ignored until the event loop handles it, and the seeds are read again at the first use. The two new tests failed before. Both seeds are now regression cases of the short soak.

--- a/pimentowalk/platform/__main__.py
+++ b/pimentowalk/platform/__main__.py
@@ -47,6 +47,9 @@
     # Until the event loop installs its own handlers, no request is being
     # served, so that the process may exit at once.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
+    # By default it would end the process. The settings file is watched, so
+    # that the change behind the signal is not missed.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     if len(sys.argv) == 1:
         return run()
     # The platform passes no arguments; importing the parser takes 0.1 s.
--- a/pimentowalk/platform/daemon.py
+++ b/pimentowalk/platform/daemon.py
@@ -200,7 +200,8 @@
     def __init__(self, path, seeds):
         self._path = path
         self._seeds = seeds
-        self._last_stamp = self._file_stamp()
+        # The file may have changed since the seeds were read at the start.
+        self._last_stamp = None
 
     def _file_stamp(self):
         try:
@@ -220,6 +221,7 @@
         if stamp is None or stamp == self._last_stamp:
             return self._seeds
         self._last_stamp = stamp
+        previous_seeds = self._seeds
         try:
             self._seeds = gateway_settings.load(self._path)[0].seeds
         except errors.PimentowalkError as error:
@@ -231,7 +233,11 @@
         else:
             LOG.info(
                 'settings read again',
-                extra=logs.fields(step='reload', seeds=len(self._seeds)),
+                extra=logs.fields(
+                    step='reload',
+                    seeds=len(self._seeds),
+                    changed=self._seeds != previous_seeds,
+                ),
             )
         return self._seeds
 
--- a/pimentowalk/platform/tests/test_start.py
+++ b/pimentowalk/platform/tests/test_start.py
@@ -1,6 +1,7 @@
 """Test the startup of a gateway process up to its first connection."""
 
 import contextlib
+import signal
 import socket
 import subprocess
 import sys
@@ -8,6 +9,7 @@
 
 from pimentowalk.core import sockets
 from pimentowalk.platform import __main__ as program
+from pimentowalk.platform import daemon
 from pimentowalk.settings import gateway as gateway_settings
 
 SETTINGS = """
@@ -86,10 +88,9 @@
     assert received == [b'GET']
 
 
-def test_sigterm_during_startup_exits_with_code_0(tmp_path):
-    """Imports can take seconds on a loaded machine; a process that SIGTERM
-    kills meanwhile would look crashed.
-    """
+@contextlib.contextmanager
+def starting_gateway(tmp_path):
+    """Yield a gateway process that listens but still imports libraries."""
     path, front = settings_file(tmp_path)
     process = subprocess.Popen(
         [sys.executable, '-m', 'pimentowalk.platform', str(path)],
@@ -101,13 +102,40 @@
             with contextlib.suppress(OSError):
                 socket.create_connection(('127.0.0.1', front), 1).close()
                 connected = True
-        process.terminate()
-        assert process.wait(timeout=30) == 0
+        yield process
     finally:
         process.kill()
         process.wait()
 
 
+def test_sigterm_during_startup_exits_with_code_0(tmp_path):
+    """Imports can take seconds on a loaded machine; a process that SIGTERM
+    kills meanwhile would look crashed.
+    """
+    with starting_gateway(tmp_path) as process:
+        process.terminate()
+        assert process.wait(timeout=30) == 0
+
+
+def test_sighup_during_startup_does_not_end_the_process(tmp_path):
+    """Settings may change while many processes start again."""
+    with starting_gateway(tmp_path) as process:
+        process.send_signal(signal.SIGHUP)
+        process.terminate()
+        assert process.wait(timeout=30) == 0
+
+
+def test_settings_that_change_during_startup_are_read(tmp_path):
+    """The seeds of the file that was read first may be gone already."""
+    path, _ = settings_file(tmp_path)
+    seeds = gateway_settings.load(path)[0].seeds
+    path.write_text(
+        path.read_text().replace('seeds = ', 'seeds = 127.0.0.9:9,')
+    )
+    seed_file = daemon.SeedFile(str(path), seeds)
+    assert seed_file.read()[0].host == '127.0.0.9'
+
+
 def test_address_in_use_is_reported(tmp_path, capsys):
     """A failed bind must be reported with its reason."""
     path, front = settings_file(tmp_path)
--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -12,7 +12,7 @@
 SEED = 2
 FAULTS_S = 8.0
 # Every other seed that ever broke a promise; see docs/soak.md for causes.
-REGRESSION_SEEDS = (202, 204, 307)
+REGRESSION_SEEDS = (202, 204, 307, 6001, 6009)
 
 
 def outcome(kind='booking', **fields):
