Handle signals before the imports of a gateway

The program is split: __main__ sets the signals and then imports program, which reads the settings and opens the sockets. A test checks that none of the heavy modules is imported before.

--- a/pimentowalk/platform/__main__.py
+++ b/pimentowalk/platform/__main__.py
@@ -1,46 +1,8 @@
 """Run a gateway: `python3 -m pimentowalk.platform [SETTINGS]`."""
 
-import asyncio
-import os
 import signal
 import sys
 
-from pimentowalk.core import errors
-from pimentowalk.core import sockets
-from pimentowalk.settings import gateway as gateway_settings
-
-# The environment variable in which the platform passes the settings path.
-SETTINGS_VARIABLE = 'PIMENTOWALK_SETTINGS'
-# A gateway uses plain HTTP only, but importing aiohttp loads the certificate
-# authorities of the system, which takes 0.1 s of each start.
-CERTIFICATES_VARIABLE = 'SSL_CERT_FILE'
-
-
-def run(settings_path: str = '', /):
-    """Run a gateway.
-
-    :param settings_path: INI file with the section [gateway] and, if
-        needed, [bounds] and [responses]; defaults to the path in
-        PIMENTOWALK_SETTINGS
-    """
-    path = settings_path or os.environ.get(SETTINGS_VARIABLE, '')
-    try:
-        settings, bounds, responses = gateway_settings.load(path)
-        # Importing the libraries takes most of the startup time. With the
-        # sockets open, connections wait in the backlog instead of being
-        # refused.
-        listeners = sockets.ListenerSet(
-            (settings.front, settings.ready, settings.control)
-        )
-        os.environ.setdefault(CERTIFICATES_VARIABLE, os.devnull)
-        from pimentowalk.platform import daemon
-
-        asyncio.run(daemon.serve(path, settings, bounds, responses, listeners))
-    except (errors.PimentowalkError, OSError) as error:
-        print(error, file=sys.stderr)
-        return 2
-    return 0
-
 
 def main():
     """Parse the command line and run a gateway."""
@@ -50,12 +12,16 @@
     # By default it would end the process. The settings file is watched, so
     # that the change behind the signal is not missed.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Imported after the signals are handled: imports can take seconds on a
+    # loaded machine.
+    from pimentowalk.platform import program
+
     if len(sys.argv) == 1:
-        return run()
+        return program.run()
     # The platform passes no arguments; importing the parser takes 0.1 s.
     import defopt
 
-    return defopt.run(run)
+    return defopt.run(program.run)
 
 
 if __name__ == '__main__':
--- a/pimentowalk/platform/tests/test_start.py
+++ b/pimentowalk/platform/tests/test_start.py
@@ -1,6 +1,7 @@
 """Test the startup of a gateway process up to its first connection."""
 
 import contextlib
+import pathlib
 import signal
 import socket
 import subprocess
@@ -8,8 +9,8 @@
 import types
 
 from pimentowalk.core import sockets
-from pimentowalk.platform import __main__ as program
 from pimentowalk.platform import daemon
+from pimentowalk.platform import program
 from pimentowalk.settings import gateway as gateway_settings
 
 SETTINGS = """
@@ -48,7 +49,7 @@
 def test_heavy_come_after_the_sockets_are_open():
     """Imports take most of the startup; connections must not be refused."""
     code = (
-        'import sys, pimentowalk.platform.__main__;'
+        'import sys, pimentowalk.platform.program;'
         'heavy = {"aiohttp", "capnp", "docutils", "cattrs"};'
         'print(sorted(heavy & set(sys.modules)))'
     )
@@ -61,6 +62,23 @@
     assert completed.stdout.strip() == '[]'
 
 
+def test_signals_are_handled_before_the_imports():
+    """A signal in the time of the imports would end the process."""
+    code = (
+        'import sys, pimentowalk.platform.__main__;'
+        'early = {"asyncio", "attr", "configparser", "logging"};'
+        'print(sorted(early & set(sys.modules)))'
+    )
+    completed = subprocess.run(
+        [sys.executable, '-S', '-c', code],
+        capture_output=True,
+        text=True,
+        check=True,
+        cwd=pathlib.Path(__file__).parents[3],
+    )
+    assert completed.stdout.strip() == '[]'
+
+
 def test_callers_can_connect_before_the_gateway_runs(tmp_path, monkeypatch):
     """Connections during startup must wait in the backlog."""
     path, front = settings_file(tmp_path)
