Send views in parts and find servers by address with an index

Found with frames of the target size: the announcements of 4,900 servers take 1.25 MB, more than a frame may have, so that no node could subscribe to such a fleet; and each server that joined was compared with all others for its address, 12 million steps for 4,900. A view is now sent in frames of up to 1,000 servers, and addresses are looked up in an index that is built anew when it has grown to twice the table.

--- a/pimentowalk/membership/backends.py
+++ b/pimentowalk/membership/backends.py
@@ -23,6 +23,9 @@
 # node.
 COMPLETE_PERIODS = 1.25
 
+# The index is built anew when it is this many times larger than the table.
+MAX_INDEX_FACTOR = 2
+
 
 @attrs.define
 class Record:
@@ -46,6 +49,7 @@
         self._records = {}
         self._removed = {}
         self._ids_by_key = {}
+        self._ids_by_address = {}
         self._callbacks = []
         self.generation = 0
         self._last_heard_s = float('-inf')
@@ -80,13 +84,15 @@
         heard_s = now_s - age_s
         if record is None or record.backend.born_ms != backend.born_ms:
             self._records[backend.server_id] = Record(backend, heard_s)
-            self._ids_by_key[backend.key] = backend.server_id
+            self._index(backend)
             self._remove_predecessors(backend)
             self._log('backend server joined', backend)
             self._notify()
             return True
         previous = record.backend
         record.backend = backend
+        if previous.address != backend.address:
+            self._index(backend)
         record.heard_s = max(record.heard_s, heard_s)
         is_changed = _without_times(previous) != _without_times(backend)
         if is_changed:
@@ -122,6 +128,20 @@
         wanted = set(keys)
         return [b for b in self.announcements() if b.key in wanted]
 
+    def _index(self, backend):
+        self._ids_by_key[backend.key] = backend.server_id
+        ids = self._ids_by_address.setdefault(backend.address, set())
+        ids.add(backend.server_id)
+
+    def _prune_index(self):
+        """Drop the keys and addresses of servers that are gone."""
+        if len(self._ids_by_key) <= MAX_INDEX_FACTOR * len(self._records):
+            return
+        self._ids_by_key.clear()
+        self._ids_by_address.clear()
+        for record in self._records.values():
+            self._index(record.backend)
+
     def _update_heard(self, record, backend, age_s):
         """Record when another node heard the same announcement."""
         if record is not None and backend.order == record.backend.order:
@@ -147,11 +167,9 @@
 
     def _remove_predecessors(self, backend):
         """Remove older servers at the address of a new incarnation."""
-        for record in list(self._records.values()):
-            other = record.backend
+        for other in self._all_at_address(backend.address):
             if (
-                other.address == backend.address
-                and other.server_id != backend.server_id
+                other.server_id != backend.server_id
                 and other.born_ms < backend.born_ms
             ):
                 del self._records[other.server_id]
@@ -178,11 +196,7 @@
         for server_id, (_, removed_s) in list(self._removed.items()):
             if now_s - removed_s > REMOVED_RETENTION_S:
                 del self._removed[server_id]
-        self._ids_by_key = {
-            key: server_id
-            for key, server_id in self._ids_by_key.items()
-            if server_id in self._records
-        }
+        self._prune_index()
         # If no server is heard, this node is partitioned or was suspended,
         # and its last view is the best one.
         if now_s - self._last_heard_s > self._period_s:
@@ -261,12 +275,28 @@
 
     def at_address(self, address):
         """Return the newest backend server at an address, or None."""
-        found = [
-            record.backend
-            for record in self._records.values()
-            if record.backend.address == address
-        ]
-        return max(found, key=lambda b: b.born_ms, default=None)
+        return max(
+            self._all_at_address(address),
+            key=lambda b: b.born_ms,
+            default=None,
+        )
+
+    def _all_at_address(self, address):
+        """Return the known incarnations at an address.
+
+        Ids that have left or moved stay in the index until then.
+        """
+        ids = self._ids_by_address.get(address, set())
+        found = []
+        for server_id in list(ids):
+            backend = self.get(server_id)
+            if backend is not None and backend.address == address:
+                found.append(backend)
+            else:
+                ids.discard(server_id)
+        if not ids:
+            self._ids_by_address.pop(address, None)
+        return found
 
     def usable(self, service):
         """Return the servers of a service that accept new work."""
--- a/pimentowalk/membership/tests/test_backends.py
+++ b/pimentowalk/membership/tests/test_backends.py
@@ -161,3 +161,33 @@
     else:
         table.apply(attrs.evolve(FIRST, born_ms=200, sequence=0))
     assert table.has_failed(FIRST)
+
+
+def test_server_that_moves_is_found_at_its_new_address(table):
+    """A server of another id may take over the address that it left."""
+    moved = attrs.evolve(FIRST, born_ms=200, sequence=0, port=81)
+    table.apply(moved)
+    assert table.at_address('10.0.0.1:81') == moved
+    assert table.at_address('10.0.0.1:80') is None
+    successor = attrs.evolve(FIRST, server_id='i-2', born_ms=300)
+    table.apply(successor)
+    assert table.at_address('10.0.0.1:80') == successor
+    assert sorted(_usable_ids(table)) == ['i-1', 'i-2']
+
+
+def test_addresses_of_servers_that_left_are_forgotten(table):
+    """Each restart has a new id, so that the index would grow for good."""
+    for number in range(50):
+        backend = attrs.evolve(
+            FIRST,
+            server_id=f'n-{number}',
+            born_ms=200 + number,
+            port=80 + number % 25,
+        )
+        table.apply(backend)
+        if number >= 25:
+            table.apply(attrs.evolve(backend, state=backends.GONE))
+    table.expire()
+    assert len(table._ids_by_address) <= 2
+    assert len(table._ids_by_key) <= 2
+    assert table.at_address('10.0.0.1:80') is None
--- a/pimentowalk/mesh/hub.py
+++ b/pimentowalk/mesh/hub.py
@@ -27,6 +27,8 @@
 # Interval at which repeated announcements and loads are relayed together;
 # changes of the usable servers are relayed at once.
 BATCH_INTERVAL_S = 0.25
+# An announcement takes 260 bytes of a frame.
+MAX_BACKENDS_PER_FRAME = 1000
 
 
 @attrs.define(eq=False)
@@ -133,11 +135,7 @@
             self._push_document(peer, record)
             if not record.sent_backends:
                 record.sent_backends = True
-                peer.post(
-                    node_messages.BackendNews(
-                        self.node.backends.announcements()
-                    )
-                )
+                _post_backends(peer, self.node.backends.announcements())
         else:
             record.sent_backends = False
 
@@ -244,6 +242,13 @@
         return await self.requests.answer(request, peer)
 
 
+def _post_backends(peer, backends):
+    """Send announcements in frames that stay below the limit of a frame."""
+    for first in range(0, max(len(backends), 1), MAX_BACKENDS_PER_FRAME):
+        part = backends[first : first + MAX_BACKENDS_PER_FRAME]
+        peer.post(node_messages.BackendNews(part))
+
+
 def _heartbeats(backends):
     return node_messages.BackendHeartbeats(
         [backend.key for backend in backends],
@@ -257,7 +262,7 @@
     """Send announcements that a node has only had heartbeats of."""
     found = hub.node.backends.with_keys(envelope.body.keys)
     if found:
-        peer.post(node_messages.BackendNews(found))
+        _post_backends(peer, found)
 
 
 @FRAMES.register('nodeStatus')
--- a/pimentowalk/mesh/tests/test_homes.py
+++ b/pimentowalk/mesh/tests/test_homes.py
@@ -234,3 +234,27 @@
     sums.record(node_messages.LoadNews('n1', load, [], 1), 0.5)
     assert sums.take_summary(0.6).loads == load
     assert sums.sequence_of('n1') == 1
+
+
+def test_view_of_a_large_fleet_is_sent_in_parts():
+    """The announcements of 4,900 servers exceed the limit of a frame."""
+    hub = node_with_links('z1', {}).hub
+    for number in range(4900):
+        hub.node.announce(
+            attrs.evolve(
+                server(1),
+                server_id=f'i-{number:010}',
+                host=f'10.{number >> 16}.{number >> 8 & 255}.{number & 255}',
+                model='m510000',
+                accelerator='v100',
+            )
+        )
+    peer = FakePeer('new')
+    hub.record_status(
+        peer, node_messages.NodeStatus('10.0.0.2', 1, '', True, 0, False)
+    )
+    received = set()
+    for body in peer.posted:
+        codec.encode(body)
+        received |= {backend.server_id for backend in body.backends}
+    assert len(received) == 4900
