Enlarge shares of layers only in zones that stay short

Larger shares, shifts and planning of zones together are now left to zones that have lacked layers for 6 s. The test of servers that are not all known failed before.

--- a/pimentowalk/placement/executor.py
+++ b/pimentowalk/placement/executor.py
@@ -30,9 +30,10 @@
 # A server that has left does not return, but its replacement may join soon
 # after: within 20 ms in a rolling release.
 DEPARTED_MOVE_AFTER_S = 0.1
-# A server that crashed is back within a few seconds. After this time, a zone
-# that lacks layers is planned without the servers that it has lost.
-SHORT_ZONE_AFTER_S = 4.0
+# A server that crashed is back within a few seconds, and after a start not all
+# servers are known at once. After this time, a zone that lacks layers is
+# planned without the servers that it has lost or waits for.
+SHORT_ZONE_AFTER_S = 6.0
 # Loads take longer while other servers load as well.
 LOAD_MARGIN = 1.5
 # A failed order is given again after this time.
--- a/pimentowalk/placement/planner.py
+++ b/pimentowalk/placement/planner.py
@@ -95,15 +95,15 @@
 def layer_memory_share(servers, engine):
     """Return the share of memory that the layers of one zone may use.
 
-    It is the lowest one at which the zone survives the loss of its largest
-    server, or else the lowest one at which it holds all layers.
+    Where a zone that holds no copy to spare lacks a few layers at this share,
+    only some servers get larger ranges.
     """
     for share in LAYER_MEMORY_SHARES:
         sizes = _capacities(servers, engine, share)
         if sum(sizes) - max(sizes, default=0) >= engine.total_layers:
             return share
     # No share survives the loss, so prefer memory for requests.
-    return covering_share(servers, engine) or LAYER_MEMORY_SHARES[0]
+    return LAYER_MEMORY_SHARES[0]
 
 
 def covering_share(servers, engine, shares=LAYER_MEMORY_SHARES):
@@ -125,70 +125,83 @@
 
     Empty servers take the ranges that their zone needs most. Then, while a
     zone lacks a layer, a server is moved to it or its range is extended,
-    whichever interrupts the fewest streams per layer gained. If no such
-    change closes the gap, ranges next to it are shifted.
+    whichever interrupts the fewest streams per layer gained.
 
-    `short_zones` have lacked layers for so long that lost servers are not
-    expected back. They may use more memory for layers, like zones that start
-    empty. Those that still cannot hold all layers are planned together, one
-    after the other, so that their paths cross between zones rarely.
+    `short_zones` have lacked layers for so long that no other server is
+    expected to join or to return. There, ranges next to a gap are shifted if
+    no single change closes it, with more memory for layers if needed. Zones
+    that still cannot hold all layers are planned together, one after the
+    other, so that their paths cross between zones rarely.
     """
     zones = {}
     for server in servers:
         zones.setdefault(server.zone, []).append(server)
-    groups, incomplete = [], []
+    assignments, incomplete = [], []
+    all_shares = LAYER_MEMORY_SHARES + SCARCE_MEMORY_SHARES
     for zone in sorted(zones, key=lambda zone: (-len(zones[zone]), zone)):
         members = zones[zone]
-        is_short = zone in short_zones or _is_short(members, engine)
-        shares = LAYER_MEMORY_SHARES
-        if is_short:
-            shares += SCARCE_MEMORY_SHARES
-        if is_short and covering_share(members, engine, shares) is None:
+        if zone not in short_zones and not _exceeds_shares(members, engine):
+            assignments += _plan_zone(members, engine)
+        elif covering_share(members, engine, all_shares) is None:
             incomplete += members
         else:
-            groups.append((members, shares))
+            assignments += _plan_short_group(members, engine)
     if incomplete:
-        groups.append((incomplete, LAYER_MEMORY_SHARES + SCARCE_MEMORY_SHARES))
-    assignments = []
-    for members, shares in groups:
-        assignments += _plan_group(members, engine, shares)
+        assignments += _plan_short_group(incomplete, engine)
     return assignments
 
 
-def _is_short(servers, engine):
-    """Return whether a zone starts empty or already uses more memory."""
-    return all(server.is_empty for server in servers) or any(
+def _exceeds_shares(servers, engine):
+    """Return whether a server uses more memory than the usual shares."""
+    return any(
         server.end_layer - server.first_layer
         > layer_capacity(engine, server.accelerator, LAYER_MEMORY_SHARES[-1])
         for server in servers
     )
 
 
-def _plan_group(servers, engine, shares):
-    """Return the assignments of the servers that form paths together."""
+def _plan_short_group(servers, engine):
+    """Return the assignments of servers that form paths together.
+
+    They have lacked layers for a long time, alone or as several zones.
+    """
+    shares = LAYER_MEMORY_SHARES + SCARCE_MEMORY_SHARES
     share = covering_share(servers, engine, shares)
     crosses_zones = len({server.zone for server in servers}) > 1
     is_covered = 0 not in tiling.coverage(servers, engine.total_layers)
-    if share is not None and crosses_zones and not is_covered:
-        return retile(servers, engine, shares[shares.index(share) :])
-    assignments = _plan_zone(servers, engine)
-    changed = {a.server_id: a for a in assignments}
-    planned = [_after(server, changed) for server in servers]
-    if share is None or 0 not in tiling.coverage(planned, engine.total_layers):
-        return assignments
+    if is_covered or share is None:
+        return _plan_zone(servers, engine)
+    planned = servers
+    # The second pass closes gaps beside the ranges of empty servers.
+    for _ in range(0 if crosses_zones else 2):
+        planned = _apply(planned, _plan_zone(planned, engine))
+        if 0 not in tiling.coverage(planned, engine.total_layers):
+            return _changes_between(servers, planned)
     return retile(servers, engine, shares[shares.index(share) :])
 
 
-def _after(server, changed):
-    """Return a server with the range that it is assigned, if any."""
-    assignment = changed.get(server.server_id)
-    if assignment is None:
-        return server
-    return attrs.evolve(
-        server,
-        first_layer=assignment.first_layer,
-        end_layer=assignment.end_layer,
-    )
+def _apply(servers, assignments):
+    """Return the servers with the ranges that they are assigned."""
+    changed = {a.server_id: a for a in assignments}
+    return [
+        attrs.evolve(
+            server,
+            first_layer=changed[server.server_id].first_layer,
+            end_layer=changed[server.server_id].end_layer,
+        )
+        if server.server_id in changed
+        else server
+        for server in servers
+    ]
+
+
+def _changes_between(servers, planned):
+    """Return the assignments that lead from the current ranges to others."""
+    return [
+        Assignment(after.server_id, after.first_layer, after.end_layer)
+        for before, after in zip(servers, planned, strict=True)
+        if after != before
+    ]
 
 
 def _plan_zone(servers, engine):
@@ -367,11 +380,9 @@
         if closed is not None:
             current = closed
             break
-    return [
-        Assignment(server.server_id, moved.first_layer, moved.end_layer)
-        for server in servers
-        if (moved := current[server.server_id]) != server
-    ]
+    return _changes_between(
+        servers, [current[server.server_id] for server in servers]
+    )
 
 
 def _close_by_shifts(current, engine, share):
