Let all control instances time how long zones lack layers

Callers saw: after all processes had been killed or had lost power while backend servers stayed lost, less than a quarter of the requests were served for more than 12 s (RECOVER).

Cause: only the leader recorded since when a zone lacked layers, and a change of leaders cleared it, so that the wait before a zone is covered with more memory began anew with each leader.

Now each control instance observes the zones, and a new leader acts on it. test_new_leader_knows_how_long_a_zone_has_lacked_layers failed before (10 layers missing) and passes now.

--- a/pimentowalk/placement/executor.py
+++ b/pimentowalk/placement/executor.py
@@ -86,22 +86,27 @@
         """Check the placement periodically until cancelled."""
         while True:
             await self._timers.sleep(POLL_S)
-            if not self._is_leader():
-                self._leader_since_s = None
-                self._orders.clear()
-                self._short_since_s.clear()
-                continue
             now_s = self._timers.now_s()
-            if self._leader_since_s is None:
-                self._leader_since_s = now_s
-            if now_s - self._leader_since_s < SETTLE_S:
-                continue
+            leads = self._leads_settled(now_s)
             if now_s - self._started_s < FIRST_SETTLE_S:
                 continue
-            if self._is_due(now_s):
+            if leads and self._is_due(now_s):
                 self._checked_s = now_s
                 self._checked_generation = self._table.generation
                 self._check(now_s)
+            elif not leads and now_s - self._checked_s >= CHECK_PERIOD_S:
+                self._checked_s = now_s
+                self._observe(now_s)
+
+    def _leads_settled(self, now_s):
+        """Return whether this node has led for long enough to plan."""
+        if not self._is_leader():
+            self._leader_since_s = None
+            self._orders.clear()
+            return False
+        if self._leader_since_s is None:
+            self._leader_since_s = now_s
+        return now_s - self._leader_since_s >= SETTLE_S
 
     def _is_due(self, now_s):
         """Return whether the placement should be checked now."""
@@ -114,13 +119,21 @@
             )
         )
 
-    def _check(self, now_s):
+    def _engine_services(self):
         document = self._document()
-        if document is None:
-            return
-        for service in document.services.values():
-            if service.engine is not None:
-                self._check_service(service, now_s)
+        services = document.services.values() if document else ()
+        return [service for service in services if service.engine is not None]
+
+    def _check(self, now_s):
+        for service in self._engine_services():
+            self._check_service(service, now_s)
+
+    def _observe(self, now_s):
+        """Record since when zones lack layers, for the time as a leader."""
+        for service in self._engine_services():
+            usable = self._table.usable(service.name)
+            servers = [self._planned_server(backend) for backend in usable]
+            self._short_zones(service, servers, now_s)
 
     def _check_service(self, service, now_s):
         backends = {b.server_id: b for b in self._table.usable(service.name)}
--- a/pimentowalk/placement/tests/test_executor.py
+++ b/pimentowalk/placement/tests/test_executor.py
@@ -285,3 +285,23 @@
         if b.layer_count > held[b.server_id]
     ]
     assert grown
+
+
+async def test_new_leader_knows_how_long_a_zone_has_lacked_layers():
+    """RECOVER: servers stay lost while the leadership changes.
+
+    Each new leader waited anew before it covered the zone with more memory,
+    so that nothing was served for longer than a recovery may take.
+    """
+    created = ExecutorHarness()
+    running = asyncio.ensure_future(created.executor.run())
+    await created.timers.advance(4.0)
+    created.is_leader = False
+    for server_id in ['s0', 's1', 's2']:
+        created.table.drop(created.table.get(server_id))
+    await created.timers.advance(executor.SHORT_ZONE_AFTER_S)
+    assert created.missing_layers() > 0
+    created.is_leader = True
+    await created.timers.advance(executor.SETTLE_S + 0.5)
+    assert created.missing_layers() == 0
+    running.cancel()
