Cover zones sooner if no path holds all layers

Cause: a zone that lacks layers is covered with more memory after 6 s, since crashed servers return. The wait was the same where the servers of all zones together lack layers, so that nothing is served meanwhile.

test_service_without_a_path_is_covered_sooner failed before. The test of the longer wait now has a second, complete zone: its single zone was such an outage. It is as strict about the zone that lacks layers as before.

--- a/pimentowalk/placement/executor.py
+++ b/pimentowalk/placement/executor.py
@@ -34,6 +34,9 @@
 # servers are known at once. After this time, a zone that lacks layers is
 # planned without the servers that it has lost or waits for.
 SHORT_ZONE_AFTER_S = 6.0
+# The same where the servers of all zones together lack layers. Nothing is
+# served then, which costs more than memory for requests.
+OUTAGE_AFTER_S = 3.0
 # Loads take longer while other servers load as well.
 LOAD_MARGIN = 1.5
 # A failed order is given again after this time.
@@ -160,13 +163,15 @@
 
         A server counts as holding the layers that it was ordered to load.
         """
+        total_layers = service.engine.total_layers
+        is_outage = 0 in tiling.coverage(servers, total_layers)
+        wait_s = OUTAGE_AFTER_S if is_outage else SHORT_ZONE_AFTER_S
         zones = {}
         for server in servers:
             zones.setdefault(server.zone, []).append(server)
         result = set()
         for zone, members in zones.items():
             key = service.name, zone
-            total_layers = service.engine.total_layers
             missing = tiling.coverage(members, total_layers).count(0)
             if not missing:
                 if self._short_since_s.pop(key, None) is not None:
@@ -175,7 +180,7 @@
             if key not in self._short_since_s:
                 self._short_since_s[key] = now_s
                 self._log_zone('zone lacks layers', key, missing)
-            if now_s - self._short_since_s[key] >= SHORT_ZONE_AFTER_S:
+            if now_s - self._short_since_s[key] >= wait_s:
                 result.add(zone)
         return result
 
--- a/pimentowalk/placement/tests/test_executor.py
+++ b/pimentowalk/placement/tests/test_executor.py
@@ -26,7 +26,7 @@
 class ExecutorHarness:
     """An executor whose servers execute orders at once."""
 
-    def __init__(self):
+    def __init__(self, zones=('z1',)):
         self.timers = timers.ManualTimerService()
         self.table = membership.BackendTable(self.timers.now_s, 1e6)
         self.is_leader = True
@@ -36,7 +36,7 @@
         self.term = 5
         self.orders = []
         self.streams = {}
-        for number, kind in enumerate(ACCELERATORS):
+        for number, kind in enumerate(ACCELERATORS * len(zones)):
             self.table.apply(
                 backends.Backend(
                     f's{number}',
@@ -45,7 +45,7 @@
                     'svc',
                     f'10.0.0.{number}',
                     80,
-                    'z1',
+                    zones[number // len(ACCELERATORS)],
                     accelerator=kind,
                 )
             )
@@ -77,10 +77,14 @@
             )
         )
 
-    def missing_layers(self):
-        """Return how many layers no usable server holds."""
-        copies = tiling.coverage(self.table.usable('svc'), 80)
-        return copies.count(0)
+    def missing_layers(self, zone=None):
+        """Return how many layers no usable server holds, in a zone or all."""
+        servers = [
+            server
+            for server in self.table.usable('svc')
+            if zone in (None, server.zone)
+        ]
+        return tiling.coverage(servers, 80).count(0)
 
 
 @pytest.fixture
@@ -268,17 +272,26 @@
     running.cancel()
 
 
-async def test_zone_that_stays_short_is_covered_with_more_memory(
-    harness,
-):
+@pytest.fixture
+async def two_zones():
+    """Yield a harness with two zones of equal servers."""
+    created = ExecutorHarness(('z1', 'z2'))
+    running = asyncio.ensure_future(created.executor.run())
+    await created.timers.advance(4.0)
+    yield created
+    running.cancel()
+
+
+async def test_zone_that_stays_short_is_covered_with_more_memory(two_zones):
     """Servers that crashed come back, but lost ones do not."""
+    harness = two_zones
     held = {b.server_id: b.layer_count for b in harness.table.usable('svc')}
     for server_id in ['s0', 's1', 's2']:
         harness.table.drop(harness.table.get(server_id))
     await harness.timers.advance(executor.SHORT_ZONE_AFTER_S - 1.0)
-    assert harness.missing_layers() > 0
+    assert harness.missing_layers('z1') > 0
     await harness.timers.advance(2.0)
-    assert harness.missing_layers() == 0
+    assert harness.missing_layers('z1') == 0
     grown = [
         b
         for b in harness.table.usable('svc')
@@ -287,6 +300,20 @@
     assert grown
 
 
+async def test_service_without_a_path_is_covered_sooner(harness):
+    """RECOVER: all processes are killed while servers stay lost.
+
+    No zone and no zones together hold all layers, so nothing is served. After
+    the start, the leader waited for the servers as if one zone lacked them.
+    """
+    for server_id in ['s0', 's1', 's2']:
+        harness.table.drop(harness.table.get(server_id))
+    await harness.timers.advance(executor.OUTAGE_AFTER_S - 1.0)
+    assert harness.missing_layers() > 0
+    await harness.timers.advance(1.5)
+    assert harness.missing_layers() == 0
+
+
 async def test_new_leader_knows_how_long_a_zone_has_lacked_layers():
     """RECOVER: servers stay lost while the leadership changes.
 
