Bar the traits of requests that crash server after server

Cause: a crash was counted for requests that had received output, which are the sound ones; a server that crashes as it begins an answer has sent nothing. And it was counted by the hash of a whole request, which never comes twice. Presence at a crash was taken for its cause.

Change: a failed run without output is reported once its server refuses connections or has restarted, with the traits of its request: its hash and the shared parts of its prompt. The traits that explain the most crashes and hardly ever complete are barred on all nodes, one after another, until all crashes are explained. Nodes that subscribe get the crashes, instances with a disk keep them.

--- a/pimentowalk/dispatch/call_run.py
+++ b/pimentowalk/dispatch/call_run.py
@@ -49,6 +49,7 @@
                 await self._wait_for_target()
             if self._target is None:
                 break
+            self._dispatcher.reject_if_barred(self._call)
             self._tries += 1
             try:
                 await self._try_target()
--- a/pimentowalk/dispatch/calls.py
+++ b/pimentowalk/dispatch/calls.py
@@ -15,7 +15,9 @@
     `target` is the path and query of the request. `deadline_s` is when the
     client gives up, `timeout_at_s` when the timeout of the route ends.
     `forwarded_headers` go to the backend server unchanged. `last_event_id`
-    is the last event that the client has received.
+    is the last event that the client has received. `fingerprint` is a hash of
+    the request, 0 if it has no body, and `shared_parts` are the hashes of the
+    parts of its prompt that other requests may have as well.
     """
 
     request_id: str
@@ -33,6 +35,13 @@
     expected_answer_tokens: int = 0
     last_event_id: int = 0
     fingerprint: int = 0
+    shared_parts: tuple = ()
+
+    @property
+    def traits(self):
+        """Return what identifies the call as the cause of a crash."""
+        own = (self.fingerprint,) if self.fingerprint else ()
+        return own + self.shared_parts
 
     @property
     def expires_at_s(self):
--- a/pimentowalk/dispatch/checks.py
+++ b/pimentowalk/dispatch/checks.py
@@ -19,8 +19,8 @@
 class ServerChecks:
     """Fetch server reports once for all runs that need them together.
 
-    `suspect(backend, reason)` is called for a server that cannot be
-    reached, `record(backend, report)` for one that answers and
+    `suspect(backend, reason, is_down=...)` is called for a server that cannot
+    be reached, `record(backend, report)` for one that answers and
     `delegate(backend)` for one in another zone that does not answer.
     """
 
@@ -54,7 +54,7 @@
             self._record_unanswered(backend, error)
             raise
         except calls.Unreachable as error:
-            self._suspect(backend, error.message)
+            self._suspect(backend, error.message, is_down=True)
             raise
         self._unanswered.pop(backend.server_id, None)
         self._record(backend, report)
--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -8,6 +8,7 @@
 from pimentowalk.core import errors
 from pimentowalk.core import logs
 from pimentowalk.dispatch import checks as dispatch_checks
+from pimentowalk.dispatch import crash_reports
 from pimentowalk.dispatch import load_exchange
 from pimentowalk.dispatch import plain
 from pimentowalk.dispatch import silence
@@ -26,8 +27,6 @@
 PROGRESS_CHECK_INTERVAL_S = 0.05
 CLEANUP_INTERVAL_S = 10.0
 EXPIRY_INTERVAL_S = 0.25
-# After this time a server that crashed on a request is known to be down.
-CRASH_CHECK_DELAY_S = 0.6
 
 
 class Dispatcher:
@@ -78,7 +77,12 @@
         self.admission = admission_room.AdmissionQueue(timers)
         self.runs = set()
         self._verifying = {}
-        self._loads = load_exchange.LoadExchange(node, in_flight, budget)
+        self._loads = load_exchange.LoadExchange(
+            node, in_flight, budget, crashes
+        )
+        self._crash_reports = crash_reports.CrashReports(
+            node, crashes, timers, metrics
+        )
         node.subscribe(node_messages.CheckRequest, self._on_check_request)
         node.on_document(self._on_document)
 
@@ -143,35 +147,34 @@
     def _record_report(self, backend, report):
         self.in_flight.record_slowness(backend.server_id, report.slowness)
 
-    def suspect(self, backend, reason):
+    def suspect(self, backend, reason, *, is_down=False):
         """Exclude a server from new work, here and at the other nodes."""
         if self.node.backends.suspect(
-            backend.server_id, backend.born_ms, reason
+            backend.server_id, backend.born_ms, reason, is_down=is_down
         ):
             self.metrics.count('suspicions')
             self.node.publish(
                 node_messages.Suspicion(
-                    backend.server_id, backend.born_ms, reason
+                    backend.server_id, backend.born_ms, reason, is_down
                 )
             )
 
-    def schedule_crash_check(self, call, server):
-        """Check later whether a failed execution crashed its server."""
-        self.timers.after(
-            CRASH_CHECK_DELAY_S,
-            lambda: self._record_crash(call.fingerprint, server),
-        )
+    def report_failed_run(self, call, server, *, has_output):
+        """Report later that a run failed, if its server has crashed."""
+        self._crash_reports.add(call, server, has_output=has_output)
 
-    def _record_crash(self, fingerprint, server):
-        if self.node.backends.is_healthy(server):
+    def reject_if_barred(self, call):
+        """Raise PimentowalkError for a call that may crash its server."""
+        bar = self.crashes.barred(call.traits)
+        if bar is None:
             return
-        if self.crashes.record(fingerprint, server.server_id, server.born_ms):
-            self.metrics.count('crashed_runs')
-            self.node.publish(
-                node_messages.CrashNote(
-                    fingerprint, server.server_id, server.born_ms
-                )
-            )
+        self.metrics.count('barred_requests')
+        raise errors.PimentowalkError(
+            f'requests with trait {bar.trait:016x} have crashed '
+            f'{bar.crashes} backend servers',
+            code='quarantined',
+            step='admit',
+        )
 
     def choose_service(self, route):
         """Return a service of a route, chosen at random by weight."""
@@ -184,12 +187,7 @@
 
     async def handle(self, call, responder):
         """Run a call; raise PimentowalkError if it could not be completed."""
-        if self.crashes.is_quarantined(call.fingerprint):
-            raise errors.PimentowalkError(
-                'this request has crashed its backend servers before',
-                code='quarantined',
-                step='admit',
-            )
+        self.reject_if_barred(call)
         service = self.choose_service(call.route)
         self.budget.count_request(service.name)
         run_class = stream.StreamRun if service.engine else plain.PlainRun
@@ -197,7 +195,7 @@
         self.runs.add(run)
         try:
             await run.run()
-            self.crashes.clear(call.fingerprint)
+            self.crashes.record_completion(call.traits)
             self._log_completed(call, run)
         finally:
             self.runs.discard(run)
--- a/pimentowalk/dispatch/load_exchange.py
+++ b/pimentowalk/dispatch/load_exchange.py
@@ -19,10 +19,11 @@
     Instances of older releases send the reports of other nodes one by one.
     """
 
-    def __init__(self, node, in_flight, budget):
+    def __init__(self, node, in_flight, budget, crashes):
         self._node = node
         self._in_flight = in_flight
         self._budget = budget
+        self._crashes = crashes
         self._sequence = 0
         self._was_busy = False
         self._sent = collections.OrderedDict()
@@ -37,6 +38,7 @@
             self._in_flight.report(),
             repeats=self._budget.report(),
             sequence=self._sequence + 1,
+            completions=self._crashes.completions(),
         )
         is_busy = bool(body.loads) or any(x.requests for x in body.repeats)
         if is_busy or self._was_busy:
@@ -51,7 +53,7 @@
         self._included = self._sent.get(body.sequence)
 
     def _on_summary(self, body):
-        own_loads, own_uses = {}, {}
+        own_loads, own_uses, own_completions = {}, {}, {}
         if self._included is not None:
             own_loads = {
                 x.server_id: (x.requests, x.tokens)
@@ -61,6 +63,15 @@
                 x.service: (x.requests, x.repeats)
                 for x in self._included.repeats
             }
+            own_completions = {
+                x.trait: x.completions for x in self._included.completions
+            }
+        self._crashes.record_other_completions(
+            {
+                x.trait: x.completions - own_completions.get(x.trait, 0)
+                for x in body.completions
+            }
+        )
         others = body.nodes - (self._included is not None)
         self._in_flight.record_summary(
             others,
--- a/pimentowalk/dispatch/plain.py
+++ b/pimentowalk/dispatch/plain.py
@@ -112,11 +112,13 @@
         dispatcher.outcomes.record(target.backend.server_id, failed=True)
         dispatcher.log_failed_try(self._call, target, error)
         if calls.proves_server_down(error):
-            dispatcher.suspect(target.backend, error.message)
+            dispatcher.suspect(target.backend, error.message, is_down=True)
         else:
             dispatcher.checks.check(target.backend)
         if not isinstance(error, calls.Refused):
-            dispatcher.schedule_crash_check(self._call, target.backend)
+            dispatcher.report_failed_run(
+                self._call, target.backend, has_output=False
+            )
 
     def _final_error(self, failure):
         call = self._call
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -50,6 +50,8 @@
             call.last_event_id, dispatcher.limits.event_bytes
         )
         self._partial_since_s = None
+        # Whether the current try has received a whole event.
+        self._has_event = False
         self._first_event_s = None
         self._last_event_s = 0.0
         self._longest_pause_s = 0.0
@@ -179,6 +181,7 @@
         self._interruption = None
         self._recovery_task = None
         self._has_output = False
+        self._has_event = False
         dispatcher.in_flight.begin(self._target.server_ids, self._tokens)
         self._try_task = asyncio.ensure_future(self._pass_response())
         left_s = self._call.expires_at_s - dispatcher.timers.now_s()
@@ -192,6 +195,7 @@
             ) from None
         except asyncio.CancelledError:
             if self._interruption is None:
+                self._report_abandoned_run()
                 raise
             raise self._interruption from None
         finally:
@@ -202,6 +206,12 @@
             self._report_task = None
             dispatcher.in_flight.end(self._target.server_ids, self._tokens)
 
+    def _report_abandoned_run(self):
+        """Report a run that its client gave up at the moment of a crash."""
+        self._dispatcher.report_failed_run(
+            self._call, self._target.backend, has_output=self._has_event
+        )
+
     async def _pass_response(self):
         dispatcher = self._dispatcher
         call = self._call
@@ -255,6 +265,7 @@
         else:
             self._partial_since_s = None
         if whole:
+            self._has_event = True
             self.progress_s = now_s
             self._report_count = 0
             if self._first_event_s is None:
@@ -305,10 +316,12 @@
                 dispatcher.outcomes.record(server.server_id, failed=True)
                 if is_refused:
                     dispatcher.in_flight.record_full(server.server_id)
-                if self._has_output:
-                    dispatcher.schedule_crash_check(self._call, server)
+                if not is_refused:
+                    dispatcher.report_failed_run(
+                        self._call, server, has_output=self._has_event
+                    )
                 if calls.proves_server_down(error):
-                    dispatcher.suspect(server, error.message)
+                    dispatcher.suspect(server, error.message, is_down=True)
                 elif not isinstance(error, calls.Stalled):
                     # It may have crashed, or only be short of memory.
                     dispatcher.checks.check(server)
--- a/pimentowalk/dispatch/tests/fakes.py
+++ b/pimentowalk/dispatch/tests/fakes.py
@@ -45,7 +45,9 @@
         in_flight=types.SimpleNamespace(record_full=lambda _: None),
         log_failed_try=lambda *_: None,
         log_denied_retry=lambda *_: None,
-        suspect=lambda *_: None,
+        suspect=lambda *_, **__: None,
+        reject_if_barred=lambda _: None,
+        report_failed_run=lambda *_, **__: None,
     )
 
 
--- a/pimentowalk/dispatch/tests/test_call_run.py
+++ b/pimentowalk/dispatch/tests/test_call_run.py
@@ -38,7 +38,9 @@
     timers = core_timers.TimerService()
     table = membership.BackendTable(timers.now_s, period_s)
     dispatcher = types.SimpleNamespace(
-        timers=timers, node=types.SimpleNamespace(backends=table)
+        timers=timers,
+        node=types.SimpleNamespace(backends=table),
+        reject_if_barred=lambda _: None,
     )
     now_s = timers.now_s()
     call = types.SimpleNamespace(received_s=now_s, expires_at_s=now_s + 10)
--- a/pimentowalk/dispatch/tests/test_checks.py
+++ b/pimentowalk/dispatch/tests/test_checks.py
@@ -32,16 +32,22 @@
         self.timers = timers.ManualTimerService()
         self.transport = FakeTransport()
         self.suspects = []
+        self.down = []
         self.delegated = []
         self.checks = checks.ServerChecks(
             self.transport,
             self.timers,
             'z1',
-            lambda backend, reason: self.suspects.append(backend.server_id),
+            self._suspect,
             lambda backend, report: None,
             lambda backend: self.delegated.append(backend.server_id),
         )
 
+    def _suspect(self, backend, reason, *, is_down=False):
+        self.suspects.append(backend.server_id)
+        if is_down:
+            self.down.append(backend.server_id)
+
     async def fetch(self, name, zone='z1'):
         """Fetch a report once any earlier one has expired."""
         await self.timers.advance(checks.REPORT_TTL_S * 2)
@@ -62,7 +68,7 @@
     """A crashed server refuses connections at once."""
     harness.transport.answers['a'] = calls.Unreachable
     await harness.fetch('a')
-    assert harness.suspects == ['a']
+    assert harness.suspects == harness.down == ['a']
 
 
 async def test_one_timeout_is_no_proof(harness):
@@ -76,6 +82,7 @@
     await harness.fetch('a')
     await harness.fetch('a')
     assert harness.suspects == ['a']
+    assert harness.down == []
 
 
 async def test_timeouts_of_many_servers_are_the_fault_of_this_node(harness):
--- a/pimentowalk/dispatch/tests/test_load_exchange.py
+++ b/pimentowalk/dispatch/tests/test_load_exchange.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from pimentowalk.admission import crashes
 from pimentowalk.admission import window_budget
 from pimentowalk.dispatch import load_exchange
 from pimentowalk.mesh import load_sums
@@ -24,8 +25,9 @@
         self.budget = window_budget.WindowBudget(
             now_s, window_s=10, ratio=0.2, extra=60
         )
+        self.crashes = crashes.CrashTracker(now_s, node_id)
         self.exchange = load_exchange.LoadExchange(
-            self, self.in_flight, self.budget
+            self, self.in_flight, self.budget, self.crashes
         )
 
     def subscribe(self, frame_class, callback):
@@ -122,3 +124,24 @@
     nodes[0].receive(node_messages.LoadNews('n9', load))
     nodes[0].receive(node_messages.LoadNews('n0', load))
     assert nodes[0].in_flight.tokens('s1') == 70
+
+
+def test_completions_at_all_nodes_reach_each_node_once(nodes, now):
+    """A node that does not know them would bar a prompt that many share."""
+    for server in range(crashes.MIN_CRASHES - 1):
+        for node in nodes:
+            node.crashes.record(
+                node_messages.CrashNote(0, f's{server}', 1, 0, [7])
+            )
+        now[0] += 1.0
+    for node in nodes[1:]:
+        node.crashes.record_completion([7])
+    sums = load_sums.LoadSums()
+    for _ in range(2):
+        for node in nodes:
+            node.in_flight.begin(['s9'], 1)
+            node.exchange.publish()
+        exchange_all(sums, nodes, now[0])
+    assert [node.crashes._count_completions(7) for node in nodes] == (
+        [NODES - 1] * NODES
+    )
--- a/pimentowalk/gateway/core.py
+++ b/pimentowalk/gateway/core.py
@@ -19,11 +19,11 @@
 from pimentowalk.dispatch import dispatcher as dispatch
 from pimentowalk.entry import drain as entry_drain
 from pimentowalk.membership import backends as membership
+from pimentowalk.mesh import cache_files
 from pimentowalk.mesh import freshness as mesh_freshness
 from pimentowalk.mesh import leader as mesh_leader
 from pimentowalk.mesh import node as mesh_node
 from pimentowalk.mesh import status as mesh_status
-from pimentowalk.mesh import view_file
 from pimentowalk.placement import executor as placement
 from pimentowalk.routing import work
 from pimentowalk.topology import instances
@@ -92,8 +92,9 @@
             timers,
             bounds.revocation_ms / 1000 * LEASE_SHARE,
         )
-        self.crashes = admission_crashes.CrashTracker(now_s)
+        self.crashes = admission_crashes.CrashTracker(now_s, settings.node_id)
         self.node.subscribe(node_messages.CrashNote, self._on_crash_note)
+        self.node.on_subscriber(self.crashes.notes)
         self.dispatcher = dispatch.Dispatcher(
             self.node,
             engines,
@@ -113,6 +114,9 @@
         self.metrics.gauge(
             'missing_layers', lambda: mesh_status.missing_layers(self.node)
         )
+        self.metrics.gauge(
+            'barred_traits', lambda: len(self.crashes.active_bars())
+        )
         self.metrics.gauge(
             'incomplete_zones', lambda: mesh_status.incomplete_zones(self.node)
         )
@@ -121,7 +125,7 @@
             self._build_control()
 
     def _on_crash_note(self, body):
-        self.crashes.record(body.fingerprint, body.server_id, body.born_ms)
+        self.crashes.record(body)
 
     def _seeds(self):
         port = self.settings.peer_port
@@ -168,9 +172,14 @@
             self.timers,
             2 * settings.tolerated_losses + 1,
         )
-        self._view_file = view_file.ViewFile(
-            settings.data_folder, self.node.backends, self.timers
-        )
+        self._cache_files = [
+            cache_files.ViewFile(
+                settings.data_folder, self.node.backends, self.timers
+            ),
+            cache_files.CrashFile(
+                settings.data_folder, self.crashes, self.timers
+            ),
+        ]
         self._executor = placement.Executor(
             self.node.backends,
             self.timers,
@@ -202,9 +211,10 @@
         """Start control and the links, then the periodic tasks."""
         if self.replica is not None:
             await self.replica.start()
-            self._view_file.load()
+            for file in self._cache_files:
+                file.load()
+                self._tasks.append(asyncio.ensure_future(file.run()))
             self._tasks += [
-                asyncio.ensure_future(self._view_file.run()),
                 asyncio.ensure_future(self._repair.run()),
                 asyncio.ensure_future(self._executor.run()),
             ]
--- a/pimentowalk/membership/backends.py
+++ b/pimentowalk/membership/backends.py
@@ -29,12 +29,16 @@
 
 @attrs.define
 class Record:
-    """The newest announcement and the health of one backend server."""
+    """The newest announcement and the health of one backend server.
+
+    `is_down` tells of a suspect that its host refuses connections.
+    """
 
     backend: backends.Backend
     heard_s: float
     suspect_since_s: float | None = None
     suspect_sequence: int = 0
+    is_down: bool = False
 
 
 class BackendTable:
@@ -229,12 +233,13 @@
         )
         self._notify()
 
-    def suspect(self, server_id, born_ms, reason):
+    def suspect(self, server_id, born_ms, reason, *, is_down=False):
         """Exclude a server from new work; return whether this is new."""
         record = self._records.get(server_id)
         if record is None or record.backend.born_ms != born_ms:
             return False
         is_new = record.suspect_since_s is None
+        record.is_down = is_down or (record.is_down and not is_new)
         record.suspect_since_s = self.now_s()
         record.suspect_sequence = record.backend.sequence
         if is_new:
@@ -255,6 +260,17 @@
             or record.suspect_since_s is not None
         )
 
+    def has_crashed(self, backend):
+        """Return whether an incarnation is down or was replaced.
+
+        A suspect that is merely silent may only be cut off.
+        """
+        record = self._records.get(backend.server_id)
+        if record is not None and record.backend.born_ms == backend.born_ms:
+            return record.suspect_since_s is not None and record.is_down
+        successor = self.at_address(backend.address)
+        return successor is not None and successor.born_ms > backend.born_ms
+
     def is_healthy(self, backend):
         """Return whether an incarnation is known and not suspect."""
         record = self._records.get(backend.server_id)
--- a/pimentowalk/membership/tests/test_backends.py
+++ b/pimentowalk/membership/tests/test_backends.py
@@ -104,6 +104,18 @@
     assert _usable_ids(table) == ['i-1']
 
 
+def test_only_a_server_that_is_down_or_restarted_has_crashed(table):
+    """A silent server may be cut off, with requests that are sound."""
+    assert not table.has_crashed(FIRST)
+    table.suspect('i-1', 100, 'no answer')
+    assert not table.has_crashed(FIRST)
+    table.suspect('i-1', 100, 'refused', is_down=True)
+    assert table.has_crashed(FIRST)
+    table.apply(attrs.evolve(FIRST, server_id='i-9', born_ms=200, sequence=0))
+    assert table.has_crashed(FIRST)
+    assert not table.has_crashed(table.get('i-9'))
+
+
 def test_changes_are_distinguished_from_repeats():
     """Repeats are relayed in batches, changes at once."""
     repeat = attrs.evolve(FIRST, sequence=6)
--- a/pimentowalk/mesh/hub.py
+++ b/pimentowalk/mesh/hub.py
@@ -135,6 +135,9 @@
             self._push_document(peer, record)
             if not record.sent_backends:
                 record.sent_backends = True
+                # Sent first: a node serves requests once it knows servers.
+                for frame in self.node.subscriber_frames():
+                    peer.post(frame)
                 _post_backends(peer, self.node.backends.announcements())
         else:
             record.sent_backends = False
--- a/pimentowalk/mesh/load_sums.py
+++ b/pimentowalk/mesh/load_sums.py
@@ -1,5 +1,7 @@
 """The load of all nodes that report to a control instance, summed up."""
 
+import collections
+
 import attrs
 
 from pimentowalk.routing import load_totals
@@ -12,10 +14,11 @@
 
 @attrs.frozen
 class _Use:
-    """The sequence of the last report of a node, and its retries."""
+    """Parts of the last report of a node."""
 
     sequence: int
     repeats: list
+    completions: list
 
 
 class LoadSums:
@@ -37,7 +40,9 @@
             return
         loads = {x.server_id: (x.requests, x.tokens) for x in body.loads}
         self._totals.record(body.node_id, loads, now_s)
-        self._uses[body.node_id] = _Use(body.sequence, body.repeats)
+        self._uses[body.node_id] = _Use(
+            body.sequence, body.repeats, body.completions
+        )
         self._has_changed = True
 
     def sequence_of(self, node_id):
@@ -63,8 +68,19 @@
                 ) in self._totals.by_server().items()
             ],
             self._sum_repeats(),
+            self._sum_completions(),
         )
 
+    def _sum_completions(self):
+        sums = collections.Counter()
+        for use in self._uses.values():
+            for item in use.completions:
+                sums[item.trait] += item.completions
+        return [
+            node_messages.TraitCount(trait, count)
+            for trait, count in sums.items()
+        ]
+
     def _sum_repeats(self):
         sums = {}
         for use in self._uses.values():
--- a/pimentowalk/mesh/node.py
+++ b/pimentowalk/mesh/node.py
@@ -50,6 +50,7 @@
         self._tasks = {}
         self._callbacks = {}
         self._document_callbacks = []
+        self._subscriber_callbacks = []
         self.hub = mesh_hub.Hub(self, hello, host, port, timers)
 
     @property
@@ -70,6 +71,14 @@
         """Call `callback(document)` after each new document."""
         self._document_callbacks.append(callback)
 
+    def on_subscriber(self, callback):
+        """Send the frames that `callback()` returns to new subscribers."""
+        self._subscriber_callbacks.append(callback)
+
+    def subscriber_frames(self):
+        """Return the frames that a node needs when it subscribes."""
+        return [f for read in self._subscriber_callbacks for f in read()]
+
     async def start(self):
         """Start listening, and connect to control in the background."""
         await self.hub.start()
@@ -294,7 +303,9 @@
 @HANDLERS.register('suspicion')
 def on_suspicion(node, body):
     """Exclude a server that failed at another node."""
-    node.backends.suspect(body.server_id, body.born_ms, body.reason)
+    node.backends.suspect(
+        body.server_id, body.born_ms, body.reason, is_down=body.is_down
+    )
 
 
 def _do_nothing(node, body):
--- a/pimentowalk/mesh/tests/test_view_file.py
+++ b/pimentowalk/mesh/tests/test_cache_files.py
@@ -5,11 +5,13 @@
 import attrs
 import pytest
 
+from pimentowalk.admission import crashes
 from pimentowalk.core import identifiers
 from pimentowalk.core import timers as core_timers
 from pimentowalk.membership import backends as membership
-from pimentowalk.mesh import view_file
+from pimentowalk.mesh import cache_files
 from pimentowalk.topology import backends
+from pimentowalk.wire import node_messages
 from tools.tests import waiting
 
 PERIOD_S = 1.2
@@ -24,7 +26,7 @@
     def __init__(self, folder):
         self.now_s = 0.0
         self.table = membership.BackendTable(lambda: self.now_s, PERIOD_S)
-        self.file = view_file.ViewFile(
+        self.file = cache_files.ViewFile(
             folder, self.table, core_timers.TimerService()
         )
 
@@ -37,7 +39,7 @@
     node = FakeNode(folder)
     for server in servers:
         node.table.apply(server)
-    path = folder / view_file.FILE_NAME
+    path = folder / cache_files.ViewFile.name
     running = asyncio.ensure_future(node.file.run())
     await waiting.until(path.exists)
     running.cancel()
@@ -145,8 +147,40 @@
         write(data)
 
     monkeypatch.setattr(node.file, '_write', fail_once)
-    monkeypatch.setattr(view_file, 'SAVE_INTERVAL_S', 0.02)
+    monkeypatch.setattr(cache_files, 'SAVE_INTERVAL_S', 0.02)
     running = asyncio.ensure_future(node.file.run())
-    await waiting.until((tmp_path / view_file.FILE_NAME).exists)
+    await waiting.until((tmp_path / cache_files.ViewFile.name).exists)
     running.cancel()
     assert not failures
+
+
+async def test_restarted_nodes_still_know_which_part_crashes_servers(
+    tmp_path,
+):
+    """BUDGET: all processes are killed while deadly requests still come."""
+    now = [0.0]
+    timers = core_timers.TimerService()
+    trackers = [crashes.CrashTracker(lambda: now[0]) for _ in range(2)]
+    files = [
+        cache_files.CrashFile(tmp_path, tracker, timers)
+        for tracker in trackers
+    ]
+    running = asyncio.ensure_future(files[0].run())
+    for number in range(crashes.MIN_CRASHES):
+        now[0] += 1.0
+        trackers[0].record(node_messages.CrashNote(0, f's{number}', 1, 0, [7]))
+    path = tmp_path / cache_files.CrashFile.name
+    await waiting.until(path.exists)
+    running.cancel()
+    assert files[1].load() == crashes.MIN_CRASHES
+    now[0] += 2 * crashes.JUDGED_AFTER_S
+    assert trackers[1].barred([7]) is not None
+
+
+@pytest.mark.parametrize('content', [b'', b'x', b'0' * 16 + b'\n{}'])
+async def test_damaged_file_of_crashes_is_not_used(tmp_path, content):
+    """A torn write must not keep the node from starting."""
+    tracker = crashes.CrashTracker(lambda: 0.0)
+    (tmp_path / cache_files.CrashFile.name).write_bytes(content)
+    file = cache_files.CrashFile(tmp_path, tracker, core_timers.TimerService())
+    assert file.load() == 0
--- a/pimentowalk/platform/front.py
+++ b/pimentowalk/platform/front.py
@@ -30,6 +30,8 @@
 # since a newer configuration may contain the key or the route.
 MAX_LEADER_SILENCE_S = 1.2
 DEFAULT_ANSWER_TOKENS = 256
+# Prompts have a few parts; only the first ones are looked at.
+MAX_SHARED_PARTS = 16
 # Only refusals that guarantee that the request did not run have Retry-After.
 RETRY_AFTER_CODES = frozenset(
     {'not_run', 'no_chain', 'overloaded', 'draining', 'no_quorum'}
@@ -257,6 +259,7 @@
                 _parse_number(headers.get(names.LAST_EVENT_ID), 0)
             ),
             fingerprint=_fingerprint(target, account, body),
+            shared_parts=_parse_shared_parts(headers.get(names.PROMPT_PARTS)),
         )
 
 
@@ -280,6 +283,18 @@
     return identifiers.hash64(target, name, body) if body else 0
 
 
+def _parse_shared_parts(text):
+    """Return hashes of the parts of a prompt that requests may share.
+
+    The last part belongs to the request alone.
+    """
+    parts = [
+        part.partition(':')[0].strip() for part in (text or '').split(',')
+    ]
+    shared = parts[:-1][:MAX_SHARED_PARTS]
+    return tuple(identifiers.hash64('part', part) for part in shared if part)
+
+
 def _parse_number(text, default):
     try:
         value = float(text)
--- a/pimentowalk/platform/names.py
+++ b/pimentowalk/platform/names.py
@@ -15,6 +15,8 @@
 NOT_EXECUTED = 'Pimentowalk-Not-Executed'
 # "prompt tokens,maximum output tokens".
 TOKEN_COUNT = 'Pimentowalk-Token-Count'
+# "ID:TOKENS" of each part of the prompt, in order, separated by commas.
+PROMPT_PARTS = 'Pimentowalk-Prompt-Prefix'
 URGENCY = 'Pimentowalk-Request-Urgency'
 # Not a count despite its name: a list of hops, IP:PORT=FROM-TO each.
 HOPS = 'Pimentowalk-Hop-Count'
--- a/pimentowalk/platform/tests/standin.py
+++ b/pimentowalk/platform/tests/standin.py
@@ -18,6 +18,7 @@
     Faults are injected by attributes: `refuses` answers 503 without running
     the request, `break_after_events` aborts a stream after that many events,
     `hangs` delays each answer by 60 s, `status` is the status of plain calls.
+    A server crashes when it begins to answer a prompt with `deadly_part`.
     """
 
     def __init__(self, server_id, host, service, *, zone='z1', kind='v100'):
@@ -35,6 +36,8 @@
         self.refuses = False
         self.break_after_events = None
         self.hangs = False
+        self.deadly_part = None
+        self.crashing = None
         self.status = 200
         self.events = 6
         self.event_interval_s = 0.005
@@ -61,6 +64,14 @@
         """Stop the server and close all connections, as in a crash."""
         await self._runner.cleanup()
 
+    async def restart(self):
+        """Start a new incarnation after a crash, with the same layers."""
+        await self.crashing
+        self.crashing = None
+        self.born_ms += 1
+        self.sequence = 0
+        await self.start()
+
     @property
     def address(self):
         """Return `host:port`."""
@@ -134,6 +145,11 @@
             headers=headers | {'Content-Type': 'text/event-stream'}
         )
         await response.prepare(request)
+        parts = request.headers.get(names.PROMPT_PARTS, '').split(',')
+        if self.deadly_part in [part.partition(':')[0] for part in parts]:
+            self.crashing = asyncio.ensure_future(self.stop())
+            request.transport.abort()
+            return response
         first = int(request.headers.get(names.LAST_EVENT_ID, 0)) + 1
         for sent, number in enumerate(range(first, self.events + 1)):
             if sent == self.break_after_events:
--- a/pimentowalk/wire/frames.capnp
+++ b/pimentowalk/wire/frames.capnp
@@ -423,6 +423,7 @@
   serverId @0 :Text;
   bornMs @1 :UInt64;
   reason @2 :Text;
+  isDown @3 :Bool;
 }
 
 struct ServerLoad {
@@ -437,17 +438,27 @@
   repeats @2 :UInt64;
 }
 
+struct TraitCount {
+  trait @0 :UInt64;
+  completions @1 :UInt64;
+}
+
 struct LoadNews {
   nodeId @0 :Text;
   loads @1 :List(ServerLoad);
   repeats @2 :List(RepeatUse);
   sequence @3 :UInt64;
+  completions @4 :List(TraitCount);
 }
 
 struct CrashNote {
   fingerprint @0 :UInt64;
   serverId @1 :Text;
   bornMs @2 :UInt64;
+  ageMs @3 :UInt64;
+  silentTraits @4 :List(UInt64);
+  otherTraits @5 :List(UInt64);
+  completions @6 :List(TraitCount);
 }
 
 struct CheckRequest {
@@ -459,6 +470,7 @@
   nodes @0 :UInt64;
   loads @1 :List(ServerLoad);
   repeats @2 :List(RepeatUse);
+  completions @3 :List(TraitCount);
 }
 
 struct LoadIncluded {
--- a/pimentowalk/wire/node_messages.py
+++ b/pimentowalk/wire/node_messages.py
@@ -73,11 +73,16 @@
 @messages.message('suspicion')
 @attrs.frozen
 class Suspicion:
-    """A report that a backend server failed a request of a node."""
+    """A report that a backend server failed a request of a node.
+
+    `is_down` tells that its host refuses connections; otherwise, the link may
+    be at fault.
+    """
 
     server_id: str
     born_ms: int
     reason: str
+    is_down: bool = False
 
 
 @attrs.frozen
@@ -98,28 +103,49 @@
     repeats: int
 
 
+@attrs.frozen
+class TraitCount:
+    """How many requests with a trait a node has seen run to completion."""
+
+    trait: int
+    completions: int
+
+
 @messages.message('loadNews')
 @attrs.frozen
 class LoadNews:
     """The outstanding work of a node; servers not listed have none.
 
-    `sequence` increases with each report of the node.
+    `sequence` increases with each report of the node. `completions` lists
+    traits of requests that were present at several crashes.
     """
 
     node_id: str
     loads: list[ServerLoad]
     repeats: list[RepeatUse] = attrs.field(factory=list)
     sequence: int = 0
+    completions: list[TraitCount] = attrs.field(factory=list)
 
 
 @messages.message('crashNote')
 @attrs.frozen
 class CrashNote:
-    """A report of a request during which its backend server crashed."""
+    """A report of requests during which their backend server crashed.
+
+    `silent_traits` are the traits of requests without any output, which the
+    server may have just begun, `other_traits` those of the others.
+    `fingerprint` is the only trait that older releases report, 0 in this one.
+    `completions` tells a node that missed the crash which of the traits have
+    been completed since.
+    """
 
     fingerprint: int
     server_id: str
     born_ms: int
+    age_ms: int = 0
+    silent_traits: list[int] = attrs.field(factory=list)
+    other_traits: list[int] = attrs.field(factory=list)
+    completions: list[TraitCount] = attrs.field(factory=list)
 
 
 @messages.message('checkRequest')
@@ -146,6 +172,7 @@
     nodes: int
     loads: list[ServerLoad]
     repeats: list[RepeatUse]
+    completions: list[TraitCount] = attrs.field(factory=list)
 
 
 @messages.message('loadIncluded')
