Reject odd announcements and reports; keep the placement running

Report of other operators: one odd entry of another writer ended the processes that read it, again and again. Here it could: a number above 64 bits or a lone surrogate was accepted, and encoding the entry for other nodes failed at each subscription; layers up to 10^9 raised an IndexError that ended the placement of the leader for good; a state that is no text, a port such as a superscript two and deeply nested reports raised errors that nothing handles, so that a stream never asked its head again.

Change: announcements have limits for numbers, layers and texts, and valid Unicode. The planner sees no layers that the model lacks. An error in one check of the placement is logged, and the next check comes. Odd reports are failed tries, odd factors are ignored.

--- a/pimentowalk/placement/executor.py
+++ b/pimentowalk/placement/executor.py
@@ -89,17 +89,27 @@
         """Check the placement periodically until cancelled."""
         while True:
             await self._timers.sleep(POLL_S)
-            now_s = self._timers.now_s()
-            leads = self._leads_settled(now_s)
-            if now_s - self._started_s < FIRST_SETTLE_S:
-                continue
-            if leads and self._is_due(now_s):
-                self._checked_s = now_s
-                self._checked_generation = self._table.generation
-                self._check(now_s)
-            elif not leads and now_s - self._checked_s >= CHECK_PERIOD_S:
-                self._checked_s = now_s
-                self._observe(now_s)
+            try:
+                self._poll(self._timers.now_s())
+            except Exception:
+                # An entry that the planner cannot handle must not end the
+                # placement of all services for good.
+                LOG.exception(
+                    'placement check failed',
+                    extra=logs.fields(step='placement'),
+                )
+
+    def _poll(self, now_s):
+        leads = self._leads_settled(now_s)
+        if now_s - self._started_s < FIRST_SETTLE_S:
+            return
+        if leads and self._is_due(now_s):
+            self._checked_s = now_s
+            self._checked_generation = self._table.generation
+            self._check(now_s)
+        elif not leads and now_s - self._checked_s >= CHECK_PERIOD_S:
+            self._checked_s = now_s
+            self._observe(now_s)
 
     def _leads_settled(self, now_s):
         """Return whether this node has led for long enough to plan."""
@@ -135,13 +145,19 @@
         """Record since when zones lack layers, for the time as a leader."""
         for service in self._engine_services():
             usable = self._table.usable(service.name)
-            servers = [self._planned_server(backend) for backend in usable]
+            servers = [
+                self._planned_server(backend, service.engine)
+                for backend in usable
+            ]
             self._short_zones(service, servers, now_s)
 
     def _check_service(self, service, now_s):
         backends = {b.server_id: b for b in self._table.usable(service.name)}
         self._drop_settled_orders(service.name, backends, now_s)
-        servers = [self._planned_server(b) for b in backends.values()]
+        servers = [
+            self._planned_server(backend, service.engine)
+            for backend in backends.values()
+        ]
         assignments = planner.plan(
             servers,
             service.engine,
@@ -220,7 +236,7 @@
             if in_effect or now_s > order.due_s:
                 del self._orders[server_id]
 
-    def _planned_server(self, backend):
+    def _planned_server(self, backend, engine):
         order = self._orders.get(backend.server_id)
         first, end = backend.first_layer, backend.end_layer
         if order is not None:
@@ -230,8 +246,8 @@
             backend.server_id,
             backend.zone,
             backend.accelerator,
-            first,
-            end,
+            min(first, engine.total_layers),
+            min(end, engine.total_layers),
             self._streams(backend.server_id),
         )
 
--- a/pimentowalk/placement/tests/test_executor.py
+++ b/pimentowalk/placement/tests/test_executor.py
@@ -332,3 +332,38 @@
     await created.timers.advance(executor.SETTLE_S + 0.5)
     assert created.missing_layers() == 0
     running.cancel()
+
+
+async def test_placement_goes_on_beside_an_entry_with_too_many_layers(harness):
+    """An odd entry of another writer ended the placement for good."""
+    harness.table.apply(
+        backends.Backend(
+            'odd',
+            1,
+            0,
+            'svc',
+            '10.0.2.1',
+            80,
+            'z1',
+            accelerator='v100',
+            first_layer=70,
+            end_layer=9000,
+        )
+    )
+    await harness.timers.advance(1.0)
+    sole = _sole_holder(harness)
+    harness.table.apply(attrs.evolve(sole, state=backends.GONE))
+    await harness.timers.advance(2.0)
+    assert harness.missing_layers() == 0
+
+
+async def test_placement_goes_on_after_an_unexpected_error(harness):
+    """One failed check must not leave a service without a placement."""
+    document = harness.executor._document
+    harness.executor._document = lambda: 1 / 0
+    sole = _sole_holder(harness)
+    harness.table.apply(attrs.evolve(sole, state=backends.GONE))
+    await harness.timers.advance(1.0)
+    harness.executor._document = document
+    await harness.timers.advance(2.0)
+    assert harness.missing_layers() == 0
--- a/pimentowalk/placement/tiling.py
+++ b/pimentowalk/placement/tiling.py
@@ -37,10 +37,15 @@
 
 
 def coverage(servers, total_layers):
-    """Return the number of copies of each layer."""
+    """Return the number of copies of each layer.
+
+    Layers that the model does not have are left out: a server may announce
+    those of another model.
+    """
     copies = [0] * total_layers
     for server in servers:
-        for layer in range(server.first_layer, server.end_layer):
+        end_layer = min(server.end_layer, total_layers)
+        for layer in range(server.first_layer, end_layer):
             copies[layer] += 1
     return copies
 
--- a/pimentowalk/platform/announcements.py
+++ b/pimentowalk/platform/announcements.py
@@ -6,7 +6,12 @@
 from pimentowalk.topology import backends
 
 STATES = {'ready': backends.READY, 'draining': backends.DRAINING}
-MAX_ANNOUNCEMENT_BYTES = 1 << 16
+# Larger values come from a faulty writer. Other nodes could not decode them,
+# or would count layers without end.
+MAX_NUMBER = 2**63 - 1
+MAX_SLOTS = 1_000_000
+MAX_LAYERS = 10_000
+MAX_TEXT_CHARACTERS = 256
 
 
 def _invalid(reason):
@@ -15,23 +20,40 @@
     )
 
 
-def _integer(data, key, default=None):
+def _integer(data, key, default=None, maximum=MAX_NUMBER):
     value = data.get(key, default)
-    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+    if isinstance(value, bool) or not isinstance(value, int):
         raise _invalid(f'{key} is no whole number')
+    if not 0 <= value <= maximum:
+        raise _invalid(f'{key} is not between 0 and {maximum}')
     return value
 
 
-def _string(data, key):
-    value = data.get(key)
-    if not isinstance(value, str) or not value:
-        raise _invalid(f'{key} is no text')
+def _string(data, key, default=None):
+    return _checked_text(data.get(key, default), key)
+
+
+def _non_empty_string(data, key):
+    value = _string(data, key)
+    if not value:
+        raise _invalid(f'{key} is empty')
+    return value
+
+
+def _checked_text(value, name):
+    if not isinstance(value, str) or len(value) > MAX_TEXT_CHARACTERS:
+        raise _invalid(f'{name} is no short text')
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        raise _invalid(f'{name} is not valid Unicode') from None
     return value
 
 
 def _parse_address(text):
     host, _, port = text.rpartition(':')
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    is_number = port.isascii() and port.isdigit()
+    if not host or not is_number or not 0 < int(port) < 65536:
         raise _invalid(f'{text!r} is no address')
     return host, int(port)
 
@@ -47,30 +69,29 @@
         raise _invalid(f'not JSON: {error}') from None
     if not isinstance(data, dict):
         raise _invalid('not an object')
-    state = STATES.get(data.get('state'))
+    state = STATES.get(_string(data, 'state'))
     if state is None:
-        raise _invalid(f'unknown state {data.get("state")!r}')
+        raise _invalid(f'unknown state {data["state"]!r}')
+    if not _checked_text(server_id, 'the id'):
+        raise _invalid('the id is empty')
     host, port = _parse_address(_string(data, 'address'))
     first, end, version = _parse_layers(data)
     models = data.get('models') or [{}]
     if not isinstance(models, list) or not isinstance(models[0], dict):
         raise _invalid('models is no list of objects')
-    kind = data.get('kind', '')
-    if not isinstance(kind, str):
-        raise _invalid('kind is no text')
     return backends.Backend(
         server_id=server_id,
         born_ms=_integer(data, 'born', 0),
         sequence=_integer(data, 'sequence'),
-        service=_string(data, 'service'),
+        service=_non_empty_string(data, 'service'),
         host=host,
         port=port,
-        zone=_string(data, 'zone'),
+        zone=_non_empty_string(data, 'zone'),
         state=state,
-        slots=max(1, _integer(data, 'slots', 1)),
+        slots=max(1, _integer(data, 'slots', 1, MAX_SLOTS)),
         # "kind" is the accelerator type here, but the request type in routes.
-        accelerator=kind,
-        model=str(models[0].get('name') or ''),
+        accelerator=_string(data, 'kind', ''),
+        model=_string(models[0], 'name', ''),
         first_layer=first,
         end_layer=end,
         weights_version=version,
@@ -86,7 +107,8 @@
         return 0, 0, 0
     if not isinstance(layers, dict):
         raise _invalid('layers is no object')
-    first, end = _integer(layers, 'from'), _integer(layers, 'to')
+    first = _integer(layers, 'from', maximum=MAX_LAYERS)
+    end = _integer(layers, 'to', maximum=MAX_LAYERS)
     if end < first:
         raise _invalid('layers end before they begin')
     return first, end, _integer(layers, 'version', 0)
--- a/pimentowalk/platform/engines.py
+++ b/pimentowalk/platform/engines.py
@@ -32,6 +32,8 @@
 UNAVAILABLE = 503
 CONFLICT = 409
 ACCEPTED_STATUSES = (200, 202)
+# A report with a larger factor is faulty.
+MAX_SLOWNESS = 1000.0
 
 
 class StrictResponseHandler(client_proto.ResponseHandler):
@@ -210,15 +212,14 @@
     async def fetch_report(self, backend):
         """Fetch and decode the report of a server; raise `calls.TryFailed`."""
         report = await self.report(backend)
-        slowness = report.get('pace', 1.0)
+        stalled = report.get('stalled')
         return transport.ServerReport(
             {
                 str(item.get('id')): str(item.get('address', ''))
-                for item in report.get('stalled') or ()
+                for item in (stalled if isinstance(stalled, list) else ())
                 if isinstance(item, dict)
             },
-            # "pace" in a report multiplies the times of the accelerator kind.
-            slowness if isinstance(slowness, (int, float)) else 1.0,
+            _parse_slowness(report.get('pace')),
         )
 
     async def reroute(self, backend, request_id, hops):
@@ -332,7 +333,7 @@
             ) from None
         try:
             return response.status, json.loads(text) if text else None
-        except ValueError:
+        except (ValueError, RecursionError):
             raise calls.Broken(f'{path}: not JSON', peer=peer) from None
 
 
@@ -343,6 +344,12 @@
     )
 
 
+def _parse_slowness(pace):
+    """Return the factor on the times of the accelerator kind, or 1."""
+    is_number = isinstance(pace, (int, float))
+    return pace if is_number and 0 < pace < MAX_SLOWNESS else 1.0
+
+
 def _parse_load(text):
     """Return (running, waiting, slots), or None if absent or invalid."""
     if text is None:
--- a/pimentowalk/platform/tests/test_decoding.py
+++ b/pimentowalk/platform/tests/test_decoding.py
@@ -3,10 +3,13 @@
 import pytest
 
 from pimentowalk.core import errors
+from pimentowalk.placement import tiling
 from pimentowalk.platform import announcements
 from pimentowalk.platform import documents
 from pimentowalk.platform.tests import samples
 from pimentowalk.topology import backends
+from pimentowalk.wire import codec
+from pimentowalk.wire import node_messages
 
 
 def test_configuration_is_decoded():
@@ -142,3 +145,64 @@
     """Malformed input must raise only the error that callers handle."""
     with pytest.raises(errors.PimentowalkError):
         announcements.decode('i-1', text)
+
+
+ODD_VALUES = [
+    10**30,
+    2**63,
+    -1,
+    1.5,
+    True,
+    None,
+    [],
+    {},
+    ['ready'],
+    'x' * 5000,
+    '\ud800',
+    '10.0.0.1:²',
+    '10.0.0.1:65536',
+    '10.0.0.1:0',
+    {'from': 0, 'to': 10**30},
+    {'from': 0, 'to': 10**9},
+    {'from': [], 'to': 1},
+    [{'name': 10**30}],
+    [[[[[]]]]],
+]
+
+
+@pytest.mark.parametrize('value', ODD_VALUES, ids=lambda v: repr(v)[:24])
+@pytest.mark.parametrize('field', samples.ANNOUNCEMENT)
+def test_odd_announcement_is_rejected_or_can_be_passed_on(field, value):
+    """Processes that read such an entry of another writer kept ending.
+
+    An entry that is accepted is sent to all other nodes, and its layers are
+    counted one by one.
+    """
+    text = samples.announcement(**{field: value})
+    try:
+        backend = announcements.decode('i-1', text)
+    except errors.PimentowalkError as error:
+        assert error.code == 'bad_request'
+        return
+    frame = codec.encode(node_messages.BackendNews([backend]))
+    envelope = codec.decode(frame[codec.HEADER.size :])
+    assert envelope.body.backends == [backend]
+    tiling.coverage([backend], 80)
+
+
+@pytest.mark.parametrize('depth', [100, 900, 30_000])
+def test_deeply_nested_announcement_is_rejected(depth):
+    """The parser must not exhaust the stack."""
+    nested = b'[' * depth + b']' * depth
+    text = samples.announcement().replace(
+        b'"models": [', b'"models": [' + (nested + b',')
+    )
+    with pytest.raises(errors.PimentowalkError):
+        announcements.decode('i-1', text)
+
+
+@pytest.mark.parametrize('server_id', ['', 'x' * 5000, '\udcff'])
+def test_announcement_with_an_odd_id_is_rejected(server_id):
+    """The id comes from the path of the call, not from its body."""
+    with pytest.raises(errors.PimentowalkError):
+        announcements.decode(server_id, samples.announcement())
--- a/pimentowalk/platform/tests/test_engines.py
+++ b/pimentowalk/platform/tests/test_engines.py
@@ -335,3 +335,50 @@
     with pytest.raises(errors.Conflict):
         await client.order_layers(_backend(ordered_server), ASSIGNMENT, 5)
     assert ordered_server.layers is None
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        b'[' * 30_000,
+        b'{"stalled": 5}',
+        b'{"stalled": [5, {"id": [], "address": {}}]}',
+        b'{"pace": 1e999}',
+        b'{"pace": NaN}',
+        b'{"pace": -1}',
+        b'{"pace": []}',
+    ],
+)
+async def test_odd_report_is_a_failed_try_or_ignored(client, text):
+    """A stream that asked its head and got this never asked again."""
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(text)
+    server = RawServer(head + text)
+    await server.start()
+    backend = backends.Backend('s', 1, 1, 'svc', '127.0.0.1', server.port)
+    try:
+        report = await client.fetch_report(backend)
+    except calls.TryFailed:
+        return
+    finally:
+        await server.stop()
+    assert 0 < report.slowness < 1e6
+    assert all(isinstance(x, str) for x in report.stalled.values())
+
+
+@pytest.mark.parametrize(
+    'head',
+    [
+        b'HTTP/1.1 200',
+        b'HTTP/1.1 200 OK\r\n',
+        RESPONSE_HEAD,
+        RESPONSE_HEAD + b'Content-Type: text/event-stream\r\n',
+        RESPONSE_HEAD + b'Content-Length: 5',
+        RESPONSE_HEAD + b'Content-Length: 5\r\n',
+        RESPONSE_HEAD + b'Transfer-Encoding: chunked\r\n',
+    ],
+)
+@pytest.mark.parametrize('resets', [False, True])
+async def test_head_that_breaks_off_is_no_answer(client, head, resets):
+    """Callers got a 200 with an empty body, framed as whole."""
+    with pytest.raises(calls.Broken):
+        await _exchange(client, head, resets=resets)
--- a/pimentowalk/routing/tests/test_hops.py
+++ b/pimentowalk/routing/tests/test_hops.py
@@ -335,3 +335,11 @@
         1, {s.server_id: (90, 90_000) for s in servers if s.zone == 'z2'}
     )
     assert policy.choose(servers, _query())[0].backend.zone == 'z1'
+
+
+def test_server_with_layers_that_the_model_lacks_is_not_used():
+    """An odd entry of another writer would leave requests without a path."""
+    sound = [_server('a', 0, 40), _server('b', 40, 80)]
+    odd = _server('odd', 0, 9000, kind='a100')
+    path = _policy().choose([*sound, odd], _query())
+    assert [hop.backend.server_id for hop in path] == ['a', 'b']
