Do not pass on the text of an error as an event

Report of other operators: a stream broke off, the next server answered with an error, and clients found its text, at times its head, in their stream. Here it could, for answers with status 200 that hold the head and body of another one: events without an id were passed on whatever they held.

Change: a line that is neither a field nor a comment ends the try, which goes on elsewhere after the last whole event, or cuts the stream.

Four cases of test_text_of_an_error_is_no_event and two of test_error_of_the_next_server_does_not_reach_a_started_stream (status 200) failed before; errors with status 404, 500 and 503 were held back already.

--- a/pimentowalk/dispatch/events.py
+++ b/pimentowalk/dispatch/events.py
@@ -2,6 +2,10 @@
 
 import re
 
+# A line that is neither a field, nor a comment, nor empty.
+INVALID_LINE = re.compile(
+    rb'^(?![A-Za-z-]*:|(?:data|event|id|retry)?\r?$).', re.MULTILINE
+)
 ID_LINE = re.compile(rb'^id:[ ]?(\d+)[ ]*\r?$', re.MULTILINE)
 
 
@@ -34,7 +38,11 @@
         return bool(self._partial.strip())
 
     def feed(self, data):
-        """Return the whole events that the data completes."""
+        """Return the whole events that the data completes.
+
+        Raises ValueError for data that is no event, such as the text of an
+        error, and for an event that is too long.
+        """
         data = self._partial + data
         end = _end_of_events(data)
         if end == 0:
@@ -42,8 +50,10 @@
                 raise ValueError('event is too long')
             self._partial = data
             return b''
-        self._partial = data[end:]
         whole = data[:end]
+        if INVALID_LINE.search(whole):
+            raise ValueError('a line of an event is no field')
+        self._partial = data[end:]
         ids = [int(found) for found in ID_LINE.findall(whole)]
         if not ids:
             return whole
--- a/pimentowalk/dispatch/tests/test_events.py
+++ b/pimentowalk/dispatch/tests/test_events.py
@@ -82,3 +82,38 @@
     assert not budget.take('svc', nodes=1)
     now[0] = 10.1
     assert budget.take('svc', nodes=1)
+
+
+@pytest.mark.parametrize(
+    'odd',
+    [
+        b'HTTP/1.1 500 error\r\nRetry-After: 1\r\n\r\n',
+        b'the error of a server\n\n',
+        b'{"error": "not run"}\n\n',
+        b'id: 3\ndaHTTP/1.1 503 busy\r\nAt-Server: x\r\n\r\n',
+    ],
+)
+def test_text_of_an_error_is_no_event(odd):
+    """Callers found the error of a server, with its head, in a stream."""
+    filtered = events.EventFilter(0)
+    filtered.feed(b'id: 1\ndata: x\n\n')
+    with pytest.raises(ValueError, match='no field'):
+        filtered.feed(b'id: 2\ndata: x\n\n' + odd)
+    # The event before it was not passed on, and is sent again elsewhere.
+    assert filtered.last_id == 1
+
+
+@pytest.mark.parametrize(
+    'sound',
+    [
+        b': keep-alive\n\n',
+        b'data\n\n',
+        b'event: end\r\ndata: {"a": 1}\r\n\r\n',
+        b'pimentowalk-weights-version: 3\nid: 2\ndata: x\n\n',
+        b'id: 2\ndata: HTTP/1.1 500 error\n\n',
+    ],
+)
+def test_fields_of_any_name_and_comments_are_passed_on(sound):
+    """The platform adds a field, and other servers send comments."""
+    filtered = events.EventFilter(0)
+    assert filtered.feed(sound) == sound
--- a/pimentowalk/platform/tests/standin.py
+++ b/pimentowalk/platform/tests/standin.py
@@ -10,6 +10,8 @@
 from pimentowalk.platform.tests import samples
 
 EVENT_TOKENS = 4
+# The head of an answer, and its body, within the body of another one.
+ERROR_TEXT = b'HTTP/1.1 500 error\r\nRetry-After: 1\r\n\r\nthe error\n\n'
 
 
 class StandInServer:
@@ -19,6 +21,7 @@
     the request, `break_after_events` aborts a stream after that many events,
     `hangs` delays each answer by 60 s, `status` is the status of plain calls.
     A server crashes when it begins to answer a prompt with `deadly_part`.
+    `resume_answer` is (status, content type) of answers to resumed streams.
     """
 
     def __init__(self, server_id, host, service, *, zone='z1', kind='v100'):
@@ -38,6 +41,7 @@
         self.hangs = False
         self.deadly_part = None
         self.crashing = None
+        self.resume_answer = None
         self.status = 200
         self.events = 6
         self.event_interval_s = 0.005
@@ -141,6 +145,14 @@
 
     async def _stream(self, request, headers):
         self.last_headers = request.headers.copy()
+        first = int(request.headers.get(names.LAST_EVENT_ID, 0)) + 1
+        if first > 1 and self.resume_answer is not None:
+            status, content_type = self.resume_answer
+            return web.Response(
+                status=status,
+                body=ERROR_TEXT,
+                headers=headers | {'Content-Type': content_type},
+            )
         response = web.StreamResponse(
             headers=headers | {'Content-Type': 'text/event-stream'}
         )
@@ -150,7 +162,6 @@
             self.crashing = asyncio.ensure_future(self.stop())
             request.transport.abort()
             return response
-        first = int(request.headers.get(names.LAST_EVENT_ID, 0)) + 1
         for sent, number in enumerate(range(first, self.events + 1)):
             if sent == self.break_after_events:
                 await response.write(f'id: {number}\nda'.encode())
--- a/pimentowalk/platform/tests/test_gateway.py
+++ b/pimentowalk/platform/tests/test_gateway.py
@@ -76,6 +76,27 @@
     assert first.requests_seen
 
 
+@pytest.mark.parametrize('status', [200, 404, 500, 503])
+@pytest.mark.parametrize('content_type', ['text/event-stream', 'text/plain'])
+async def test_error_of_the_next_server_does_not_reach_a_started_stream(
+    cluster, status, content_type
+):
+    """Callers found the text of an error in their stream, or its end."""
+    await cluster.wait_for_layers()
+    for server in cluster.servers[:2]:
+        server.break_after_events = 2
+        server.resume_answer = status, content_type
+    received = []
+    with pytest.raises(aiohttp.ClientError):
+        async with cluster.platform.request(
+            cluster.gateways[0], 'POST', '/draft/2f', request_id='r1'
+        ) as response:
+            assert response.status == 200
+            async for data in response.content.iter_any():
+                received.append(data)
+    assert b''.join(received) == b'id: 1\ndata: x\n\nid: 2\ndata: x\n\n'
+
+
 async def test_stream_that_cannot_go_on_is_cut(cluster):
     """A truncated answer must not look complete."""
     await cluster.wait_for_layers()
