Judge a crash once completions at other nodes are known

Cause, by reading: a server that fell silent counts as crashed when it restarts, seconds later. Its crash was judged by its age and so at once, before other nodes had reported the requests that they completed meanwhile.

Change: a crash is judged 1 s after the node has learnt of it; notes of the past, from a file or for a new subscriber, carry the completions and count at once. test_crash_that_is_reported_late_is_not_judged_at_once failed before.

--- a/pimentowalk/admission/crashes.py
+++ b/pimentowalk/admission/crashes.py
@@ -33,9 +33,9 @@
 # Completions count from this long before the first crash with a trait. Older
 # ones do not: a new version of a server may crash on what the last completed.
 EARLIER_S = 10.0
-# A crash is judged this long after it: reports of it take 0.6 s, and those of
-# completions at other nodes 0.75 s.
-JUDGED_AFTER_S = 1.6
+# A crash is judged this long after a node has learnt of it, since reports of
+# completions at other nodes take 0.75 s.
+JUDGED_AFTER_S = 1.0
 # Servers that fail within this time have a common cause, such as a rack that
 # lost power, and count as one crash.
 CORRELATION_S = 0.2
@@ -55,11 +55,13 @@
 class Crash:
     """A crashed server incarnation, and the traits of its requests.
 
-    `silent_traits` are those of requests without any output, which the server
-    may have just begun; `other_traits` are those of the others.
+    It counts as a cause for bars from `judged_from_s` on. `silent_traits` are
+    those of requests without any output, which the server may have just begun,
+    `other_traits` those of the others.
     """
 
     at_s: float
+    judged_from_s: float
     silent_traits: set
     other_traits: set
 
@@ -122,9 +124,7 @@
         self._now_s = now_s
         self._node_id = node_id
         self._crashes = {}
-        # Crashes with separate causes as (time, traits), and how many of them
-        # each trait may explain.
-        self._groups = []
+        # How many crashes with separate causes each trait may explain.
         self._crash_counts = collections.Counter()
         self._bars = {}
         # Completions since shortly before the first crash with a trait.
@@ -143,18 +143,22 @@
         age_s = note.age_ms / 1000
         if not (silent or others) or age_s > CRASH_RETENTION_S:
             return False
+        now_s = self._now_s()
         key = note.server_id, note.born_ms
         crash = self._crashes.get(key)
         if crash is None:
-            crash = Crash(self._now_s() - age_s, set(), set())
+            crash = Crash(now_s - age_s, now_s, set(), set())
             self._crashes[key] = crash
         known = len(crash.silent_traits) + len(crash.other_traits)
         _add_bounded(crash.silent_traits, silent)
         _add_bounded(crash.other_traits, others)
         is_new = len(crash.silent_traits) + len(crash.other_traits) != known
         if is_new:
+            # Notes of the past come with the completions since then.
+            wait_s = 0.0 if note.is_past else JUDGED_AFTER_S
+            crash.judged_from_s = now_s + wait_s
             self._remove_oldest()
-            self._group_crashes()
+            self._count_crashes()
             self.generation += 1
         self.record_other_completions(
             {x.trait: x.completions for x in note.completions}
@@ -171,18 +175,9 @@
                 break
             del self._crashes[key]
 
-    def _group_crashes(self):
-        """Group the crashes by time, and count them by trait."""
-        self._groups = []
-        for crash in sorted(self._crashes.values(), key=lambda c: c.at_s):
-            groups = self._groups
-            if groups and crash.at_s - groups[-1][0] <= CORRELATION_S:
-                groups[-1][1].update(crash.candidates)
-            else:
-                groups.append((crash.at_s, set(crash.candidates)))
-        self._crash_counts = collections.Counter(
-            trait for _, traits in self._groups for trait in traits
-        )
+    def _count_crashes(self):
+        """Count the crashes by trait, and start to count completions."""
+        self._crash_counts = _count_traits(_group(self._crashes.values()))
         for counts in (self._own_completions, self._other_completions):
             for trait in counts.keys() - self._crash_counts.keys():
                 del counts[trait]
@@ -251,6 +246,7 @@
                 sorted(crash.silent_traits),
                 sorted(crash.other_traits),
                 self._known_completions(crash.candidates),
+                True,
             )
             for (server_id, born_ms), crash in self._crashes.items()
         ]
@@ -277,36 +273,36 @@
     def _evaluate(self):
         """Bar the traits that explain the most crashes, one after another."""
         self.generation += 1
-        judged_s = self._now_s() - JUDGED_AFTER_S
-        unexplained = [g for g in self._groups if g[0] <= judged_s]
-        pending = [at_s for at_s, _ in self._groups if at_s > judged_s]
-        self._evaluate_at_s = (
-            pending[0] + JUDGED_AFTER_S if pending else float('inf')
+        now_s = self._now_s()
+        crashes = self._crashes.values()
+        groups = _group(c for c in crashes if c.judged_from_s <= now_s)
+        self._evaluate_at_s = min(
+            (c.judged_from_s for c in crashes if c.judged_from_s > now_s),
+            default=float('inf'),
         )
+        counts = _count_traits(groups)
+        unexplained = groups
         bars = {}
         while True:
-            explained = collections.Counter(
-                trait for _, traits in unexplained for trait in traits
-            )
-            suspects = self._suspects(explained)
+            suspects = self._suspects(_count_traits(unexplained), counts)
             if not suspects:
                 break
             # Traits that nothing tells apart are barred together.
             best_rank = max(suspects.values())
             best = {t for t, rank in suspects.items() if rank == best_rank}
-            bars.update((trait, self._bar(trait)) for trait in best)
+            bars.update((trait, self._bar(trait, groups)) for trait in best)
             unexplained = [g for g in unexplained if not best & g[1]]
         for trait in bars.keys() - self._bars.keys():
             self._log_bar(bars[trait])
         self._bars = bars
 
-    def _suspects(self, explained):
+    def _suspects(self, explained, counts):
         """Return {trait: rank} of the traits that may be barred."""
         result = {}
         for trait, count in explained.items():
             if count < MIN_CRASHES:
                 continue
-            crashes = self._crash_counts[trait]
+            crashes = counts[trait]
             share = crashes / (crashes + self._count_completions(trait))
             min_weight = (
                 MIN_WEIGHT if share >= HIGH_SHARE else MIN_WEIGHT_AT_LOW_SHARE
@@ -315,8 +311,8 @@
                 result[trait] = count * share**SHARE_EXPONENT
         return result
 
-    def _bar(self, trait):
-        times = [at_s for at_s, traits in self._groups if trait in traits]
+    def _bar(self, trait, groups):
+        times = [at_s for at_s, traits in groups if trait in traits]
         duration_s = BAR_S * 2.0 ** (len(times) - MIN_CRASHES)
         spread = identifiers.hash64(self._node_id, str(trait)) / 2**64
         duration_s = min(duration_s, MAX_BAR_S)
@@ -341,6 +337,21 @@
         )
 
 
+def _group(crashes):
+    """Return (time, traits) of crashes that have separate causes."""
+    groups = []
+    for crash in sorted(crashes, key=lambda c: c.at_s):
+        if groups and crash.at_s - groups[-1][0] <= CORRELATION_S:
+            groups[-1][1].update(crash.candidates)
+        else:
+            groups.append((crash.at_s, set(crash.candidates)))
+    return groups
+
+
+def _count_traits(groups):
+    return collections.Counter(t for _, traits in groups for t in traits)
+
+
 def _add_bounded(known, added):
     room = MAX_TRAITS_PER_CRASH - len(known)
     if room > 0:
--- a/pimentowalk/admission/tests/test_crashes.py
+++ b/pimentowalk/admission/tests/test_crashes.py
@@ -293,6 +293,26 @@
     assert restarted.barred([DEADLY]) is not None
 
 
+def test_crash_that_is_reported_late_is_not_judged_at_once(world):
+    """DENIED: a silent server counts as crashed only when it restarts.
+
+    Its crash was old by then, and was judged before other nodes had reported
+    what completed meanwhile.
+    """
+    world.complete(SHARED, times=8)
+    world.now_s += 10.0
+    for number in range(3):
+        note = node_messages.CrashNote(
+            0, f's{number}', 1, 3000 + 500 * number, [SHARED]
+        )
+        for node in world.nodes:
+            node.record(note)
+    assert all(node.barred([SHARED]) is None for node in world.nodes)
+    world.now_s += 0.75
+    world.exchange()
+    assert not world.barred(SHARED)
+
+
 def test_several_crashes_are_judged_once_completions_are_known(world):
     """DENIED: four servers crashed within 0.6 s, with the same prompts.
 
--- a/pimentowalk/platform/tests/test_gateway.py
+++ b/pimentowalk/platform/tests/test_gateway.py
@@ -141,7 +141,8 @@
         assert crashed
         await waiting.until(
             lambda done=number + 1: all(
-                len(g.crashes._groups) == done for g in cluster.gateways
+                len(crashes._group(g.crashes._crashes.values())) == done
+                for g in cluster.gateways
             )
         )
         for server in crashed:
--- a/pimentowalk/wire/frames.capnp
+++ b/pimentowalk/wire/frames.capnp
@@ -459,6 +459,7 @@
   silentTraits @4 :List(UInt64);
   otherTraits @5 :List(UInt64);
   completions @6 :List(TraitCount);
+  isPast @7 :Bool;
 }
 
 struct CheckRequest {
--- a/pimentowalk/wire/node_messages.py
+++ b/pimentowalk/wire/node_messages.py
@@ -135,8 +135,8 @@
     `silent_traits` are the traits of requests without any output, which the
     server may have just begun, `other_traits` those of the others.
     `fingerprint` is the only trait that older releases report, 0 in this one.
-    `completions` tells a node that missed the crash which of the traits have
-    been completed since.
+    A note that `is_past` goes to a node that missed the crash; `completions`
+    tells it which of the traits have been completed since.
     """
 
     fingerprint: int
@@ -146,6 +146,7 @@
     silent_traits: list[int] = attrs.field(factory=list)
     other_traits: list[int] = attrs.field(factory=list)
     completions: list[TraitCount] = attrs.field(factory=list)
+    is_past: bool = False
 
 
 @messages.message('checkRequest')
