Give no new work to servers that say in an answer that they leave

The header was ignored and passed on to callers.

Change: answers of any kind (streams, calls, refusals, reports, orders) mark the incarnation as draining; the mark is sent to all nodes and outlasts later announcements of the same incarnation, suspicions and partitions. A 421 and answers that name another request mark nothing. The soak has servers that leave in this way; seeds that once failed draw from the faults that they knew.

With the header ignored, test_server_that_leaves_by_header_gets_nothing_new fails; the tests of the table need its new call.

--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -4,6 +4,8 @@
 import logging
 import random
 
+import attrs
+
 from pimentowalk.admission import room as admission_room
 from pimentowalk.core import errors
 from pimentowalk.core import logs
@@ -16,6 +18,7 @@
 from pimentowalk.dispatch import transport as dispatch_transport
 from pimentowalk.routing import hops as routing_hops
 from pimentowalk.routing import outcomes as routing_outcomes
+from pimentowalk.topology import backends
 from pimentowalk.wire import node_messages
 
 LOG = logging.getLogger(__name__)
@@ -66,6 +69,7 @@
         self.paths = routing_hops.POLICIES.get(path_policy)(
             in_flight, self.rng, self.outcomes
         )
+        transport.on_notice = self._on_notice
         self.checks = dispatch_checks.ServerChecks(
             transport,
             timers,
@@ -103,6 +107,33 @@
         for tracker in (self.outcomes, self.checks, self.in_flight):
             tracker.keep_only(known)
 
+    def _on_notice(self, backend, notice):
+        """Act on what a server says of itself beside an answer."""
+        known = self.node.backends.get(backend.server_id)
+        is_known = known is not None and known.born_ms == backend.born_ms
+        if notice.is_leaving and not (is_known and known.is_leaving):
+            self.metrics.count('leaving_servers')
+            self._log_notice('a server says that it leaves', backend)
+            self.node.announce(
+                attrs.evolve(
+                    known if is_known else backend,
+                    state=backends.DRAINING,
+                    is_leaving=True,
+                    heard_ms=0,
+                )
+            )
+
+    def _log_notice(self, message, backend):
+        LOG.info(
+            message,
+            extra=logs.fields(
+                step='notice',
+                peer=backend.address,
+                server=backend.server_id,
+                born_ms=backend.born_ms,
+            ),
+        )
+
     def _expire_silent(self):
         self.node.backends.expire(self._verify)
 
--- a/pimentowalk/dispatch/transport.py
+++ b/pimentowalk/dispatch/transport.py
@@ -50,6 +50,16 @@
     slowness: float = 1.0
 
 
+@attrs.frozen
+class ServerNotice:
+    """What a server says of itself beside an answer.
+
+    A server that is leaving wants no new work.
+    """
+
+    is_leaving: bool = False
+
+
 class Response(abc.ABC):
     """The response of a backend server, whose body is read in chunks.
 
@@ -69,7 +79,14 @@
 
 
 class Transport(abc.ABC):
-    """Send calls to backend servers."""
+    """Send calls to backend servers.
+
+    `on_notice(backend, notice)` is called for each `ServerNotice` in an answer
+    of any kind.
+    """
+
+    def __init__(self):
+        self.on_notice = _ignore_notice
 
     @abc.abstractmethod
     async def send(self, call, target, remaining_ms, last_event_id):
@@ -91,6 +108,10 @@
         """
 
 
+def _ignore_notice(backend, notice):
+    """Ignore a notice; used until a dispatcher subscribes."""
+
+
 class Responder(abc.ABC):
     """Send a response to the client.
 
--- a/pimentowalk/membership/backends.py
+++ b/pimentowalk/membership/backends.py
@@ -15,6 +15,9 @@
 # A removed incarnation is remembered this long, so that a late announcement
 # cannot add it again.
 REMOVED_RETENTION_S = 60.0
+# An incarnation that leaves is remembered this long after it was removed: it
+# may be cut off, and announce itself as ready after the partition.
+LEAVING_RETENTION_S = 600.0
 # Minimum time before a new announcement clears a suspicion; an announcement
 # sent before the failure can arrive after it.
 MIN_SUSPECT_S = 1.5
@@ -52,6 +55,8 @@
         self._period_s = period_s
         self._records = {}
         self._removed = {}
+        # Incarnations whose answers said that they leave, and when.
+        self._leaving = {}
         self._ids_by_key = {}
         self._ids_by_address = {}
         self._callbacks = []
@@ -77,6 +82,9 @@
 
     def apply(self, backend, age_s=0.0):
         """Apply an announcement of some age; return whether it is new."""
+        if backend.is_leaving:
+            self.mark_leaving(backend)
+        backend = self.with_mark(backend)
         record = self._records.get(backend.server_id)
         if self._is_outdated(record, backend):
             self._update_heard(record, backend, age_s)
@@ -108,6 +116,33 @@
             self._notify()
         return True
 
+    def mark_leaving(self, backend):
+        """Record that an incarnation leaves; return whether this is new.
+
+        It gets no new work, whatever it announces. A later incarnation with
+        the same id or address does.
+        """
+        known_ms, _ = self._leaving.get(backend.server_id, (-1, 0.0))
+        self._leaving[backend.server_id] = (
+            max(known_ms, backend.born_ms),
+            self.now_s(),
+        )
+        if backend.born_ms <= known_ms:
+            return False
+        record = self._records.get(backend.server_id)
+        if record is not None and record.backend.born_ms == backend.born_ms:
+            record.backend = self.with_mark(record.backend)
+            self._log('backend server says that it leaves', record.backend)
+            self._notify()
+        return True
+
+    def with_mark(self, backend):
+        """Return an announcement as draining if its incarnation leaves."""
+        born_ms, _ = self._leaving.get(backend.server_id, (-1, 0.0))
+        if backend.born_ms != born_ms or backend.state == backends.GONE:
+            return backend
+        return attrs.evolve(backend, state=backends.DRAINING, is_leaving=True)
+
     def apply_heartbeat(self, key, sequence, age_s=0.0):
         """Apply an announcement that changes nothing but its times.
 
@@ -200,6 +235,10 @@
         for server_id, (_, removed_s) in list(self._removed.items()):
             if now_s - removed_s > REMOVED_RETENTION_S:
                 del self._removed[server_id]
+        for server_id, (_, marked_s) in list(self._leaving.items()):
+            is_known = server_id in self._records
+            if not is_known and now_s - marked_s > LEAVING_RETENTION_S:
+                del self._leaving[server_id]
         self._prune_index()
         # If no server is heard, this node is partitioned or was suspended,
         # and its last view is the best one.
--- a/pimentowalk/membership/tests/test_backends.py
+++ b/pimentowalk/membership/tests/test_backends.py
@@ -203,3 +203,76 @@
     assert len(table._ids_by_address) <= 2
     assert len(table._ids_by_key) <= 2
     assert table.at_address('10.0.0.1:80') is None
+
+
+# What the table makes of an announcement of a server that said that it leaves,
+# by incarnation (`born_ms`), sequence and state.
+AFTER_LEAVING = [
+    (100, 6, backends.READY, []),
+    (100, 5, backends.READY, []),
+    (100, 4, backends.READY, []),
+    (100, 9, backends.DRAINING, []),
+    (100, 9, backends.GONE, []),
+    (200, 0, backends.READY, ['i-1']),
+    (50, 99, backends.READY, []),
+]
+
+
+@pytest.mark.parametrize(
+    ('born_ms', 'sequence', 'state', 'usable'), AFTER_LEAVING
+)
+def test_leaving_server_gets_no_work_whatever_it_announces(
+    table, born_ms, sequence, state, usable
+):
+    """DRAIN: it said so in an answer, and announced itself as ready."""
+    assert table.mark_leaving(FIRST)
+    assert not table.mark_leaving(FIRST)
+    table.apply(
+        attrs.evolve(FIRST, born_ms=born_ms, sequence=sequence, state=state)
+    )
+    assert _usable_ids(table) == usable
+
+
+def test_leaving_server_finishes_what_runs_there(table):
+    """Its streams would be cut if it counted as failed."""
+    table.mark_leaving(FIRST)
+    assert not table.has_failed(FIRST)
+    assert table.is_healthy(FIRST)
+
+
+def test_end_of_a_suspicion_does_not_end_the_leaving(table, clock):
+    """The server answers again, and still wants no new work."""
+    table.mark_leaving(FIRST)
+    table.suspect('i-1', 100, 'refused')
+    clock.now_s = membership.MIN_SUSPECT_S
+    table.apply(attrs.evolve(FIRST, sequence=9))
+    assert table.is_healthy(FIRST)
+    assert _usable_ids(table) == []
+
+
+def test_leaving_is_learnt_from_another_node(table):
+    """The announcement is not newer than the one that is known."""
+    news = attrs.evolve(FIRST, state=backends.DRAINING, is_leaving=True)
+    table.apply(news)
+    assert _usable_ids(table) == []
+    (known,) = table.announcements()
+    assert known.is_leaving
+
+
+def test_leaving_server_that_was_dropped_does_not_come_back(table, clock):
+    """It was cut off for a time, and announces itself again."""
+    table.mark_leaving(FIRST)
+    table.drop(FIRST)
+    clock.now_s = 60.0
+    table.expire()
+    table.apply(attrs.evolve(FIRST, sequence=60))
+    assert _usable_ids(table) == []
+
+
+def test_marks_of_servers_that_are_gone_are_forgotten(table, clock):
+    """Each start of a server creates a new id."""
+    table.mark_leaving(FIRST)
+    table.apply(attrs.evolve(FIRST, state=backends.GONE))
+    clock.now_s = membership.LEAVING_RETENTION_S + 1.0
+    table.expire()
+    assert not table._leaving
--- a/pimentowalk/mesh/node.py
+++ b/pimentowalk/mesh/node.py
@@ -205,9 +205,10 @@
 
     def relay_backends(self, body, origin=None):
         """Apply announcements; relay changes at once, repeats in batches."""
-        for backend in body.backends:
-            known = self.backends.get(backend.server_id)
-            self.backends.apply(backend, backend.heard_ms / 1000)
+        for announced in body.backends:
+            known = self.backends.get(announced.server_id)
+            self.backends.apply(announced, announced.heard_ms / 1000)
+            backend = self.backends.with_mark(announced)
             single = node_messages.BackendNews([backend])
             if membership.is_repeat(known, backend):
                 self.hub.relay_batched(single)
--- a/pimentowalk/platform/engines.py
+++ b/pimentowalk/platform/engines.py
@@ -128,6 +128,7 @@
     """Send calls, report queries and orders to backend servers."""
 
     def __init__(self, limits=None):
+        super().__init__()
         self._limits = limits or transport.ResponseLimits()
         self._session = None
 
@@ -186,16 +187,18 @@
             ) from None
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise calls.Broken(f'no answer: {error!r}', peer=peer) from None
-        return self._validate_response(call, response, peer)
+        return self._validate_response(call, response, backend)
 
-    def _validate_response(self, call, response, peer):
+    def _validate_response(self, call, response, backend):
         """Return the response, or raise if it does not answer this call."""
         headers = response.headers
+        peer = backend.address
         answered_id = headers.get(names.REQUEST_ID, call.request_id)
         if answered_id != call.request_id:
             # Not even a refusal: it may be an earlier one, written again.
             response.close()
             raise calls.Broken('the answer names another request', peer=peer)
+        self._report_notice(backend, response)
         if names.NOT_EXECUTED in headers or response.status == MISDIRECTED:
             culprit = headers.get(names.AT_SERVER, '')
             response.close()
@@ -209,6 +212,15 @@
             response, _parse_load(headers.get(names.LOAD)), peer
         )
 
+    def _report_notice(self, backend, response):
+        """Report what a server says of itself beside an answer."""
+        if response.status == MISDIRECTED:
+            # Another server may have the address now.
+            return
+        is_leaving = response.headers.get(names.SERVER_LEAVING) == '1'
+        if is_leaving:
+            self.on_notice(backend, transport.ServerNotice(is_leaving))
+
     async def fetch_report(self, backend):
         """Fetch and decode the report of a server; raise `calls.TryFailed`."""
         report = await self.report(backend)
@@ -320,6 +332,7 @@
                     method, f'http://{peer}{path}', headers=headers, json=body
                 ) as response,
             ):
+                self._report_notice(backend, response)
                 text = await transport.read_body(
                     BackendResponse(response, None, peer), self._limits, peer
                 )
--- a/pimentowalk/platform/front.py
+++ b/pimentowalk/platform/front.py
@@ -56,7 +56,10 @@
         """Start the response with the status and headers of an answer."""
         self.response = web.StreamResponse(status=answer.status)
         for name, value in answer.headers.items():
-            if name.lower() not in names.HOP_BY_HOP_HEADERS:
+            if (
+                name.lower() not in names.HOP_BY_HOP_HEADERS
+                and name.lower() not in names.NODE_HEADERS
+            ):
                 self.response.headers.add(name, value)
         self._body = []
         content_type = answer.headers.get('Content-Type', '')
--- a/pimentowalk/platform/names.py
+++ b/pimentowalk/platform/names.py
@@ -22,6 +22,8 @@
 HOPS = 'Pimentowalk-Hop-Count'
 # The address of the faulty server in a 421 or 503 response.
 AT_SERVER = 'At-Server'
+# "1" in any answer of a server that accepts no new requests any more.
+SERVER_LEAVING = 'Server-Leaving'
 LENGTH_HINT = 'Pimentowalk-Length-Hint'
 
 # Headers that apply to a single connection and are not forwarded.
@@ -40,6 +42,8 @@
         'expect',
     }
 )
+# Headers of servers that are meant for the node, not for its callers.
+NODE_HEADERS = frozenset({SERVER_LEAVING.lower()})
 # Headers of callers that are replaced or removed before forwarding.
 RESERVED_HEADERS = frozenset(
     name.lower()
--- a/pimentowalk/platform/tests/recording.py
+++ b/pimentowalk/platform/tests/recording.py
@@ -80,6 +80,7 @@
         self.accepted_orders = 0
         self.layers = None
         self.state = 'ready'
+        self.leaves = False
         self.relay.reset()
 
     async def _serve(self, request):
@@ -88,13 +89,12 @@
         if request.headers.get(names.EXPECT_INSTANCE) != self.server_id:
             return web.Response(status=421)
         if self.state != 'ready' or self.refuses:
-            return web.Response(
-                status=503,
-                headers={
-                    names.REQUEST_ID: request_id,
-                    names.NOT_EXECUTED: '1',
-                },
-            )
+            headers = {
+                names.REQUEST_ID: request_id,
+                names.NOT_EXECUTED: '1',
+                **self._notices(),
+            }
+            return web.Response(status=503, headers=headers)
         self._note_run(request_id)
         try:
             return await self._run(request, request_id, body)
@@ -113,6 +113,7 @@
         headers = {
             names.REQUEST_ID: request_id,
             peers.SEAL: f'seal-{request_id}',
+            **self._notices(),
         }
         if self.service == 'model':
             self._check_path(request)
--- a/pimentowalk/platform/tests/standin.py
+++ b/pimentowalk/platform/tests/standin.py
@@ -21,6 +21,8 @@
     the request, `break_after_events` aborts a stream after that many events,
     `hangs` delays each answer by 60 s, `status` is the status of plain calls.
     A server crashes when it begins to answer a prompt with `deadly_part`.
+    `leaves` adds to each answer that the server leaves, without announcing
+    it.
     `resume_answer` is (status, content type) of answers to resumed streams.
     """
 
@@ -42,6 +44,7 @@
         self.deadly_part = None
         self.crashing = None
         self.resume_answer = None
+        self.leaves = False
         self.status = 200
         self.events = 6
         self.event_interval_s = 0.005
@@ -103,9 +106,13 @@
             'born': self.born_ms,
         }
 
+    def _notices(self):
+        return {names.SERVER_LEAVING: '1'} if self.leaves else {}
+
     async def _report(self, request):
         return web.json_response(
-            {'sequence': self.accepted_orders, 'stalled': self.stalled}
+            {'sequence': self.accepted_orders, 'stalled': self.stalled},
+            headers=self._notices(),
         )
 
     async def _order(self, request):
@@ -128,6 +135,7 @@
         headers = {
             names.REQUEST_ID: request.headers.get(names.REQUEST_ID, ''),
             'Pimentowalk-Response-Seal': f'seal-{self.server_id}',
+            **self._notices(),
         }
         if request.headers.get(names.EXPECT_INSTANCE) != self.server_id:
             return web.Response(status=421)
--- a/pimentowalk/platform/tests/test_engines.py
+++ b/pimentowalk/platform/tests/test_engines.py
@@ -382,3 +382,51 @@
     """Callers got a 200 with an empty body, framed as whole."""
     with pytest.raises(calls.Broken):
         await _exchange(client, head, resets=resets)
+
+
+NOTICES = [
+    (b'200 OK', b'Server-Leaving: 1', True),
+    (b'200 OK', b'Server-Leaving: 0', None),
+    (b'503 Busy', b'Server-Leaving: 1', True),
+    # Another server has the address by now.
+    (b'421 Misdirected', b'Server-Leaving: 1', None),
+]
+
+
+@pytest.mark.parametrize(('status', 'header', 'expected'), NOTICES)
+async def test_notices_of_a_server_are_decoded(
+    client, status, header, expected
+):
+    """They come with answers of any kind."""
+    notices = []
+    client.on_notice = lambda backend, notice: notices.append(
+        notice.is_leaving
+    )
+    content = (
+        b'HTTP/1.1 %s\r\nPimentowalk-Request-Id: r1\r\n'
+        b'Content-Length: 0\r\n%s\r\n\r\n' % (status, header)
+    )
+    server = RawServer(content)
+    await server.start()
+    backend = backends.Backend('s', 1, 1, 'svc', '127.0.0.1', server.port)
+    for _ in range(2):
+        try:
+            answer = await client.send(_call(), calls.Target(backend), 900, 0)
+            answer.close()
+        except calls.Refused:
+            pass
+    await server.stop()
+    assert notices == ([expected] * 2 if expected else [])
+
+
+async def test_notice_in_the_answer_of_another_request_is_ignored(client):
+    """A late copy of an answer may be that of an earlier incarnation."""
+    notices = []
+    client.on_notice = lambda *notice: notices.append(notice)
+    content = (
+        b'HTTP/1.1 503 Busy\r\nPimentowalk-Request-Id: other\r\n'
+        b'Content-Length: 0\r\nServer-Leaving: 1\r\n\r\n'
+    )
+    with pytest.raises(calls.Broken):
+        await _exchange(client, content)
+    assert notices == []
--- a/pimentowalk/platform/tests/test_gateway.py
+++ b/pimentowalk/platform/tests/test_gateway.py
@@ -409,3 +409,44 @@
     await cluster.platform.announce()
     await waiting.until(lambda: mesh_status.missing_layers(gateway.node) == 3)
     assert 'pimentowalk_gateway_incomplete_zones 1' in gateway.metrics.render()
+
+
+async def test_server_that_leaves_by_header_gets_nothing_new(cluster):
+    """DRAIN: it never announced that it drains, and announced `ready`."""
+    await cluster.wait_for_layers()
+    leaving = cluster.servers[0]
+    leaving.leaves = True
+    for number in range(20):
+        if leaving.requests_seen:
+            break
+        status, headers, _ = await cluster.platform.call(
+            cluster.gateways[0],
+            'POST',
+            '/draft/2f',
+            request_id=f'r{number}',
+        )
+        assert status == 200
+        assert names.SERVER_LEAVING not in headers
+    assert leaving.requests_seen
+    await waiting.until(
+        lambda: all(
+            [b.server_id for b in g.node.backends.usable('model')] == ['m-2']
+            for g in cluster.gateways
+        )
+    )
+    await cluster.platform.announce()
+    seen = len(leaving.requests_seen)
+    for number, gateway in enumerate(cluster.gateways * 3):
+        status, _, body = await cluster.platform.call(
+            gateway, 'POST', '/draft/2f', request_id=f's{number}'
+        )
+        assert (status, body) == (200, ALL_EVENTS)
+    assert len(leaving.requests_seen) == seen
+    leaving.leaves = False
+    leaving.born_ms += 1
+    await cluster.platform.announce()
+    await waiting.until(
+        lambda: all(
+            len(g.node.backends.usable('model')) == 2 for g in cluster.gateways
+        )
+    )
--- a/pimentowalk/topology/backends.py
+++ b/pimentowalk/topology/backends.py
@@ -18,7 +18,8 @@
     with the same id; `sequence` increases with each announcement of an
     incarnation. `end_layer` is exclusive, and equals `first_layer` if the
     server holds no layers. `heard_ms` is the age that the announcement had
-    when a node forwarded it.
+    when a node forwarded it. `is_leaving` tells that an answer of the server
+    said that it leaves, which no announcement takes back.
     """
 
     server_id: str
@@ -37,6 +38,7 @@
     weights_version: int = 0
     warm_up_ms: int = 0
     heard_ms: int = 0
+    is_leaving: bool = False
 
     @property
     def address(self):
--- a/pimentowalk/wire/frames.capnp
+++ b/pimentowalk/wire/frames.capnp
@@ -413,6 +413,7 @@
   weightsVersion @13 :UInt64;
   warmUpMs @14 :UInt64;
   heardMs @15 :UInt64;
+  isLeaving @16 :Bool;
 }
 
 struct BackendNews {
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -155,3 +155,17 @@
     server.state = 'draining'
     await asyncio.sleep(rng.uniform(1.0, 3.0))
     server.crash()
+
+
+# Regression seeds draw from these, so that they cause the same faults as when
+# they failed.
+EARLIER_FAULTS = tuple(sorted(FAULTS.names()))
+
+
+@fault('leave_by_header')
+async def leave_by_header(world, rng):
+    """Let a server leave without announcing it, and replace it."""
+    server = rng.choice(world.servers)
+    server.leaves = True
+    await asyncio.sleep(rng.uniform(1.0, 3.0))
+    server.crash()
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -19,8 +19,14 @@
 LONGEST_PAUSE_S = 1.5
 
 
-async def run_seed(seed, duration_s, folder, *, gateways=5, callers=12):
-    """Run one seed; return the result as JSON data."""
+async def run_seed(
+    seed, duration_s, folder, *, gateways=5, callers=12, fault_names=None
+):
+    """Run one seed; return the result as JSON data.
+
+    `fault_names` are the faults to draw from, all if left out.
+    """
+    names = sorted(fault_names or faults.FAULTS.names())
     rng = random.Random(seed)
     started_s = time.monotonic()
     world = soak_world.World(folder, rng, gateways=gateways)
@@ -31,7 +37,13 @@
         end_s = time.monotonic() + duration_s
         await asyncio.gather(
             *(
-                _inject(world, random.Random(f'{seed}/{n}'), end_s, injected)
+                _inject(
+                    world,
+                    random.Random(f'{seed}/{n}'),
+                    end_s,
+                    names,
+                    injected,
+                )
                 for n in range(FAULTS_AT_ONCE)
             )
         )
@@ -50,10 +62,10 @@
     }
 
 
-async def _inject(world, rng, end_s, injected):
+async def _inject(world, rng, end_s, names, injected):
     while time.monotonic() < end_s:
         await asyncio.sleep(rng.uniform(0.0, LONGEST_PAUSE_S))
-        name = rng.choice(sorted(faults.FAULTS.names()))
+        name = rng.choice(names)
         injected.append(name)
         await faults.FAULTS.get(name)(world, rng)
 
@@ -63,6 +75,7 @@
         server.heal()
         server.relay.delay_s = 0.0
         server.refuses = False
+        server.leaves = False
         server.may_stream.set()
         server.answers_to_lose = 0
     for gateway in world.gateways:
--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -6,6 +6,7 @@
 
 from pimentowalk.platform.tests import recording
 from tools.soak import checks
+from tools.soak import faults
 from tools.soak import run
 
 # Covers kills, pauses, lost disks and link faults within the short run.
@@ -13,6 +14,8 @@
 FAULTS_S = 8.0
 # Every other seed that ever broke a promise; see docs/soak.md for causes.
 REGRESSION_SEEDS = (202, 204, 307, 6001, 6009)
+# Covers servers that leave by a header.
+NOTICE_SEED = 8100
 
 
 def outcome(kind='booking', **fields):
@@ -45,10 +48,17 @@
 
 
 @pytest.mark.processes
-@pytest.mark.parametrize('seed', [SEED, *REGRESSION_SEEDS])
-async def test_promises_hold_while_faults_overlap(tmp_path, seed):
+@pytest.mark.parametrize(
+    ('seed', 'names'),
+    [
+        (SEED, faults.EARLIER_FAULTS),
+        *((seed, faults.EARLIER_FAULTS) for seed in REGRESSION_SEEDS),
+        (NOTICE_SEED, None),
+    ],
+)
+async def test_promises_hold_while_faults_overlap(tmp_path, seed, names):
     """Kills, pauses, lost disks and bad links must break no promise."""
-    result = await run.run_seed(seed, FAULTS_S, tmp_path)
+    result = await run.run_seed(seed, FAULTS_S, tmp_path, fault_names=names)
     assert result['violations'] == []
     assert result['faults']
     assert result['counts']['stream_200'] > 0
