Keep completions of traits while reports of a crash arrive

A node whose failed streams all had output reports them; they are suspected until a report of a request without output arrives, and were then forgotten with their completions. At the next crash the count began at zero. The delay of the judgement was not the cause; it is kept, as its test shows a fault of its own.

Change: completions are counted for all traits of known crashes, suspected or not. test_completions_are_kept_while_reports_of_a_crash_arrive failed before.

--- a/pimentowalk/admission/crashes.py
+++ b/pimentowalk/admission/crashes.py
@@ -178,17 +178,22 @@
     def _count_crashes(self):
         """Count the crashes by trait, and start to count completions."""
         self._crash_counts = _count_traits(_group(self._crashes.values()))
+        # A later report of a crash may clear a trait; another crash may make
+        # it suspect again, so that its completions are counted all the time.
+        known = set()
+        for crash in self._crashes.values():
+            known |= crash.silent_traits | crash.other_traits
         for counts in (self._own_completions, self._other_completions):
-            for trait in counts.keys() - self._crash_counts.keys():
+            for trait in counts.keys() - known:
                 del counts[trait]
-        for trait in self._crash_counts.keys() - self._own_completions.keys():
+        for trait in known - self._own_completions.keys():
             self._own_completions[trait] = self._earlier_completions.pop(trait)
         self._evaluate_at_s = self._now_s()
 
     def record_completion(self, traits):
         """Record that a request with some traits ran to completion."""
         for trait in traits:
-            if trait in self._crash_counts:
+            if trait in self._own_completions:
                 self._own_completions[trait] += 1
                 self._evaluate_if_barred(trait)
             else:
@@ -214,7 +219,7 @@
         """Record the completions at all other nodes: {trait: count}."""
         for trait, count in counts.items():
             known = self._other_completions.get(trait, 0)
-            if trait in self._crash_counts and count > known:
+            if trait in self._own_completions and count > known:
                 self._other_completions[trait] = count
                 self._evaluate_if_barred(trait)
 
--- a/pimentowalk/admission/tests/test_crashes.py
+++ b/pimentowalk/admission/tests/test_crashes.py
@@ -313,6 +313,22 @@
     assert not world.barred(SHARED)
 
 
+def test_completions_are_kept_while_reports_of_a_crash_arrive(world):
+    """DENIED: the first report named only requests with output.
+
+    They were suspected until a report of a request without output came, and
+    their completions were forgotten then. At the next crash, none were known.
+    """
+    world.complete(SHARED, times=8)
+    for silent, others in [([], [SHARED]), ([RARE], [])]:
+        note = node_messages.CrashNote(0, 'first', 1, 0, silent, others)
+        for node in world.nodes:
+            node.record(note)
+    for number in range(3):
+        world.crash(100 + number, SHARED)
+    assert not world.barred(SHARED)
+
+
 def test_several_crashes_are_judged_once_completions_are_known(world):
     """DENIED: four servers crashed within 0.6 s, with the same prompts.
 
