Give servers the pause that they ask for

The header was ignored: the server was avoided for 0.4 s, and asked for reports.

Change: this node sends such a server nothing for that time (requests, paths through it, reports, orders) and chooses others. Other nodes are not told, since the word is to one machine. Where all servers of a service pause, the caller is refused at once with the time until the first pause ends. `[responses] max_pause_s` bounds the time; bad values are logged once a server.

With pauses ignored, test_server_that_asks_for_a_pause_gets_it and test_caller_is_told_when_the_first_pause_ends fail. The soak has servers that ask for pauses, good and bad ones.

--- a/pimentowalk/core/errors.py
+++ b/pimentowalk/core/errors.py
@@ -42,6 +42,8 @@
 class PimentowalkError(Exception):
     """Base class of errors; carry the code, the failed step and the peer.
 
+    `retry_after_s` is when a refused caller may come back, None if unknown.
+
     >>> error = NotRun('the queue is full', step='admit', peer='agent-3')
     >>> print(error)
     not_run: the queue is full (step admit, peer agent-3)
@@ -49,7 +51,9 @@
 
     code = 'internal'
 
-    def __init__(self, message, *, code=None, step='', peer=''):
+    def __init__(
+        self, message, *, code=None, step='', peer='', retry_after_s=None
+    ):
         super().__init__(message)
         if code is not None:
             self.code = code
@@ -58,6 +62,7 @@
         self.message = message
         self.step = step
         self.peer = peer
+        self.retry_after_s = retry_after_s
 
     @property
     def http_status(self):
--- a/pimentowalk/dispatch/call_run.py
+++ b/pimentowalk/dispatch/call_run.py
@@ -88,16 +88,19 @@
         timers = self._dispatcher.timers
         table = self._dispatcher.node.backends
         generation = None
+        # Capacity and the end of a pause do not change the table.
+        may_change = self._lacks_capacity or self._dispatcher.has_pauses
         while timers.now_s() < min(
             self._wait_end_s(), self._call.expires_at_s
         ):
             await timers.sleep(VIEW_POLL_S)
-            if table.generation == generation and not self._lacks_capacity:
+            if table.generation == generation and not may_change:
                 continue
             generation = table.generation
             self._target = self._choose()
             if self._target is not None:
                 return
+            may_change = self._lacks_capacity or self._dispatcher.has_pauses
 
     async def _acquire_retry(self):
         """Return whether the retry budget allows another try in time."""
--- a/pimentowalk/dispatch/calls.py
+++ b/pimentowalk/dispatch/calls.py
@@ -109,6 +109,12 @@
     """
 
 
+class Paused(TryFailed):
+    """Report that nothing was sent, since the server asked for a pause."""
+
+    code = 'not_run'
+
+
 class Broken(TryFailed):
     """Report that the connection ended early or the response is invalid."""
 
--- a/pimentowalk/dispatch/checks.py
+++ b/pimentowalk/dispatch/checks.py
@@ -21,14 +21,25 @@
 
     `suspect(backend, reason, is_down=...)` is called for a server that cannot
     be reached, `record(backend, report)` for one that answers and
-    `delegate(backend)` for one in another zone that does not answer.
+    `delegate(backend)` for one in another zone that does not answer. A server
+    is not asked while `is_paused(backend)` is true.
     """
 
-    def __init__(self, transport, timers, zone, suspect, record, delegate):
+    def __init__(
+        self,
+        transport,
+        timers,
+        zone,
+        suspect,
+        record,
+        delegate,
+        is_paused=lambda backend: False,
+    ):
         self._zone = zone
         self._delegate = delegate
         self._transport = transport
         self._timers = timers
+        self._is_paused = is_paused
         self._suspect = suspect
         self._record = record
         self._fetches = {}
@@ -37,7 +48,12 @@
         self._tasks = set()
 
     async def report(self, backend):
-        """Return the report of a server; raise TryFailed."""
+        """Return the report of a server; raise TryFailed.
+
+        Raises Paused without a request if the server wants none.
+        """
+        if self._is_paused(backend):
+            raise calls.Paused('the server pauses', peer=backend.address)
         now_s = self._timers.now_s()
         started_s, task = self._fetches.get(backend.server_id, (0.0, None))
         if task is None or (task.done() and now_s - started_s > REPORT_TTL_S):
@@ -120,6 +136,9 @@
                 await self.report(backend)
             except calls.NoAnswer:
                 continue
+            except calls.Paused:
+                # It has answered a short time ago.
+                return True
             except calls.TryFailed:
                 return False
             return True
--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -12,6 +12,7 @@
 from pimentowalk.dispatch import checks as dispatch_checks
 from pimentowalk.dispatch import crash_reports
 from pimentowalk.dispatch import load_exchange
+from pimentowalk.dispatch import pauses as server_pauses
 from pimentowalk.dispatch import plain
 from pimentowalk.dispatch import silence
 from pimentowalk.dispatch import stream
@@ -69,6 +70,9 @@
         self.paths = routing_hops.POLICIES.get(path_policy)(
             in_flight, self.rng, self.outcomes
         )
+        self.pauses = server_pauses.ServerPauses(
+            timers.now_s, self.limits.max_pause_s
+        )
         transport.on_notice = self._on_notice
         self.checks = dispatch_checks.ServerChecks(
             transport,
@@ -77,6 +81,7 @@
             self.suspect,
             self._record_report,
             self._delegate_check,
+            self.pauses.is_paused,
         )
         self.admission = admission_room.AdmissionQueue(timers)
         self.runs = set()
@@ -104,7 +109,8 @@
 
     def _remove_departed(self):
         known = {r.backend.server_id for r in self.node.backends.records()}
-        for tracker in (self.outcomes, self.checks, self.in_flight):
+        trackers = (self.outcomes, self.checks, self.in_flight, self.pauses)
+        for tracker in trackers:
             tracker.keep_only(known)
 
     def _on_notice(self, backend, notice):
@@ -122,8 +128,14 @@
                     heard_ms=0,
                 )
             )
+        if notice.pause_s > 0:
+            pause_s = self.pauses.record(backend, notice.pause_s)
+            self.metrics.count('server_pauses')
+            self._log_notice(
+                'a server asks for a pause', backend, pause_s=pause_s
+            )
 
-    def _log_notice(self, message, backend):
+    def _log_notice(self, message, backend, **others):
         LOG.info(
             message,
             extra=logs.fields(
@@ -131,9 +143,34 @@
                 peer=backend.address,
                 server=backend.server_id,
                 born_ms=backend.born_ms,
+                **others,
             ),
         )
 
+    def usable(self, service_name):
+        """Return the servers that accept new work from this node."""
+        return [
+            backend
+            for backend in self.node.backends.usable(service_name)
+            if not self.pauses.is_paused(backend)
+        ]
+
+    def pause_s(self, service_name):
+        """Return for how long servers of a service pause, or None.
+
+        It is the least time after which one of those that pause may be asked.
+        """
+        return self.pauses.remaining_s(
+            backend
+            for backend in self.node.backends.usable(service_name)
+            if self.pauses.is_paused(backend)
+        )
+
+    @property
+    def has_pauses(self):
+        """Return whether a server may end its pause."""
+        return bool(self.pauses)
+
     def _expire_silent(self):
         self.node.backends.expire(self._verify)
 
--- a/pimentowalk/dispatch/plain.py
+++ b/pimentowalk/dispatch/plain.py
@@ -41,7 +41,7 @@
     def _choose(self):
         dispatcher = self._dispatcher
         backend = choose_server(
-            dispatcher.node.backends.usable(self._service.name),
+            dispatcher.usable(self._service.name),
             dispatcher.in_flight,
             dispatcher.outcomes,
             zone=dispatcher.zone,
@@ -134,6 +134,7 @@
                 code='not_run',
                 step='forward',
                 peer=failure.peer if failure else '',
+                retry_after_s=self._dispatcher.pause_s(self._service.name),
             )
         return errors.OutcomeUnknown(
             failure.message, step=failure.step, peer=failure.peer
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -365,5 +365,9 @@
         elif failure is not None:
             code, message = 'not_run', failure.message
         return errors.PimentowalkError(
-            message, code=code, step=step, peer=peer
+            message,
+            code=code,
+            step=step,
+            peer=peer,
+            retry_after_s=self._dispatcher.pause_s(self._service.name),
         )
--- a/pimentowalk/dispatch/tests/fakes.py
+++ b/pimentowalk/dispatch/tests/fakes.py
@@ -5,6 +5,7 @@
 from pimentowalk.admission import room as admission_room
 from pimentowalk.core import metrics as core_metrics
 from pimentowalk.core import timers as core_timers
+from pimentowalk.dispatch import pauses
 from pimentowalk.dispatch import transport
 from pimentowalk.membership import backends as membership
 from pimentowalk.topology import backends
@@ -46,6 +47,10 @@
         log_failed_try=lambda *_: None,
         log_denied_retry=lambda *_: None,
         suspect=lambda *_, **__: None,
+        usable=table.usable,
+        pauses=pauses.ServerPauses(timers.now_s, 60.0),
+        pause_s=lambda _: None,
+        has_pauses=False,
         reject_if_barred=lambda _: None,
         report_failed_run=lambda *_, **__: None,
     )
--- a/pimentowalk/dispatch/tests/test_call_run.py
+++ b/pimentowalk/dispatch/tests/test_call_run.py
@@ -41,6 +41,7 @@
         timers=timers,
         node=types.SimpleNamespace(backends=table),
         reject_if_barred=lambda _: None,
+        has_pauses=False,
     )
     now_s = timers.now_s()
     call = types.SimpleNamespace(received_s=now_s, expires_at_s=now_s + 10)
--- /dev/null
+++ b/pimentowalk/dispatch/tests/test_pauses.py
@@ -0,0 +1,109 @@
+"""Test that a server that asks for a pause gets it from this node."""
+
+import asyncio
+import doctest
+import types
+
+import attrs
+import pytest
+
+from pimentowalk.dispatch import calls
+from pimentowalk.dispatch import checks
+from pimentowalk.dispatch import pauses
+from pimentowalk.dispatch.tests import fakes
+
+SERVER, OTHER = fakes.server(1), fakes.server(2)
+
+
+class World:
+    """Pauses on a clock that a test sets."""
+
+    def __init__(self):
+        self.now_s = 100.0
+        self.pauses = pauses.ServerPauses(lambda: self.now_s, 60.0)
+
+
+@pytest.fixture
+def world():
+    return World()
+
+
+def test_doctests():
+    assert doctest.testmod(pauses).failed == 0
+
+
+def test_pause_ends_by_itself(world):
+    """BUDGET: it may be asked again when the time is over, not before."""
+    world.pauses.record(SERVER, 1.5)
+    world.now_s += 1.4
+    assert world.pauses.is_paused(SERVER)
+    assert not world.pauses.is_paused(OTHER)
+    world.now_s += 0.2
+    assert not world.pauses.is_paused(SERVER)
+
+
+def test_shorter_pause_does_not_end_a_longer_one(world):
+    """Answers on several connections overtake each other."""
+    world.pauses.record(SERVER, 5.0)
+    world.pauses.record(SERVER, 0.5)
+    world.now_s += 1.0
+    assert world.pauses.is_paused(SERVER)
+
+
+def test_pause_of_an_earlier_incarnation_is_over(world):
+    """A restarted server has asked for nothing."""
+    world.pauses.record(SERVER, 5.0)
+    assert not world.pauses.is_paused(attrs.evolve(SERVER, born_ms=200))
+
+
+def test_pause_is_bounded(world):
+    """A server that asks for days would never be used again."""
+    assert world.pauses.record(SERVER, 1e9) == 60.0
+    world.now_s += 61.0
+    assert not world.pauses.is_paused(SERVER)
+
+
+def test_earliest_return_is_named_only_if_all_pause(world):
+    """A caller that is refused comes back when the first pause ends."""
+    world.pauses.record(SERVER, 5.0)
+    assert world.pauses.remaining_s([SERVER, OTHER]) is None
+    world.pauses.record(OTHER, 2.0)
+    assert world.pauses.remaining_s([SERVER, OTHER]) == pytest.approx(2.0)
+    assert world.pauses.remaining_s([]) is None
+
+
+def test_past_pauses_are_forgotten(world):
+    """The memory must not grow with each server that ever paused."""
+    world.pauses.record(SERVER, 1.0)
+    world.pauses.record(OTHER, 9.0)
+    world.now_s += 2.0
+    world.pauses.keep_only({'i-1', 'i-2'})
+    assert len(world.pauses) == 1
+    world.pauses.keep_only(set())
+    assert not world.pauses
+
+
+async def test_paused_server_is_not_asked_for_a_report(world):
+    """Reports are requests too; the server still counts as working."""
+    asked = []
+
+    async def fetch_report(backend):
+        asked.append(backend)
+
+    dispatcher = fakes.dispatcher(SERVER)
+    server_checks = checks.ServerChecks(
+        types.SimpleNamespace(fetch_report=fetch_report),
+        dispatcher.timers,
+        'z1',
+        lambda *_, **__: asked.append('suspected'),
+        lambda *_: None,
+        lambda *_: None,
+        world.pauses.is_paused,
+    )
+    world.pauses.record(SERVER, 5.0)
+    assert await server_checks.answers(SERVER)
+    server_checks.check(SERVER)
+    await asyncio.sleep(0.01)
+    with pytest.raises(calls.Paused):
+        await server_checks.report(SERVER)
+    assert asked == []
--- a/pimentowalk/dispatch/transport.py
+++ b/pimentowalk/dispatch/transport.py
@@ -14,13 +14,15 @@
     `head_bytes` bounds the bytes before the body and between its parts, which
     are no content. `body_bytes` bounds a body that is read whole, and
     `event_bytes` one event of a stream. Bytes that arrive without completing
-    an event are accepted for `event_timeout_s`.
+    an event are accepted for `event_timeout_s`. A server may ask for a pause
+    of `max_pause_s` at most.
     """
 
     head_bytes: int = 65_536
     body_bytes: int = 4_194_304
     event_bytes: int = 262_144
     event_timeout_s: float = 2.0
+    max_pause_s: float = 60.0
 
 
 async def read_body(response, limits, peer):
@@ -54,10 +56,12 @@
 class ServerNotice:
     """What a server says of itself beside an answer.
 
-    A server that is leaving wants no new work.
+    A server that is leaving wants no new work. `pause_s` is for how long it
+    wants nothing from this node, 0 if it did not say so.
     """
 
     is_leaving: bool = False
+    pause_s: float = 0.0
 
 
 class Response(abc.ABC):
--- a/pimentowalk/dispatch/watched_run.py
+++ b/pimentowalk/dispatch/watched_run.py
@@ -49,7 +49,7 @@
     def _choose_hops(self, head=None):
         dispatcher = self._dispatcher
         return dispatcher.paths.choose(
-            dispatcher.node.backends.usable(self._service.name),
+            dispatcher.usable(self._service.name),
             routing_hops.PathQuery(
                 self._service.engine.total_layers,
                 self._tokens,
@@ -109,6 +109,9 @@
             dispatcher.checks.check(head)
             await self._delay_next_report()
             return
+        except calls.Paused:
+            await self._delay_next_report()
+            return
         except calls.TryFailed as error:
             self._interrupt(
                 calls.Stalled(
@@ -159,6 +162,8 @@
         """Continue over other hops from the same head, if possible."""
         dispatcher = self._dispatcher
         old = self._target
+        if dispatcher.pauses.is_paused(old.backend):
+            return False
         hops = self._choose_hops(head=old.hops[0])
         if hops is None:
             return False
--- a/pimentowalk/gateway/core.py
+++ b/pimentowalk/gateway/core.py
@@ -186,10 +186,18 @@
             is_leader=lambda: self.node.leads,
             fence=lambda: self.replica.term,
             document=lambda: self.node.document,
-            order=self.engines.order_layers,
+            order=self._order_layers,
             streams=self.dispatcher.in_flight.reported_requests,
         )
 
+    async def _order_layers(self, backend, assignment, fence, **options):
+        """Send an order to a server unless it asked this node for a pause."""
+        if self.dispatcher.pauses.is_paused(backend):
+            raise errors.Conflict(
+                'the server pauses', step='place', peer=backend.address
+            )
+        await self.engines.order_layers(backend, assignment, fence, **options)
+
     def _on_state_change(self):
         stored = self.state.part('document')
         if stored.version > self.node.document_version:
--- a/pimentowalk/platform/daemon.py
+++ b/pimentowalk/platform/daemon.py
@@ -258,6 +258,7 @@
         responses.max_body_bytes,
         responses.max_event_bytes,
         responses.event_timeout_ms / 1000,
+        responses.max_pause_s,
     )
 
 
--- a/pimentowalk/platform/engines.py
+++ b/pimentowalk/platform/engines.py
@@ -32,6 +32,8 @@
 UNAVAILABLE = 503
 CONFLICT = 409
 ACCEPTED_STATUSES = (200, 202)
+# Invalid pauses are logged once a server, for this many servers at most.
+MAX_LOGGED_PAUSES = 1000
 # A report with a larger factor is faulty.
 MAX_SLOWNESS = 1000.0
 
@@ -131,6 +133,7 @@
         super().__init__()
         self._limits = limits or transport.ResponseLimits()
         self._session = None
+        self._logged_pauses = set()
 
     async def start(self):
         """Create the client session in the running event loop."""
@@ -218,8 +221,37 @@
             # Another server may have the address now.
             return
         is_leaving = response.headers.get(names.SERVER_LEAVING) == '1'
-        if is_leaving:
-            self.on_notice(backend, transport.ServerNotice(is_leaving))
+        pause_s = 0.0
+        if response.status == UNAVAILABLE:
+            text = response.headers.get(names.RETRY_AFTER)
+            pause_s = self._parse_pause(backend, text)
+        if is_leaving or pause_s > 0:
+            self.on_notice(
+                backend, transport.ServerNotice(is_leaving, pause_s)
+            )
+
+    def _parse_pause(self, backend, text):
+        """Return the pause that a server asks for in seconds, 0 if none."""
+        if text is None:
+            return 0.0
+        max_pause_s = self._limits.max_pause_s
+        try:
+            pause_s = float(text)
+        except ValueError:
+            pause_s = -1.0
+        if 0 <= pause_s <= max_pause_s:
+            return pause_s
+        logged = self._logged_pauses
+        if backend.address not in logged and len(logged) < MAX_LOGGED_PAUSES:
+            logged.add(backend.address)
+            LOG.warning(
+                'a server asks for an invalid pause: %.80s',
+                text,
+                extra=logs.fields(
+                    step='forward', peer=backend.address, limit_s=max_pause_s
+                ),
+            )
+        return max_pause_s if pause_s > max_pause_s else 0.0
 
     async def fetch_report(self, backend):
         """Fetch and decode the report of a server; raise `calls.TryFailed`."""
--- a/pimentowalk/platform/front.py
+++ b/pimentowalk/platform/front.py
@@ -21,6 +21,8 @@
 # Callers that retry spread over this range find the capacity that finished
 # streams have released.
 OVERLOADED_RETRY_AFTER_S = (1.0, 5.0)
+# Added where the time is known, so that callers do not all return at once.
+RETRY_AFTER_SPREAD_S = 0.3
 RETRY_AFTER_BY_CODE_S = {'overloaded': OVERLOADED_RETRY_AFTER_S}
 # A starting node receives the configuration and the backend servers within
 # this time in most cases, and a refused caller retries at most once.
@@ -174,15 +176,20 @@
             status=error.http_status,
         )
         if error.code in RETRY_AFTER_CODES:
-            range_s = RETRY_AFTER_BY_CODE_S.get(error.code, RETRY_AFTER_S)
-            retry_after_s = self._dispatcher.rng.uniform(*range_s)
-            response.headers['Retry-After'] = f'{retry_after_s:.2f}'
+            retry_after_s = self._choose_retry_after_s(error)
+            response.headers[names.RETRY_AFTER] = f'{retry_after_s:.2f}'
         if request_id:
             response.headers[names.REQUEST_ID] = request_id
         if self._drain.draining:
             response.force_close()
         return response
 
+    def _choose_retry_after_s(self, error):
+        uniform = self._dispatcher.rng.uniform
+        if error.retry_after_s is not None:
+            return error.retry_after_s + uniform(0.0, RETRY_AFTER_SPREAD_S)
+        return uniform(*RETRY_AFTER_BY_CODE_S.get(error.code, RETRY_AFTER_S))
+
     async def _decode_call(self, request, request_id, received_s):
         await self._wait_for_start()
         document = self._node.document
--- a/pimentowalk/platform/names.py
+++ b/pimentowalk/platform/names.py
@@ -24,6 +24,8 @@
 AT_SERVER = 'At-Server'
 # "1" in any answer of a server that accepts no new requests any more.
 SERVER_LEAVING = 'Server-Leaving'
+# In a 503 of a server: for how many seconds it wants nothing from this node.
+RETRY_AFTER = 'Retry-After'
 LENGTH_HINT = 'Pimentowalk-Length-Hint'
 
 # Headers that apply to a single connection and are not forwarded.
--- a/pimentowalk/platform/tests/recording.py
+++ b/pimentowalk/platform/tests/recording.py
@@ -94,6 +94,8 @@
                 names.NOT_EXECUTED: '1',
                 **self._notices(),
             }
+            if self.pause_text is not None:
+                headers[names.RETRY_AFTER] = self.pause_text
             return web.Response(status=503, headers=headers)
         self._note_run(request_id)
         try:
--- a/pimentowalk/platform/tests/standin.py
+++ b/pimentowalk/platform/tests/standin.py
@@ -22,7 +22,7 @@
     `hangs` delays each answer by 60 s, `status` is the status of plain calls.
     A server crashes when it begins to answer a prompt with `deadly_part`.
     `leaves` adds to each answer that the server leaves, without announcing
-    it.
+    it; `pause_text` asks for a pause in the 503 of a server that refuses.
     `resume_answer` is (status, content type) of answers to resumed streams.
     """
 
@@ -45,6 +45,8 @@
         self.crashing = None
         self.resume_answer = None
         self.leaves = False
+        self.pause_text = None
+        self.reports_sent = 0
         self.status = 200
         self.events = 6
         self.event_interval_s = 0.005
@@ -110,6 +112,7 @@
         return {names.SERVER_LEAVING: '1'} if self.leaves else {}
 
     async def _report(self, request):
+        self.reports_sent += 1
         return web.json_response(
             {'sequence': self.accepted_orders, 'stalled': self.stalled},
             headers=self._notices(),
@@ -143,6 +146,8 @@
             await asyncio.sleep(60)
         if self.refuses:
             headers[names.NOT_EXECUTED] = '1'
+            if self.pause_text is not None:
+                headers[names.RETRY_AFTER] = self.pause_text
             return web.Response(status=503, headers=headers)
         if self.service != 'model':
             self.last_headers = request.headers.copy()
--- a/pimentowalk/platform/tests/test_engines.py
+++ b/pimentowalk/platform/tests/test_engines.py
@@ -385,9 +385,17 @@
 
 
 NOTICES = [
-    (b'200 OK', b'Server-Leaving: 1', True),
+    (b'200 OK', b'Server-Leaving: 1', (True, 0.0)),
     (b'200 OK', b'Server-Leaving: 0', None),
-    (b'503 Busy', b'Server-Leaving: 1', True),
+    (b'200 OK', b'Retry-After: 2', None),
+    (b'503 Busy', b'Retry-After: 0.5', (False, 0.5)),
+    (b'503 Busy', b'Retry-After: 2\r\nServer-Leaving: 1', (True, 2.0)),
+    (b'503 Busy', b'Retry-After: 99999999', (False, 60.0)),
+    (b'503 Busy', b'Retry-After: inf', (False, 60.0)),
+    (b'503 Busy', b'Retry-After: nan', None),
+    (b'503 Busy', b'Retry-After: -3', None),
+    (b'503 Busy', b'Retry-After: Sat, 05 Dec 2026 03:00:00 GMT', None),
+    (b'503 Busy', b'Retry-After:', None),
     # Another server has the address by now.
     (b'421 Misdirected', b'Server-Leaving: 1', None),
 ]
@@ -395,12 +403,12 @@
 
 @pytest.mark.parametrize(('status', 'header', 'expected'), NOTICES)
 async def test_notices_of_a_server_are_decoded(
-    client, status, header, expected
+    client, status, header, expected, caplog
 ):
-    """They come with answers of any kind."""
+    """A bad value must neither stop the use of a server nor fill the log."""
     notices = []
     client.on_notice = lambda backend, notice: notices.append(
-        notice.is_leaving
+        (notice.is_leaving, notice.pause_s)
     )
     content = (
         b'HTTP/1.1 %s\r\nPimentowalk-Request-Id: r1\r\n'
@@ -417,6 +425,7 @@
             pass
     await server.stop()
     assert notices == ([expected] * 2 if expected else [])
+    assert caplog.text.count('invalid pause') <= 1
 
 
 async def test_notice_in_the_answer_of_another_request_is_ignored(client):
@@ -425,7 +434,7 @@
     client.on_notice = lambda *notice: notices.append(notice)
     content = (
         b'HTTP/1.1 503 Busy\r\nPimentowalk-Request-Id: other\r\n'
-        b'Content-Length: 0\r\nServer-Leaving: 1\r\n\r\n'
+        b'Content-Length: 0\r\nServer-Leaving: 1\r\nRetry-After: 9\r\n\r\n'
     )
     with pytest.raises(calls.Broken):
         await _exchange(client, content)
--- a/pimentowalk/platform/tests/test_gateway.py
+++ b/pimentowalk/platform/tests/test_gateway.py
@@ -450,3 +450,60 @@
             len(g.node.backends.usable('model')) == 2 for g in cluster.gateways
         )
     )
+
+
+async def test_server_that_asks_for_a_pause_gets_it(cluster):
+    """BUDGET: it was sent requests, reports included, as before."""
+    await cluster.wait_for_layers()
+    full = cluster.servers[0]
+    full.refuses = True
+    full.pause_text = '1.5'
+    for number in range(20):
+        if full.requests_seen:
+            break
+        status, _, _ = await cluster.platform.call(
+            cluster.gateways[0],
+            'POST',
+            '/draft/2f',
+            request_id=f'r{number}',
+        )
+        assert status == 200
+    dispatcher = cluster.gateways[0].dispatcher
+    assert [b.server_id for b in dispatcher.usable('model')] == ['m-2']
+    seen = len(full.requests_seen), full.reports_sent
+    paused = cluster.gateways[0].node.backends.get('m-1')
+    assert await dispatcher.checks.answers(paused)
+    # Longer than a server is avoided that has refused a stream.
+    for number in range(10):
+        await asyncio.sleep(0.1)
+        status, _, body = await cluster.platform.call(
+            cluster.gateways[0],
+            'POST',
+            '/draft/2f',
+            request_id=f's{number}',
+        )
+        assert (status, body) == (200, ALL_EVENTS)
+    assert (len(full.requests_seen), full.reports_sent) == seen
+    # The word was to that node alone.
+    others = cluster.gateways[1].dispatcher.usable('model')
+    assert len(others) == 2
+    full.refuses = False
+    await waiting.until(
+        lambda: len(cluster.gateways[0].dispatcher.usable('model')) == 2
+    )
+
+
+async def test_caller_is_told_when_the_first_pause_ends(cluster):
+    """All servers pause: a refusal at once, with an honest time of return."""
+    # The node has known all servers for a long time, and waits for no others.
+    cluster.gateways[0].node.backends._complete_from_s = 0.0
+    for number, server in enumerate(cluster.servers[2:]):
+        server.refuses = True
+        server.pause_text = str(2 + number)
+    for number in range(2):
+        status, headers, _ = await cluster.platform.call(
+            cluster.gateways[0], 'GET', '/look/2f', request_id=f'r{number}'
+        )
+        assert status == 503
+    assert 1.0 < float(headers['Retry-After']) < 2.5
+    assert sum(len(s.requests_seen) for s in cluster.servers) == 2
--- a/pimentowalk/settings/gateway.py
+++ b/pimentowalk/settings/gateway.py
@@ -65,6 +65,7 @@
     max_body_bytes: int = 4_194_304
     max_event_bytes: int = 262_144
     event_timeout_ms: float = 2000.0
+    max_pause_s: float = 60.0
 
 
 def address(text):
@@ -127,6 +128,7 @@
     'max_body_bytes': values.integer(1024, 2**30),
     'max_event_bytes': values.integer(1024, 2**30),
     'event_timeout_ms': values.number(100, 3_600_000, 'milliseconds'),
+    'max_pause_s': values.number(0, 86_400, 'seconds'),
 }
 SECTIONS = ('bounds', 'gateway', 'responses')
 
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -169,3 +169,14 @@
     server.leaves = True
     await asyncio.sleep(rng.uniform(1.0, 3.0))
     server.crash()
+
+
+@fault('pausing_server')
+async def pausing_server(world, rng):
+    """Let a full server ask for pauses, at times for bad ones."""
+    server = rng.choice(world.servers)
+    server.refuses = True
+    server.pause_text = rng.choice(['0.3', '1', '2.5', '-1', 'soon', '1e9'])
+    await asyncio.sleep(rng.uniform(0.3, 2.0))
+    server.refuses = False
+    server.pause_text = None
--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -14,7 +14,7 @@
 FAULTS_S = 8.0
 # Every other seed that ever broke a promise; see docs/soak.md for causes.
 REGRESSION_SEEDS = (202, 204, 307, 6001, 6009)
-# Covers servers that leave by a header.
+# Covers servers that leave by a header and servers that ask for pauses.
 NOTICE_SEED = 8100
 
 
