Count the repeats that a restarted node has forgotten

Cause: each process started with an unused window, though the window before its restart was used up.

--- a/pimentowalk/admission/tests/test_window_budget.py
+++ b/pimentowalk/admission/tests/test_window_budget.py
@@ -40,6 +40,17 @@
         self.requests = []
         self.retries = []
 
+    def restart(self, nodes):
+        """Restart some nodes, which forget what they have used."""
+        for node in nodes:
+            self.budgets[node] = window_budget.WindowBudget(
+                lambda: self.now_s,
+                window_s=WINDOW_S,
+                ratio=RATIO,
+                extra=EXTRA,
+                has_restarted=True,
+            )
+
     def step(self, retries_wanted, *, share=1.0):
         """Advance one step; a node tries `retries_wanted(node)` retries."""
         self.now_s += STEP_S
@@ -101,6 +112,32 @@
     assert cluster.worst_excess() <= 0
 
 
+@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize('restarted', [1, NODES // 2, NODES])
+def test_limit_holds_when_nodes_restart(seed, restarted):
+    """BUDGET: all processes were killed while servers crashed.
+
+    After the restart, each node began with an unused budget: 422 repeats were
+    sent in 10 s where 404 were allowed.
+    """
+    cluster = Cluster(seed)
+    cluster.run(lambda _: 0, 2.0)
+    cluster.run(lambda _: 5, 8.0)
+    before = len(cluster.retries)
+    cluster.restart(range(restarted))
+    cluster.run(lambda _: 5, 25.0)
+    assert cluster.worst_excess() <= 0
+    assert len(cluster.retries) > before + EXTRA / 2
+
+
+def test_restarted_nodes_may_still_repeat_a_part_of_the_requests():
+    """Streams that break after a restart would all be cut."""
+    cluster = Cluster(1)
+    cluster.restart(range(NODES))
+    cluster.run(lambda _: 1, 5.0)
+    assert len(cluster.retries) > len(cluster.requests) * RATIO / 2
+
+
 def test_limit_holds_when_demand_moves_between_nodes():
     """What one group of nodes has just used is not available to another."""
     cluster = Cluster(4)
--- a/pimentowalk/admission/window_budget.py
+++ b/pimentowalk/admission/window_budget.py
@@ -43,7 +43,8 @@
 
     Until its retries are known to the others, each node may use an equal part
     of what remains of the budget, and a little more. A node that does not
-    report is assumed to use an equal part of the fixed number.
+    report is assumed to use an equal part of the fixed number. So is one that
+    `has_restarted`, for a window: it does not know what it used before.
 
     >>> now = [0.0]
     >>> budget = WindowBudget(lambda: now[0], window_s=10, ratio=0, extra=2.8)
@@ -53,7 +54,7 @@
     False
     """
 
-    def __init__(self, now_s, *, window_s, ratio, extra):
+    def __init__(self, now_s, *, window_s, ratio, extra, has_restarted=False):
         self._now_s = now_s
         self._window_s = window_s
         self._ratio = ratio
@@ -62,6 +63,8 @@
         self._retries = collections.defaultdict(collections.deque)
         self._reports = {}
         self._summary = None
+        self._nodes = 1
+        self._forgotten_until_s = now_s() + window_s * has_restarted
 
     def count_request(self, service):
         """Count the first attempt of a request."""
@@ -75,15 +78,15 @@
         self._expire_reports()
         reporting, other_requests, other_retries = self._of_others(service)
         reporting += 1
-        nodes = max(nodes, reporting)
+        nodes = self._nodes = max(nodes, reporting)
         requests = self._count_recent(self._requests[service])
         retries = self._count_recent(self._retries[service])
         recent_s = self._now_s() - REPORT_DELAY_S
         unreported = sum(at_s >= recent_s for at_s in self._retries[service])
         limit = (requests + other_requests) * self._ratio
         limit += self._extra * reporting / nodes
-        remaining = limit * SAFETY_SHARE * share - (retries - unreported)
-        remaining -= other_retries
+        used = retries - unreported + self._forgotten_retries()
+        remaining = limit * SAFETY_SHARE * share - used - other_retries
         allowance = remaining / reporting
         if share == 1:
             reserve = limit * (1 - SAFETY_SHARE) * UNEVEN_SHARE / reporting
@@ -94,16 +97,29 @@
         return True
 
     def report(self):
-        """Return the counts in the window of this node, for a report."""
+        """Return the counts in the window of this node, for a report.
+
+        Retries that a restart may hide are included once the number of nodes
+        is known; a single node would use all of the fixed number.
+        """
+        forgotten = 0
+        if self._nodes > 1:
+            forgotten = math.ceil(self._forgotten_retries())
         return [
             node_messages.RepeatUse(
                 service,
                 self._count_recent(self._requests[service]),
-                self._count_recent(self._retries[service]),
+                self._count_recent(self._retries[service]) + forgotten,
             )
             for service in self._requests
         ]
 
+    def _forgotten_retries(self):
+        """Return how many retries of the window a restart may hide."""
+        if self._now_s() >= self._forgotten_until_s:
+            return 0.0
+        return self._extra * SAFETY_SHARE / self._nodes
+
     def record_report(self, node_id, uses):
         """Replace the counts of another node."""
         self._reports[node_id] = _Report(
@@ -118,6 +134,7 @@
         """
         self._reports.clear()
         self._summary = _Summary(self._now_s(), nodes, uses)
+        self._nodes = max(self._nodes, nodes + 1)
 
     def _of_others(self, service):
         """Return (nodes, requests, retries) of the other nodes."""
--- a/pimentowalk/gateway/core.py
+++ b/pimentowalk/gateway/core.py
@@ -105,6 +105,7 @@
                 window_s=bounds.retry_window_s,
                 ratio=bounds.retry_ratio,
                 extra=bounds.retry_extra,
+                has_restarted=not settings.first_start,
             ),
             crashes=self.crashes,
             metrics=self.metrics,
