Log each bar that begins anew

A trait that was barred again after its bar had ended was not logged, so that operators could not tell from when on callers were rejected. test_each_bar_is_logged_once failed before. No decision changes.

--- a/pimentowalk/admission/crashes.py
+++ b/pimentowalk/admission/crashes.py
@@ -297,8 +297,10 @@
             best = {t for t, rank in suspects.items() if rank == best_rank}
             bars.update((trait, self._bar(trait, groups)) for trait in best)
             unexplained = [g for g in unexplained if not best & g[1]]
-        for trait in bars.keys() - self._bars.keys():
-            self._log_bar(bars[trait])
+        for trait, bar in bars.items():
+            known = self._bars.get(trait)
+            if known is None or known.until_s <= now_s < bar.until_s:
+                self._log_bar(bar)
         self._bars = bars
 
     def _suspects(self, explained, counts):
--- a/pimentowalk/admission/tests/test_crashes.py
+++ b/pimentowalk/admission/tests/test_crashes.py
@@ -169,6 +169,19 @@
     assert world.barred(DEADLY) == 3
 
 
+def test_each_bar_is_logged_once(world, caplog):
+    """Operators look for the time at which callers were rejected."""
+    for _ in range(crashes.MIN_CRASHES + 1):
+        world.crash(DEADLY)
+    assert world.barred(DEADLY) == 3
+    assert caplog.text.count('are rejected') == 3
+    world.now_s += 3 * crashes.BAR_S
+    assert not world.barred(DEADLY)
+    world.crash(DEADLY)
+    assert world.barred(DEADLY) == 3
+    assert caplog.text.count('are rejected') == 6
+
+
 def test_nodes_try_a_barred_part_again_one_after_another():
     """Otherwise each node would crash a server at the same moment."""
     world = World(node_count=40)
