--- a/pimentowalk/core/errors.py
+++ b/pimentowalk/core/errors.py
@@ -42,7 +42,7 @@
 class PimentowalkError(Exception):
     """Base class of errors; carry the code, the failed step and the peer.
 
-    `retry_after_s` is when a refused caller may come back, None if unknown.
+    `retry_after_s` is when a refused caller may come back, 0 if unknown.
 
     >>> error = NotRun('the queue is full', step='admit', peer='agent-3')
     >>> print(error)
@@ -52,7 +52,7 @@
     code = 'internal'
 
     def __init__(
-        self, message, *, code=None, step='', peer='', retry_after_s=None
+        self, message, *, code=None, step='', peer='', retry_after_s=0.0
     ):
         super().__init__(message)
         if code is not None:
--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -156,9 +156,9 @@
         ]
 
     def pause_s(self, service_name):
-        """Return for how long servers of a service pause, or None.
+        """Return when the first server of a service ends its pause.
 
-        It is the least time after which one of those that pause may be asked.
+        Returns 0 if none pauses.
         """
         return self.pauses.remaining_s(
             backend
--- a/pimentowalk/dispatch/pauses.py
+++ b/pimentowalk/dispatch/pauses.py
@@ -50,14 +50,14 @@
     def remaining_s(self, backends):
         """Return when the first of some servers may be asked again.
 
-        Returns None if one of them may be asked now, or if there are none.
+        Returns 0 if one of them may be asked now, or if there are none.
         """
         now_s = self._now_s()
         left_s = min(
             (self._until_s(backend) - now_s for backend in backends),
             default=-math.inf,
         )
-        return left_s if left_s > 0 else None
+        return max(0.0, left_s)
 
     def keep_only(self, server_ids):
         """Remove the state of all other servers, and of past pauses."""
--- a/pimentowalk/entry/failures.py
+++ b/pimentowalk/entry/failures.py
@@ -114,5 +114,5 @@
         step=error.step,
         peer=error.peer,
         not_run=not_run,
-        retry_after_s=getattr(error, 'retry_after_s', 0.0),
+        retry_after_s=error.retry_after_s,
     )
--- a/pimentowalk/entry/replies.py
+++ b/pimentowalk/entry/replies.py
@@ -66,9 +66,8 @@
 def error_response(error, request_id, *, not_run):
     """Return the error response, with `Retry-After` if a wait is known."""
     headers = {REQUEST_ID_HEADER: request_id.hex()}
-    retry_after_s = getattr(error, 'retry_after_s', 0)
-    if retry_after_s > 0:
-        wait_s = math.ceil(min(retry_after_s, MAX_RETRY_AFTER_S))
+    if error.retry_after_s > 0:
+        wait_s = math.ceil(min(error.retry_after_s, MAX_RETRY_AFTER_S))
         headers['Retry-After'] = str(wait_s)
     return web.json_response(
         error_body(error, request_id, not_run=not_run),
--- a/pimentowalk/platform/front.py
+++ b/pimentowalk/platform/front.py
@@ -186,7 +186,7 @@
 
     def _choose_retry_after_s(self, error):
         uniform = self._dispatcher.rng.uniform
-        if error.retry_after_s is not None:
+        if error.retry_after_s > 0:
             return error.retry_after_s + uniform(0.0, RETRY_AFTER_SPREAD_S)
         return uniform(*RETRY_AFTER_BY_CODE_S.get(error.code, RETRY_AFTER_S))
 
