Wait for servers that still join before the first plan of layers

In a model of its zones, with servers that announce themselves within 3 s of each other instead of 1.3 s, the memory for requests at the least covered layer of a zone falls from 90,000 to 64,000 tokens, on as well: servers that join after the first plan take what is left, at other boundaries.

Change: while no server holds layers, so that nothing is served, the first plan waits until none has joined for 1.3 s, 6 s after the start at most.

--- a/pimentowalk/placement/executor.py
+++ b/pimentowalk/placement/executor.py
@@ -21,6 +21,12 @@
 SETTLE_S = 1.0
 # After a start, servers announce themselves within one period.
 FIRST_SETTLE_S = 2.0
+# Ranges of a first plan that lacks some servers do not align with those of
+# the rest. While no server holds layers, nothing is served anyway, and the
+# first plan waits until none has joined for this long: a server that gets no
+# answer from one node calls the next one a second later.
+JOINED_QUIET_S = 1.3
+MAX_FIRST_SETTLE_S = 6.0
 # An order that is not in effect after the load time plus this is dropped, and
 # may be given again.
 CONFIRM_TIMEOUT_S = 2.0
@@ -84,6 +90,9 @@
         self._checked_s = float('-inf')
         self._checked_generation = None
         self._started_s = timers.now_s()
+        self._has_first_plan = False
+        self._known_servers = 0
+        self._joined_s = self._started_s
 
     async def run(self):
         """Check the placement periodically until cancelled."""
@@ -101,7 +110,8 @@
 
     def _poll(self, now_s):
         leads = self._leads_settled(now_s)
-        if now_s - self._started_s < FIRST_SETTLE_S:
+        waits = self._waits_for_servers(now_s)
+        if waits or now_s - self._started_s < FIRST_SETTLE_S:
             return
         if leads and self._is_due(now_s):
             self._checked_s = now_s
@@ -111,6 +121,20 @@
             self._checked_s = now_s
             self._observe(now_s)
 
+    def _waits_for_servers(self, now_s):
+        """Return whether more servers may join before the first plan."""
+        if self._has_first_plan:
+            return False
+        records = self._table.records()
+        if len(records) != self._known_servers:
+            self._known_servers = len(records)
+            self._joined_s = now_s
+        is_settled = now_s - self._joined_s >= JOINED_QUIET_S
+        is_late = now_s - self._started_s >= MAX_FIRST_SETTLE_S
+        has_layers = any(record.backend.layer_count for record in records)
+        self._has_first_plan = is_settled or is_late or has_layers
+        return not self._has_first_plan
+
     def _leads_settled(self, now_s):
         """Return whether this node has led for long enough to plan."""
         if not self._is_leader():
--- a/pimentowalk/placement/tests/test_executor.py
+++ b/pimentowalk/placement/tests/test_executor.py
@@ -1,6 +1,7 @@
 """Tests of the orders that the control leader gives to backend servers."""
 
 import asyncio
+import random
 
 import attrs
 import pytest
@@ -26,7 +27,7 @@
 class ExecutorHarness:
     """An executor whose servers execute orders at once."""
 
-    def __init__(self, zones=('z1',)):
+    def __init__(self, zones=('z1',), *, joined=True):
         self.timers = timers.ManualTimerService()
         self.table = membership.BackendTable(self.timers.now_s, 1e6)
         self.is_leader = True
@@ -36,19 +37,21 @@
         self.term = 5
         self.orders = []
         self.streams = {}
-        for number, kind in enumerate(ACCELERATORS * len(zones)):
-            self.table.apply(
-                backends.Backend(
-                    f's{number}',
-                    1,
-                    0,
-                    'svc',
-                    f'10.0.0.{number}',
-                    80,
-                    zones[number // len(ACCELERATORS)],
-                    accelerator=kind,
-                )
+        self.servers = [
+            backends.Backend(
+                f's{number}',
+                1,
+                0,
+                'svc',
+                f'10.0.0.{number}',
+                80,
+                zones[number // len(ACCELERATORS)],
+                accelerator=kind,
             )
+            for number, kind in enumerate(ACCELERATORS * len(zones))
+        ]
+        for backend in self.servers if joined else ():
+            self.table.apply(backend)
         self.executor = executor.Executor(
             self.table,
             self.timers,
@@ -367,3 +370,73 @@
     harness.executor._document = document
     await harness.timers.advance(2.0)
     assert harness.missing_layers() == 0
+
+
+@pytest.mark.parametrize('seed', range(20))
+async def test_first_plan_does_not_depend_on_the_order_of_joining(seed):
+    """A calm day came out well or badly by how the start went.
+
+    Servers that joined after the first plan took the ranges that were left,
+    cut at other places, so that a layer had less memory for requests.
+    """
+    rng = random.Random(seed)
+    at_once = ExecutorHarness()
+    running = [asyncio.ensure_future(at_once.executor.run())]
+    await at_once.timers.advance(8.0)
+    late = ExecutorHarness(joined=False)
+    running.append(asyncio.ensure_future(late.executor.run()))
+    joins = sorted((rng.uniform(0.0, 3.0), b) for b in late.servers)
+    for join_s, backend in joins:
+        await late.timers.advance(join_s - late.timers.now_s())
+        late.table.apply(backend)
+    await late.timers.advance(8.0)
+    plans = [
+        sorted((b.accelerator, b.first_layer, b.end_layer) for b in usable)
+        for usable in (
+            at_once.table.usable('svc'),
+            late.table.usable('svc'),
+        )
+    ]
+    assert plans[0] == plans[1]
+    for task in running:
+        task.cancel()
+
+
+async def test_first_plan_does_not_wait_for_ever():
+    """A server that starts again and again must not hold up the others."""
+    created = ExecutorHarness()
+    running = asyncio.ensure_future(created.executor.run())
+    for number in range(12):
+        created.table.apply(
+            backends.Backend(f'n{number}', 1, 0, 'svc', '10.0.3.1', 80, 'z1')
+        )
+        await created.timers.advance(0.6)
+    assert created.missing_layers() == 0
+    running.cancel()
+
+
+async def test_servers_with_layers_are_planned_without_a_wait():
+    """RECOVER: nodes restart while servers hold ranges and join."""
+    created = ExecutorHarness()
+    created.table.apply(
+        backends.Backend(
+            'loaded',
+            1,
+            0,
+            'svc',
+            '10.0.3.1',
+            80,
+            'z1',
+            accelerator='v100',
+            first_layer=0,
+            end_layer=4,
+        )
+    )
+    running = asyncio.ensure_future(created.executor.run())
+    await created.timers.advance(executor.FIRST_SETTLE_S - 0.1)
+    created.table.apply(
+        backends.Backend('late', 1, 0, 'svc', '10.0.3.2', 80, 'z1')
+    )
+    await created.timers.advance(0.3)
+    assert created.missing_layers() == 0
+    running.cancel()
