Relay each change of a server to all nodes, however it became known

A control instance that heard of a change from another one first took the announcement itself for a repeat and sent its nodes a heartbeat; they dropped the change, when it came by another way, as outdated.

Change: an announcement is compared with the last one that this hub has relayed, not with what its table knows.

--- a/pimentowalk/mesh/node.py
+++ b/pimentowalk/mesh/node.py
@@ -15,6 +15,7 @@
 
 LOG = logging.getLogger(__name__)
 
+CLEANUP_INTERVAL_S = 10.0
 HANDLERS = registry.Registry('frame for a node')
 LOAD_FRAMES = (
     node_messages.LoadNews,
@@ -47,6 +48,7 @@
         self._decode = decode
         self._timers = timers
         self._links = {}
+        self._relayed = {}
         self._tasks = {}
         self._callbacks = {}
         self._document_callbacks = []
@@ -83,6 +85,7 @@
         """Start listening, and connect to control in the background."""
         await self.hub.start()
         self._timers.every(mesh_links.STATUS_INTERVAL_S, self.update_links)
+        self._timers.every(CLEANUP_INTERVAL_S, self._forget_departed)
         self.update_links()
 
     async def stop(self):
@@ -206,15 +209,26 @@
     def relay_backends(self, body, origin=None):
         """Apply announcements; relay changes at once, repeats in batches."""
         for announced in body.backends:
-            known = self.backends.get(announced.server_id)
             self.backends.apply(announced, announced.heard_ms / 1000)
             backend = self.backends.with_mark(announced)
+            # The table may know a change from another control instance, which
+            # has not sent it to the subscribers of this one.
+            relayed = self._relayed.get(backend.server_id)
+            self._relayed[backend.server_id] = backend
             single = node_messages.BackendNews([backend])
-            if membership.is_repeat(known, backend):
+            if membership.is_repeat(relayed, backend):
                 self.hub.relay_batched(single)
             else:
                 self.hub.relay(single, origin=origin)
 
+    def _forget_departed(self):
+        """Drop what was relayed of servers that are gone."""
+        known = {
+            record.backend.server_id for record in self.backends.records()
+        }
+        for server_id in self._relayed.keys() - known:
+            del self._relayed[server_id]
+
     def announce(self, backend):
         """Apply an announcement that this node received and publish it."""
         body = node_messages.BackendNews([backend])
--- a/pimentowalk/mesh/tests/test_homes.py
+++ b/pimentowalk/mesh/tests/test_homes.py
@@ -258,3 +258,41 @@
         codec.encode(body)
         received |= {backend.server_id for backend in body.backends}
     assert len(received) == 4900
+
+
+def test_change_that_came_from_another_control_instance_is_relayed():
+    """Nodes kept the old layers of a server for the rest of a calm day.
+
+    A control instance heard of the change from another one first, took the
+    announcement itself for a repeat, and sent a heartbeat. The nodes took that
+    for the newest announcement, and the change itself for an outdated one.
+    """
+    node = node_with_links('z1', {})
+    peers = {}
+    for node_id, changes_only in [('first', False), ('second', True)]:
+        peers[node_id] = FakePeer(node_id)
+        status = node_messages.NodeStatus(
+            '10.0.0.2', 1, '', True, 0, False, changes_only, True
+        )
+        node.hub.record_status(peers[node_id], status)
+    node.announce(server(1))
+    loaded = attrs.evolve(
+        server(1), sequence=server(1).sequence + 1, end_layer=4
+    )
+    news = node_messages.BackendNews([loaded])
+    node.handle_frame(news)
+    node.relay_backends(news)
+    node.hub._send_batch()
+    for peer in peers.values():
+        assert peer.bodies[-1] == news
+    # The next announcement is a repeat.
+    repeat = attrs.evolve(loaded, sequence=loaded.sequence + 1)
+    node.relay_backends(node_messages.BackendNews([repeat]))
+    node.hub._send_batch()
+    assert (
+        sum(
+            isinstance(body, node_messages.BackendNews)
+            for body in peers['first'].bodies
+        )
+        == 2
+    )
