--- a/pimentowalk/placement/executor.py
+++ b/pimentowalk/placement/executor.py
@@ -129,9 +129,10 @@
         if len(records) != self._known_servers:
             self._known_servers = len(records)
             self._joined_s = now_s
-        is_settled = now_s - self._joined_s >= JOINED_QUIET_S
+        is_quiet = now_s - self._joined_s >= JOINED_QUIET_S
         is_late = now_s - self._started_s >= MAX_FIRST_SETTLE_S
         has_layers = any(record.backend.layer_count for record in records)
+        is_settled = bool(records) and is_quiet
         self._has_first_plan = is_settled or is_late or has_layers
         return not self._has_first_plan
 
--- a/pimentowalk/placement/tests/test_executor.py
+++ b/pimentowalk/placement/tests/test_executor.py
@@ -402,6 +402,20 @@
         task.cancel()
 
 
+async def test_first_plan_waits_for_servers_that_start_after_the_nodes():
+    """Nodes start faster than servers; the first server is not alone."""
+    created = ExecutorHarness(joined=False)
+    running = asyncio.ensure_future(created.executor.run())
+    await created.timers.advance(executor.FIRST_SETTLE_S + 0.5)
+    for backend in created.servers:
+        created.table.apply(backend)
+        await created.timers.advance(0.1)
+    assert created.orders == []
+    await created.timers.advance(executor.JOINED_QUIET_S + 0.2)
+    assert created.missing_layers() == 0
+    running.cancel()
+
+
 async def test_first_plan_does_not_wait_for_ever():
     """A server that starts again and again must not hold up the others."""
     created = ExecutorHarness()
