Bar traits that explain the same crashes only at the fifth

Traits that nothing tells apart were barred together at the third crash.

Change: traits that explain the same crashes wait for the fifth one. The crashes count as explained meanwhile, so that no weaker suspect is barred for them. test_rare_part_is_not_barred_because_it_was_there_three_times failed before.

--- a/pimentowalk/admission/crashes.py
+++ b/pimentowalk/admission/crashes.py
@@ -21,6 +21,8 @@
 # A trait is barred after this many crashes. Traits of other requests are
 # rarely present at three crashes without a completion in between.
 MIN_CRASHES = 3
+# Several traits that nothing tells apart are barred after this many.
+MIN_CRASHES_IF_TIED = 5
 # A trait is barred from this weight on: the crashes that it explains, times
 # the share of crashes among its outcomes. While servers crash, few requests
 # complete, so that a lower share takes more crashes.
@@ -292,11 +294,18 @@
             suspects = self._suspects(_count_traits(unexplained), counts)
             if not suspects:
                 break
-            # Traits that nothing tells apart are barred together.
-            best_rank = max(suspects.values())
-            best = {t for t, rank in suspects.items() if rank == best_rank}
-            bars.update((trait, self._bar(trait, groups)) for trait in best)
-            unexplained = [g for g in unexplained if not best & g[1]]
+            best = max(suspects, key=lambda t: (suspects[t], t))
+            explained = [group for group in unexplained if best in group[1]]
+            tied = {
+                trait
+                for trait, rank in suspects.items()
+                if rank == suspects[best]
+                and all(trait in traits for _, traits in explained)
+            }
+            # The next crash may tell which of them was there by chance.
+            if len(tied) == 1 or len(explained) >= MIN_CRASHES_IF_TIED:
+                bars.update((t, self._bar(t, groups)) for t in tied)
+            unexplained = [g for g in unexplained if best not in g[1]]
         for trait, bar in bars.items():
             known = self._bars.get(trait)
             if known is None or known.until_s <= now_s < bar.until_s:
--- a/pimentowalk/admission/tests/test_crashes.py
+++ b/pimentowalk/admission/tests/test_crashes.py
@@ -99,6 +99,27 @@
     assert not world.barred(SHARED)
 
 
+def test_rare_part_is_not_barred_because_it_was_there_three_times(world):
+    """DENIED: parts of sound sessions had not completed in between.
+
+    Nothing told them from the deadly part at the third crash.
+    """
+    for number in range(3):
+        world.crash(100 + number, DEADLY, RARE)
+    assert not world.barred(RARE)
+    world.crash(200, DEADLY)
+    assert world.barred(DEADLY) == 3
+    assert not world.barred(RARE)
+
+
+def test_parts_that_always_come_together_are_barred_together(world):
+    """Either of them may be the cause; waiting would cost more servers."""
+    for _ in range(crashes.MIN_CRASHES_IF_TIED):
+        assert not world.barred(DEADLY)
+        world.crash(DEADLY, OTHER)
+    assert world.barred(DEADLY) == world.barred(OTHER) == 3
+
+
 def test_two_parts_are_found_beside_a_crash_by_load(world):
     """Each part explains its own crashes, and none explains the other."""
     for number in range(crashes.MIN_CRASHES):
