Take the service of a request from the version that admitted it

Where a configuration without a service came into force while the body of a request for it was on its way, the caller got a bare 500 of the HTTP library, without a request id, and no log line named the request. With an engine that had changed, the path was searched for the layers of the new version: 503 "no path holds all layers".

The route came from the document that had admitted the request, but its service was looked up by name in the document in force after the body had been read: KeyError, or two versions mixed in one request. The call now carries the document that admitted it, and its route and service both come from there. Servers are found by the name of the service, which does not depend on the document.

That the fault was the one that was reported is not shown.

--- a/pimentowalk/dispatch/calls.py
+++ b/pimentowalk/dispatch/calls.py
@@ -12,6 +12,7 @@
 class Call:
     """One client request, as the front decoded it.
 
+    `document` is the version of the configuration that admitted the request.
     `target` is the path and query of the request. `deadline_s` is when the
     client gives up, `timeout_at_s` when the timeout of the route ends.
     `forwarded_headers` go to the backend server unchanged. `last_event_id`
@@ -25,6 +26,7 @@
     target: str
     forwarded_headers: list
     body: bytes
+    document: object
     route: object
     account: object
     received_s: float
--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -243,19 +243,23 @@
             step='admit',
         )
 
-    def choose_service(self, route):
-        """Return a service of a route, chosen at random by weight."""
-        names = [name for name, _ in route.backends]
-        weights = [weight for _, weight in route.backends]
+    def choose_service(self, call):
+        """Return a service of the route of a call, at random by weight.
+
+        A newer document may lack the services of the route, so that both
+        come from the document that admitted the call.
+        """
+        names = [name for name, _ in call.route.backends]
+        weights = [weight for _, weight in call.route.backends]
         name = names[0]
         if len(names) > 1:
             name = self.rng.choices(names, weights)[0]
-        return self.node.document.services[name]
+        return call.document.services[name]
 
     async def handle(self, call, responder):
         """Run a call; raise PimentowalkError if it could not be completed."""
         self.reject_if_barred(call)
-        service = self.choose_service(call.route)
+        service = self.choose_service(call)
         self.budget.count_request(service.name)
         run_class = stream.StreamRun if service.engine else plain.PlainRun
         run = run_class(self, call, service, responder)
@@ -277,7 +281,7 @@
                 request_id=call.request_id,
                 route=call.route.name,
                 elapsed_ms=int(elapsed_s * 1000),
-                version=self.node.document_version,
+                version=call.document.version,
                 **run.log_fields(),
             ),
         )
--- a/pimentowalk/platform/front.py
+++ b/pimentowalk/platform/front.py
@@ -195,8 +195,7 @@
         document = self._node.document
         if document is None:
             raise errors.NotRun('no configuration yet', step='admit')
-        target = request.raw_path
-        path = target.partition('?')[0]
+        path = request.raw_path.partition('?')[0]
         host = request.headers.get('Host', '').partition(':')[0].lower()
         route = document.route(host, path)
         if route is None:
@@ -204,7 +203,7 @@
         account = self._authenticate(request, document, route)
         body = await request.read()
         return self._build_call(
-            request, request_id, received_s, route, account, target, body
+            request, request_id, received_s, document, route, account, body
         )
 
     async def _wait_for_start(self):
@@ -238,9 +237,10 @@
         return account
 
     def _build_call(
-        self, request, request_id, received_s, route, account, target, body
+        self, request, request_id, received_s, document, route, account, body
     ):
         headers = request.headers
+        target = request.raw_path
         remaining_ms = _parse_number(headers.get(names.DEADLINE_MS), 0)
         deadline_s = received_s + (
             remaining_ms / 1000 if remaining_ms else route.timeout_s
@@ -255,6 +255,7 @@
             target=target,
             forwarded_headers=_forwarded_headers(headers),
             body=body,
+            document=document,
             route=route,
             account=account,
             received_s=received_s,
--- a/pimentowalk/platform/tests/test_engines.py
+++ b/pimentowalk/platform/tests/test_engines.py
@@ -68,6 +68,7 @@
         target='/look/2f',
         forwarded_headers=[('Pimentowalk-Request-Id', 'r1')],
         body=b'',
+        document=document,
         route=document.route('a.example', '/look/2f'),
         account=None,
         received_s=0.0,
