Answer and log requests that end with an unexpected exception

Callers whose request met a fault of the program got a bare 500 of the HTTP library, without a request id; the log had a traceback that named no request. One such case is a server whose answer has a control character in a header: the HTTP library refuses to write it to the caller with a ValueError. A request whose caller left, or that the process cancelled, left no line at all, so that a request without an answer could not be told from one that its caller had given up.

The front caught errors of the project, connection errors and bodies that are too large, and let all other exceptions and cancellations pass. It now has one last handler: it logs the traceback with the request id, answers 503 "not run" if nothing was sent to a server and 500 otherwise, and cuts a stream that has begun. Each line on the end of a request has its age, the number of sends, the version that admitted it and whether a started response was cut.

--- a/pimentowalk/dispatch/call_run.py
+++ b/pimentowalk/dispatch/call_run.py
@@ -51,6 +51,7 @@
                 break
             self._dispatcher.reject_if_barred(self._call)
             self._tries += 1
+            self._call.sends += 1
             try:
                 await self._try_target()
                 return
--- a/pimentowalk/dispatch/calls.py
+++ b/pimentowalk/dispatch/calls.py
@@ -18,7 +18,8 @@
     `forwarded_headers` go to the backend server unchanged. `last_event_id`
     is the last event that the client has received. `fingerprint` is a hash of
     the request, 0 if it has no body, and `shared_parts` are the hashes of the
-    parts of its prompt that other requests may have as well.
+    parts of its prompt that other requests may have as well. `sends` counts
+    the tries that may have reached a server.
     """
 
     request_id: str
@@ -38,6 +39,7 @@
     last_event_id: int = 0
     fingerprint: int = 0
     shared_parts: tuple = ()
+    sends: int = 0
 
     @property
     def traits(self):
--- a/pimentowalk/dispatch/tests/fakes.py
+++ b/pimentowalk/dispatch/tests/fakes.py
@@ -62,6 +62,7 @@
         received_s=now_s,
         expires_at_s=now_s + 10,
         last_event_id=0,
+        sends=0,
         priority=1,
         prompt_tokens=tokens,
         expected_answer_tokens=0,
--- a/pimentowalk/dispatch/tests/test_call_run.py
+++ b/pimentowalk/dispatch/tests/test_call_run.py
@@ -44,7 +44,9 @@
         has_pauses=False,
     )
     now_s = timers.now_s()
-    call = types.SimpleNamespace(received_s=now_s, expires_at_s=now_s + 10)
+    call = types.SimpleNamespace(
+        received_s=now_s, expires_at_s=now_s + 10, sends=0
+    )
     return InstantRun(dispatcher, call, None, None), table
 
 
--- a/pimentowalk/platform/front.py
+++ b/pimentowalk/platform/front.py
@@ -1,18 +1,16 @@
 """Decode the requests of callers and return the responses to them."""
 
+import asyncio
 import itertools
-import logging
 
 from aiohttp import web
 
 from pimentowalk.core import errors
 from pimentowalk.core import identifiers
-from pimentowalk.core import logs
 from pimentowalk.dispatch import calls
 from pimentowalk.dispatch import transport
 from pimentowalk.platform import names
-
-LOG = logging.getLogger(__name__)
+from pimentowalk.platform import request_log
 
 # Range of Retry-After: after this time, a lost server has been replaced in
 # most cases. Drawn at random so that callers do not retry simultaneously.
@@ -54,6 +52,13 @@
         """Return whether status and headers have been set."""
         return self.response is not None
 
+    @property
+    def is_committed(self):
+        """Return whether the caller can get no other response any more."""
+        if self.response is None:
+            return False
+        return self._is_stream or self._request.writer.output_size > 0
+
     async def start(self, answer):
         """Start the response with the status and headers of an answer."""
         self.response = web.StreamResponse(status=answer.status)
@@ -122,53 +127,50 @@
     async def _handle(self, request):
         received_s = self._timers.now_s()
         request_id = request.headers.get(names.REQUEST_ID, '')
+        log = request_log.RequestLog(
+            request_id, received_s, self._timers.now_s, self._node
+        )
         responder = CallerResponder(request, lambda: self._drain.draining)
         self._metrics.count('requests')
         self._busy_connections.add(request.protocol)
         with self._drain.track(f'{request_id}/{next(self._serial)}'):
             try:
-                call = await self._decode_call(request, request_id, received_s)
-                await self._dispatcher.handle(call, responder)
-                response = responder.response
-            except errors.PimentowalkError as error:
-                response = self._error_response(
-                    request_id, error, responder, received_s
-                )
-            except web.HTTPRequestEntityTooLarge:
-                error = errors.PimentowalkError(
-                    'the body is too large', code='too_large', step='read'
+                log.call = await self._decode_call(
+                    request, request_id, received_s
                 )
-                response = self._error_response(
-                    request_id, error, responder, received_s
+                await self._dispatcher.handle(log.call, responder)
+                response = responder.response
+            except asyncio.CancelledError:
+                log.log_cancelled(
+                    is_connected=request.transport is not None,
+                    is_started=responder.started,
                 )
+                raise
             except ConnectionError as error:
-                LOG.info(
-                    'the caller closed the connection: %r',
-                    error,
-                    extra=logs.fields(step='answer', request_id=request_id),
-                )
+                log.log_closed(error, is_started=responder.started)
                 response = responder.response or web.Response(status=499)
+            except Exception as error:
+                response = self._error_response(error, log, responder)
             finally:
                 self._busy_connections.discard(request.protocol)
         return response
 
-    def _error_response(self, request_id, error, responder, received_s):
+    def _error_response(self, exception, log, responder):
+        if isinstance(exception, web.HTTPRequestEntityTooLarge):
+            error = errors.PimentowalkError(
+                'the body is too large', code='too_large', step='read'
+            )
+        else:
+            error = log.public_error(exception)
+        if error is not exception:
+            self._metrics.count(f'exceptions_{type(exception).__name__}')
         self._metrics.count(f'errors_{error.code}')
-        elapsed_s = self._timers.now_s() - received_s
-        LOG.info(
-            'request failed: %s',
-            error.message,
-            extra=logs.fields(
-                step=error.step,
-                peer=error.peer,
-                request_id=request_id,
-                code=error.code,
-                elapsed_ms=int(elapsed_s * 1000),
-                version=self._node.document_version,
-                lease_age_s=round(min(self._freshness.age_s, 1e6), 2),
-            ),
+        log.log_failed(
+            error,
+            is_cut=responder.is_committed,
+            lease_age_s=self._freshness.age_s,
         )
-        if responder.started:
+        if responder.is_committed:
             responder.abort()
             return responder.response
         response = web.json_response(
@@ -178,8 +180,8 @@
         if error.code in RETRY_AFTER_CODES:
             retry_after_s = self._choose_retry_after_s(error)
             response.headers[names.RETRY_AFTER] = f'{retry_after_s:.2f}'
-        if request_id:
-            response.headers[names.REQUEST_ID] = request_id
+        if log.request_id:
+            response.headers[names.REQUEST_ID] = log.request_id
         if self._drain.draining:
             response.force_close()
         return response
--- /dev/null
+++ b/pimentowalk/platform/tests/test_failed_requests.py
@@ -0,0 +1,82 @@
+"""Test how requests end that get no whole answer of a server."""
+
+import asyncio
+import logging
+
+import aiohttp
+import pytest
+import pytest_asyncio
+
+from pimentowalk.platform.tests import changing
+from tools.tests import waiting
+
+
+@pytest_asyncio.fixture
+async def scene():
+    """Start a front and its servers."""
+    new_scene = changing.Scene()
+    await new_scene.start()
+    yield new_scene
+    await new_scene.stop()
+
+
+async def _raise():
+    raise KeyError('a fault of the program')
+
+
+def _lines(caplog, request_id):
+    """Return the log lines about a request, by message."""
+    return {
+        record.getMessage(): record
+        for record in caplog.records
+        if getattr(record, 'request_id', '') == request_id
+    }
+
+
+@pytest.mark.parametrize(
+    ('step', 'status', 'sends'), [('admit', 503, 0), ('send 1', 500, 1)]
+)
+async def test_unexpected_exception_gets_an_honest_answer(
+    scene, caplog, step, status, sends
+):
+    """LOST: the caller got a bare 500 without an id, and no line told why.
+
+    Only a request that was never sent may be reported as not run.
+    """
+    if step == 'admit':
+        scene.dispatcher.crashes.barred = lambda traits: {}['missing']
+    scene.steps.actions[step] = _raise
+    answer = await scene.request('POST', '/book/2f', 'r1')
+    assert (answer.status, answer.request_id) == (status, 'r1')
+    assert scene.runs('r1') == 0
+    lines = _lines(caplog, 'r1')
+    (unexpected,) = [x for x in lines if x.startswith('unexpected error')]
+    assert lines[unexpected].exc_info
+    assert lines[unexpected].sends == sends
+
+
+async def test_unexpected_exception_cuts_a_started_stream(scene, caplog):
+    """MIXED: a stream that the program breaks off must not look complete."""
+    caplog.set_level(logging.INFO)
+
+    async def fail():
+        (run,) = scene.dispatcher.runs
+        await waiting.until(lambda: run._first_event_s is not None)
+        run._events = None
+
+    scene.steps.actions['pause'] = fail
+    with pytest.raises(aiohttp.ClientPayloadError):
+        await scene.request('POST', '/draft/2f', 'r1')
+    assert _lines(caplog, 'r1')['request failed: unexpected error'].is_cut
+
+
+async def test_caller_that_leaves_is_logged(scene, caplog):
+    """Lost requests could not be told from those that callers gave up."""
+    caplog.set_level(logging.INFO)
+    scene.steps.actions['run'] = lambda: asyncio.sleep(0.2)
+    request = asyncio.ensure_future(scene.request('POST', '/book/2f', 'r1'))
+    await waiting.until(lambda: scene.runs('r1'))
+    request.cancel()
+    message = 'the caller closed the connection'
+    await waiting.until(lambda: message in _lines(caplog, 'r1'))
+    assert _lines(caplog, 'r1')[message].sends == 1
