Keep a silent server until another one may take over

Callers lost streams that had begun while their server only fell silent for a second: the connection was closed before the answer was whole. It happened on routes that may not run again, after the last attempt of a route, and while the retry budget denied a retry; without another path, the stream was cut or used up an attempt at the same server.

A stalled stream was interrupted first, which closes its connection to the server and ends the run, and only then was it checked whether the route, the budget and the other servers allow to go on elsewhere. A report that was answered with an error counted as a stall as well. Now a stream that has begun, or that may not run again, leaves its server only for another path and with a retry that the budget has granted; until then it stays connected, and the recovery is tried again. An order to reroute that was refused is repeated after 0.8 s at the earliest. A new stream that may be repeated is still given up early, since its caller can come back. A log line tells of each stream that stays at a silent server.

test_silent_streams.py lets a server pause for 1 s in a stream, with reports that name the stall, fail with 503 or stay unanswered. That this is what was reported is not shown.

--- a/pimentowalk/dispatch/call_run.py
+++ b/pimentowalk/dispatch/call_run.py
@@ -107,22 +107,30 @@
         """Return whether the retry budget allows another try in time."""
         dispatcher = self._dispatcher
         timers = dispatcher.timers
-        share = self._retry_budget_share()
         until_s = min(self._wait_end_s(), self._call.expires_at_s)
         is_denied = False
         while timers.now_s() < self._call.expires_at_s:
-            if dispatcher.budget.take(
-                self._service.name, dispatcher.node.live_nodes, share=share
-            ):
+            if self._take_retry():
                 return True
             if not is_denied:
-                dispatcher.log_denied_retry(self._call, self._service, share)
+                dispatcher.log_denied_retry(
+                    self._call, self._service, self._retry_budget_share()
+                )
                 is_denied = True
             if timers.now_s() >= until_s:
                 return False
             await timers.sleep(RETRY_POLL_S)
         return False
 
+    def _take_retry(self):
+        """Return whether the retry budget allows another try now."""
+        dispatcher = self._dispatcher
+        return dispatcher.budget.take(
+            self._service.name,
+            dispatcher.node.live_nodes,
+            share=self._retry_budget_share(),
+        )
+
     def _retry_budget_share(self):
         """Return the share of the retry budget that the call may use."""
         return 1.0
--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -299,6 +299,20 @@
             ),
         )
 
+    def log_kept_try(self, call, target, address, reason):
+        """Log that a silent server is not left, since none can take over."""
+        self.metrics.count('kept_tries')
+        LOG.info(
+            'no other path for a stalled stream: %s',
+            reason,
+            extra=logs.fields(
+                step='recover',
+                peer=target.backend.address,
+                request_id=call.request_id,
+                culprit=address,
+            ),
+        )
+
     def log_failed_try(self, call, target, error):
         """Log why a try failed."""
         self.metrics.count(f'failed_tries_{error.code}')
--- a/pimentowalk/dispatch/watched_run.py
+++ b/pimentowalk/dispatch/watched_run.py
@@ -17,6 +17,8 @@
 # lag by 200 ms, and under load all streams wait and ask.
 REPORT_DELAY_S = 0.1
 MAX_REPORT_DELAY_S = 0.8
+# A head that has refused to reroute a call is not asked again before this.
+REROUTE_INTERVAL_S = 0.8
 # A path with a failed server is left without asking the head, unless an
 # event arrived within this time.
 FAILED_SERVER_TIMEOUT_S = 0.06
@@ -35,6 +37,11 @@
         self._report_task = None
         self._report_count = 0
         self._recovery_task = None
+        # Whether the retry budget has granted the next try.
+        self._has_retry = False
+        # Whether the call has kept a try on a path that had stalled.
+        self._has_waited = False
+        self._next_reroute_s = 0.0
 
     @property
     def has_output(self):
@@ -113,11 +120,7 @@
             await self._delay_next_report()
             return
         except calls.TryFailed as error:
-            self._interrupt(
-                calls.Stalled(
-                    error.message, peer=head.address, culprit=head.address
-                )
-            )
+            self._recover(head.address, error.message)
             return
         address = report.stalled.get(self._call.request_id)
         if address is None:
@@ -144,24 +147,74 @@
             )
 
     async def _leave_server(self, address, reason):
-        for server in self._target.servers:
-            if server.address == address:
-                self._excluded.add(server.server_id)
+        head = self._target.backend
+        suspects = {
+            server.server_id
+            for server in self._target.servers
+            if server.address == address
+        } - self._excluded
+        self._excluded |= suspects
         # Another execution continues within 100 ms. Rerouting has to wait
         # until the stalled step is given up, but takes no attempt.
-        can_execute = self._executions < self._call.route.attempts
-        is_head = address == self._target.backend.address
-        if can_execute or is_head or not await self._reroute():
+        is_head = address == head.address
+        may_interrupt = self._may_interrupt(is_head=is_head)
+        if not (may_interrupt or is_head) and await self._reroute():
+            return
+        if may_interrupt or self._can_fail():
             self._interrupt(
-                calls.Stalled(
-                    reason, peer=self._target.backend.address, culprit=address
-                )
+                calls.Stalled(reason, peer=head.address, culprit=address)
             )
+            return
+        self._excluded -= suspects
+        await self._wait_for_events(address, reason)
+
+    def _can_execute(self):
+        """Return whether the route allows another execution."""
+        route = self._call.route
+        return route.is_repeatable and self._executions < route.attempts
+
+    def _can_fail(self):
+        """Return whether the client can repeat the call if it fails now."""
+        return self._call.route.is_repeatable and not self._responder.started
+
+    def _may_interrupt(self, *, is_head):
+        """Return whether the current try should be given up.
+
+        A silent server may go on. A call whose failure loses an answer
+        leaves it only for another path, with a retry that is granted before.
+        """
+        if self._can_fail():
+            return is_head or self._can_execute()
+        if not (self._can_execute() and self._choose_hops()):
+            return False
+        self._has_retry = self._has_retry or self._take_retry()
+        return self._has_retry
+
+    async def _acquire_retry(self):
+        if self._has_retry:
+            self._has_retry = False
+            return True
+        return await super()._acquire_retry()
+
+    async def _wait_for_events(self, address, reason):
+        """Leave the try as it is for a while before the next recovery."""
+        if not self._has_waited:
+            self._has_waited = True
+            self._dispatcher.log_kept_try(
+                self._call, self._target, address, reason
+            )
+        if self._report_task is not None and self._report_task.done():
+            await self._delay_next_report()
+        else:
+            await self._dispatcher.timers.sleep(REPORT_DELAY_S)
+        self._recovery_task = None
 
     async def _reroute(self):
         """Continue over other hops from the same head, if possible."""
         dispatcher = self._dispatcher
         old = self._target
+        if dispatcher.timers.now_s() < self._next_reroute_s:
+            return False
         if dispatcher.pauses.is_paused(old.backend):
             return False
         hops = self._choose_hops(head=old.hops[0])
@@ -174,6 +227,9 @@
             )
         except calls.TryFailed as error:
             dispatcher.log_failed_try(self._call, target, error)
+            self._next_reroute_s = (
+                dispatcher.timers.now_s() + REROUTE_INTERVAL_S
+            )
             return False
         dispatcher.metrics.count('moved_paths')
         dispatcher.in_flight.end(old.server_ids, self._tokens)
--- a/pimentowalk/platform/tests/changing.py
+++ b/pimentowalk/platform/tests/changing.py
@@ -61,6 +61,15 @@
         self.steps = steps
         self.layers = (0, samples.ENGINE['layers'])
         self.runs = collections.Counter()
+        # The status of reports; None delays them beyond any timeout.
+        self.report_status = 200
+
+    async def _report(self, request):
+        if self.report_status is None:
+            await asyncio.sleep(REQUEST_TIMEOUT_S)
+        if self.report_status != 200:
+            return web.Response(status=self.report_status)
+        return await super()._report(request)
 
     async def _serve(self, request):
         request_id = request.headers[names.REQUEST_ID]
@@ -85,7 +94,8 @@
         await self.steps.reach('event')
         await response.write(b'data: x\n\n')
         await self.steps.reach('pause')
-        for number in range(2, EVENTS + 1):
+        last_id = int(request.headers.get(names.LAST_EVENT_ID, 0))
+        for number in range(max(2, last_id + 1), EVENTS + 1):
             await response.write(f'id: {number}\ndata: x\n\n'.encode())
         await response.write_eof()
         return response
--- /dev/null
+++ b/pimentowalk/platform/tests/test_silent_streams.py
@@ -0,0 +1,107 @@
+"""Test started streams whose server falls silent for a second and goes on."""
+
+import asyncio
+import json
+
+import pytest
+import pytest_asyncio
+
+from pimentowalk.platform import announcements
+from pimentowalk.platform.tests import changing
+from pimentowalk.platform.tests import test_document_changes
+
+SILENCE_S = 1.0
+ANSWER = changing.Answer(200, 'r1', test_document_changes.EVENTS)
+
+
+@pytest_asyncio.fixture
+async def scene():
+    """Start a front and its servers."""
+    new_scene = changing.Scene()
+    await new_scene.start()
+    yield new_scene
+    await new_scene.stop()
+
+
+def _fall_silent(scene, *, reports, step='pause'):
+    """Let the server of a stream pause; its report says that it stalls.
+
+    `reports` tells how its reports are answered meanwhile.
+    """
+
+    async def pause():
+        (running,) = [server for server in scene.servers if server.runs['r1']]
+        running.stalled = [{'id': 'r1', 'address': running.address}]
+        running.report_status = reports
+        await asyncio.sleep(SILENCE_S)
+
+    scene.steps.actions[step] = pause
+
+
+def _set_route(data, changes):
+    data['routes'][0].update(changes)
+
+
+def _deny_retries(scene):
+    scene.dispatcher.budget.take = lambda *_, **__: False
+
+
+@pytest.mark.parametrize('reports', [200, 503, None])
+@pytest.mark.parametrize(
+    'changes', [{'resumable': False}, {'attempts': 1}], ids=str
+)
+async def test_silent_server_without_successor_is_not_left(
+    scene, reports, changes
+):
+    """LOST: a stream that may not run again was cut while its server paused.
+
+    None stands for a server that does not answer report requests either.
+    """
+    scene.configure(_set_route, changes)
+    _fall_silent(scene, reports=reports)
+    assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
+    assert scene.runs('r1') == 1
+
+
+@pytest.mark.parametrize('reports', [200, 503, None])
+async def test_call_that_may_not_run_again_keeps_its_silent_server(
+    scene, reports
+):
+    """Its caller got 502 before the first event, and could not repeat it."""
+    scene.configure(_set_route, {'resumable': False})
+    _fall_silent(scene, reports=reports, step='run')
+    assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
+    assert scene.runs('r1') == 1
+
+
+@pytest.mark.parametrize('reports', [200, 503, None])
+async def test_silent_server_is_not_left_without_a_retry(scene, reports):
+    """LOST: a stream was cut when the retry budget denied its resumption."""
+    _deny_retries(scene)
+    _fall_silent(scene, reports=reports)
+    assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
+    assert scene.runs('r1') == 1
+
+
+@pytest.mark.parametrize('reports', [200, 503, None])
+async def test_silent_server_is_not_left_without_another_path(scene, reports):
+    """LOST: a stream was cut when no other server held its layers."""
+    draining = scene.servers[1]
+    announcement = draining.announcement() | {'state': 'draining'}
+    scene.node.backends.apply(
+        announcements.decode(
+            draining.server_id, json.dumps(announcement).encode()
+        )
+    )
+    _fall_silent(scene, reports=reports)
+    assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
+    assert scene.runs('r1') == 1
+
+
+async def test_silent_server_is_left_for_another_one(scene):
+    """A pause makes an answer late if another server could have gone on."""
+    _fall_silent(scene, reports=200)
+    since_s = scene.timers.now_s()
+    assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
+    assert scene.runs('r1') == 2
+    assert scene.timers.now_s() - since_s < SILENCE_S
