Let paused servers run layers for other heads

Callers: with a third of the servers asking for a pause, streams waited up to 1 s for room and were refused, although most servers were free.

Cause: a server that had asked a node for a pause was left out of every position of a path, and its refusal marked it as short of memory for 0.4 s, also for streams that it would not have begun. A few pauses so took a whole range of layers from a node.

Change: a paused server is no head of a new path; at later positions it is used where that is cheaper than a path across zones. Its refusal says nothing about its memory. The pause itself is kept as before: requests, reports and orders of this node.

test_refusal_with_a_pause_does_not_count_as_full failed before: assert ['i-1'] == []. The four tests of paths need the new field of the query. One assertion of the pause test named dispatcher.usable, which no longer leaves out paused servers; it now names the paused servers, as strict.

--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -148,11 +148,8 @@
         )
 
     def usable(self, service_name):
-        """Return the servers that accept new work from this node."""
-        servers = self.node.backends.usable(service_name)
-        if not self.pauses:
-            return servers
-        return [b for b in servers if not self.pauses.is_paused(b)]
+        """Return the servers that accept new work."""
+        return self.node.backends.usable(service_name)
 
     def pause_s(self, service_name):
         """Return when the first server of a service ends its pause.
@@ -165,6 +162,14 @@
             if self.pauses.is_paused(backend)
         )
 
+    def paused_ids(self, servers):
+        """Return the ids of the servers that want no request of this node."""
+        if not self.pauses:
+            return frozenset()
+        return frozenset(
+            b.server_id for b in servers if self.pauses.is_paused(b)
+        )
+
     @property
     def has_pauses(self):
         """Return whether a server may end its pause."""
--- a/pimentowalk/dispatch/plain.py
+++ b/pimentowalk/dispatch/plain.py
@@ -40,12 +40,13 @@
 
     def _choose(self):
         dispatcher = self._dispatcher
+        servers = dispatcher.usable(self._service.name)
         backend = choose_server(
-            dispatcher.usable(self._service.name),
+            servers,
             dispatcher.in_flight,
             dispatcher.outcomes,
             zone=dispatcher.zone,
-            excluded=self._excluded,
+            excluded=self._excluded | dispatcher.paused_ids(servers),
             rng=dispatcher.rng,
         )
         return calls.Target(backend) if backend else None
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -309,12 +309,14 @@
             self._count_uncertain_execution(error, culprit)
         for server in target.servers:
             if server.address == culprit:
+                is_paused = dispatcher.pauses.is_paused(server)
                 # A full server may be the only one for a started stream,
-                # which then waits until the server has capacity.
-                if not (is_refused and self._responder.started):
+                # which then waits until the server has capacity. A paused one
+                # may still run layers for another head.
+                if not (is_refused and (self._responder.started or is_paused)):
                     self._excluded.add(server.server_id)
                 dispatcher.outcomes.record(server.server_id, failed=True)
-                if is_refused:
+                if is_refused and not is_paused:
                     dispatcher.in_flight.record_full(server.server_id)
                 if not is_refused:
                     dispatcher.report_failed_run(
--- a/pimentowalk/dispatch/tests/fakes.py
+++ b/pimentowalk/dispatch/tests/fakes.py
@@ -50,6 +50,7 @@
         usable=table.usable,
         pauses=pauses.ServerPauses(timers.now_s, 60.0),
         pause_s=lambda _: 0.0,
+        paused_ids=lambda _: frozenset(),
         has_pauses=False,
         reject_if_barred=lambda _: None,
         report_failed_run=lambda *_, **__: None,
--- a/pimentowalk/dispatch/tests/test_pauses.py
+++ b/pimentowalk/dispatch/tests/test_pauses.py
@@ -10,7 +10,9 @@
 from pimentowalk.dispatch import calls
 from pimentowalk.dispatch import checks
 from pimentowalk.dispatch import pauses
+from pimentowalk.dispatch import stream
 from pimentowalk.dispatch.tests import fakes
+from pimentowalk.routing import hops
 
 SERVER, OTHER = fakes.server(1), fakes.server(2)
 
@@ -107,3 +109,35 @@
     with pytest.raises(calls.Paused):
         await server_checks.report(SERVER)
     assert asked == []
+
+
+def _refused_stream(dispatcher):
+    """Return a stream whose try the head of its path has refused."""
+    run = stream.StreamRun(
+        dispatcher,
+        fakes.call(dispatcher.timers.now_s()),
+        types.SimpleNamespace(name='svc'),
+        fakes.responder(),
+    )
+    run._target = calls.Target(SERVER, (hops.Hop(SERVER, 0, 8),))
+    run._handle_failure(
+        calls.Refused('no', peer=SERVER.address, culprit=SERVER.address)
+    )
+    return run
+
+
+@pytest.mark.parametrize('pause_s', [0.0, 3.0])
+async def test_refusal_with_a_pause_does_not_count_as_full(pause_s):
+    """Streams waited 1 s for room, since one server of the path paused.
+
+    The server turned away a request of its own; it still runs layers for
+    other heads.
+    """
+    dispatcher = fakes.dispatcher(SERVER)
+    full = []
+    dispatcher.in_flight.record_full = full.append
+    if pause_s:
+        dispatcher.pauses.record(SERVER, pause_s)
+    run = _refused_stream(dispatcher)
+    assert full == ([] if pause_s else ['i-1'])
+    assert run._excluded == (set() if pause_s else {'i-1'})
--- a/pimentowalk/dispatch/watched_run.py
+++ b/pimentowalk/dispatch/watched_run.py
@@ -55,14 +55,16 @@
 
     def _choose_hops(self, head=None):
         dispatcher = self._dispatcher
+        servers = dispatcher.usable(self._service.name)
         return dispatcher.paths.choose(
-            dispatcher.usable(self._service.name),
+            servers,
             routing_hops.PathQuery(
                 self._service.engine.total_layers,
                 self._tokens,
                 dispatcher.zone,
                 frozenset(self._excluded),
                 head,
+                dispatcher.paused_ids(servers),
             ),
         )
 
--- a/pimentowalk/platform/tests/test_gateway.py
+++ b/pimentowalk/platform/tests/test_gateway.py
@@ -469,7 +469,7 @@
         )
         assert status == 200
     dispatcher = cluster.gateways[0].dispatcher
-    assert [b.server_id for b in dispatcher.usable('model')] == ['m-2']
+    assert dispatcher.paused_ids(dispatcher.usable('model')) == {'m-1'}
     seen = len(full.requests_seen), full.reports_sent
     paused = cluster.gateways[0].node.backends.get('m-1')
     assert await dispatcher.checks.answers(paused)
@@ -485,11 +485,11 @@
         assert (status, body) == (200, ALL_EVENTS)
     assert (len(full.requests_seen), full.reports_sent) == seen
     # The word was to that node alone.
-    others = cluster.gateways[1].dispatcher.usable('model')
-    assert len(others) == 2
+    other = cluster.gateways[1].dispatcher
+    assert not other.paused_ids(other.usable('model'))
     full.refuses = False
     await waiting.until(
-        lambda: len(cluster.gateways[0].dispatcher.usable('model')) == 2
+        lambda: not dispatcher.paused_ids(dispatcher.usable('model'))
     )
 
 
--- a/pimentowalk/routing/hops.py
+++ b/pimentowalk/routing/hops.py
@@ -26,6 +26,9 @@
 # The cost of a server at which every call fails: a failed attempt uses up
 # retry budget in addition to the time lost.
 FAILURE_COST_S = 1.0
+# The cost of a server that has asked this node for a pause. It still runs
+# layers for other heads, and is cheaper than a path across zones.
+PAUSED_COST_S = 1.0
 MAX_HOPS = 32
 # Costs of paths in other zones are searched again after this time. Loads of
 # other nodes are known with a greater delay anyway.
@@ -48,8 +51,9 @@
 class PathQuery:
     """Requirements for a path, and the zone of the caller.
 
-    `avoid` holds the ids of servers that must not be used. `head` is the first
-    hop of a running request, which a new path has to keep.
+    `avoid` holds the ids of servers that must not be used, `paused` those of
+    servers that must not be the head and are otherwise used if need be. `head`
+    is the first hop of a running request, which a new path has to keep.
     """
 
     total_layers: int
@@ -57,6 +61,15 @@
     zone: str
     avoid: frozenset = frozenset()
     head: Hop | None = None
+    paused: frozenset = frozenset()
+
+    def may_begin_at(self, backend):
+        """Return whether a server may be the head of a new path."""
+        return (
+            self.head is None
+            and backend.first_layer == 0
+            and backend.server_id not in self.paused
+        )
 
 
 def hop_cost_s(backend, layers, query, loads, outcomes):
@@ -72,6 +85,7 @@
         + work_s * (1 + share)
         + FULL_MEMORY_COST_S * excess * excess
         + FAILURE_COST_S * failures
+        + PAUSED_COST_S * (backend.server_id in query.paused)
     )
 
 
@@ -223,7 +237,7 @@
         """Return the cheapest path to the end of a server's range."""
         jitter = 1 + self._rng.random() * JITTER_SHARE
         best = None
-        if backend.first_layer == 0 and query.head is None:
+        if query.may_begin_at(backend):
             layers = backend.end_layer
             cost_s = jitter * self._hop_cost_s(backend, layers, query)
             if backend.zone != query.zone:
@@ -294,6 +308,7 @@
                 for b in backends
                 if b.first_layer <= boundary < b.end_layer
                 and b.server_id not in query.avoid
+                and (boundary > 0 or b.server_id not in query.paused)
             ]
             if not candidates:
                 return None
--- a/pimentowalk/routing/tests/test_hops.py
+++ b/pimentowalk/routing/tests/test_hops.py
@@ -343,3 +343,39 @@
     odd = _server('odd', 0, 9000, kind='a100')
     path = _policy().choose([*sound, odd], _query())
     assert [hop.backend.server_id for hop in path] == ['a', 'b']
+
+
+@pytest.mark.parametrize('name', ['cheapest', 'first_fit'])
+def test_paused_server_begins_no_path(name):
+    """A server that asked this node for a pause would get its request."""
+    servers = _chain('z1')
+    path = _policy(name=name).choose(
+        servers, _query(paused=frozenset({'z1-0'}))
+    )
+    assert path is None
+
+
+@pytest.mark.parametrize('name', ['cheapest', 'first_fit'])
+def test_paused_server_runs_the_layers_that_no_other_holds(name):
+    """A few pauses left a node without layers, and it refused streams."""
+    servers = _chain('z1')
+    path = _policy(name=name).choose(
+        servers, _query(paused=frozenset({'z1-40', 'z1-72'}))
+    )
+    assert _server_ids(path) == [s.server_id for s in servers]
+
+
+def test_paused_server_is_avoided_if_another_holds_its_layers():
+    """It is short of room, so each request it can be spared helps it."""
+    servers = [*_chain('z1'), _server('twin', 40, 48, 'z1')]
+    policy = _policy()
+    query = _query(paused=frozenset({'z1-40'}))
+    for _ in range(20):
+        assert 'twin' in _server_ids(policy.choose(servers, query))
+
+
+def test_paused_server_is_preferred_to_a_path_across_zones():
+    """The shared link between zones serves a dozen requests a second."""
+    servers = [*_chain('z1'), _server('far', 40, 48, 'z2')]
+    path = _policy().choose(servers, _query(paused=frozenset({'z1-40'})))
+    assert 'z1-40' in _server_ids(path)
