Name the end of a pause only if no server may begin a path

Callers: while one server paused, refused callers were told to come back when its pause ends, at most 60 s later, although other servers were free.

Cause: the time of return was the end of the first pause of any server, also where others did not pause and where the server begins no path.

Change: the end of a pause is named only if all servers that may begin a path pause, as ServerPauses.remaining_s already says.

test_caller_waits_for_a_pause_only_if_no_head_is_left failed with the earlier method of the dispatcher for one paused server of two: 2.0 instead of 0.0.

--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -151,17 +151,6 @@
         """Return the servers that accept new work."""
         return self.node.backends.usable(service_name)
 
-    def pause_s(self, service_name):
-        """Return when the first server of a service ends its pause.
-
-        Returns 0 if none pauses.
-        """
-        return self.pauses.remaining_s(
-            backend
-            for backend in self.node.backends.usable(service_name)
-            if self.pauses.is_paused(backend)
-        )
-
     def paused_ids(self, servers):
         """Return the ids of the servers that want no request of this node."""
         if not self.pauses:
--- a/pimentowalk/dispatch/plain.py
+++ b/pimentowalk/dispatch/plain.py
@@ -135,7 +135,9 @@
                 code='not_run',
                 step='forward',
                 peer=failure.peer if failure else '',
-                retry_after_s=self._dispatcher.pause_s(self._service.name),
+                retry_after_s=self._dispatcher.pauses.remaining_s(
+                    self._dispatcher.usable(self._service.name)
+                ),
             )
         return errors.OutcomeUnknown(
             failure.message, step=failure.step, peer=failure.peer
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -343,6 +343,14 @@
         if not self._call.route.is_repeatable:
             self._may_have_executed = True
 
+    def _pause_s(self):
+        """Return when a server may begin a path, 0 if one may now."""
+        return self._dispatcher.pauses.remaining_s(
+            server
+            for server in self._dispatcher.usable(self._service.name)
+            if server.first_layer == 0 and server.layer_count > 0
+        )
+
     def _final_error(self, failure):
         step = failure.step if failure else 'choose'
         peer = failure.peer if failure else ''
@@ -371,5 +379,5 @@
             code=code,
             step=step,
             peer=peer,
-            retry_after_s=self._dispatcher.pause_s(self._service.name),
+            retry_after_s=self._pause_s(),
         )
--- a/pimentowalk/dispatch/tests/fakes.py
+++ b/pimentowalk/dispatch/tests/fakes.py
@@ -49,7 +49,6 @@
         suspect=lambda *_, **__: None,
         usable=table.usable,
         pauses=pauses.ServerPauses(timers.now_s, 60.0),
-        pause_s=lambda _: 0.0,
         paused_ids=lambda _: frozenset(),
         has_pauses=False,
         reject_if_barred=lambda _: None,
--- a/pimentowalk/dispatch/tests/test_pauses.py
+++ b/pimentowalk/dispatch/tests/test_pauses.py
@@ -141,3 +141,24 @@
     run = _refused_stream(dispatcher)
     assert full == ([] if pause_s else ['i-1'])
     assert run._excluded == (set() if pause_s else {'i-1'})
+
+
+@pytest.mark.parametrize(
+    ('paused', 'expected_s'), [((1,), 0.0), ((1, 2), 2.0), ((1, 2, 3), 2.0)]
+)
+async def test_caller_waits_for_a_pause_only_if_no_head_is_left(
+    paused, expected_s
+):
+    """One long pause sent callers away although other servers were free."""
+    servers = [SERVER, OTHER, attrs.evolve(fakes.server(3), first_layer=4)]
+    dispatcher = fakes.dispatcher(*servers)
+    for number in paused:
+        dispatcher.pauses.record(servers[number - 1], 1.0 + number)
+    run = stream.StreamRun(
+        dispatcher,
+        fakes.call(dispatcher.timers.now_s()),
+        types.SimpleNamespace(name='svc'),
+        fakes.responder(),
+    )
+    error = run._final_error(None)
+    assert error.retry_after_s == pytest.approx(expected_s, abs=0.1)
