Keep a pause while its server is missing from the table

Cause: the periodic cleanup dropped all state of servers that are not in the table. A server that is dropped because its announcements are late comes back as the same incarnation, which is bound by its own pause.

Change: only pauses that have ended are removed. Their number is bounded by the longest pause that is accepted.

--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -109,9 +109,9 @@
 
     def _remove_departed(self):
         known = {r.backend.server_id for r in self.node.backends.records()}
-        trackers = (self.outcomes, self.checks, self.in_flight, self.pauses)
-        for tracker in trackers:
+        for tracker in (self.outcomes, self.checks, self.in_flight):
             tracker.keep_only(known)
+        self.pauses.remove_past()
 
     def _on_notice(self, backend, notice):
         """Act on what a server says of itself beside an answer."""
--- a/pimentowalk/dispatch/pauses.py
+++ b/pimentowalk/dispatch/pauses.py
@@ -59,11 +59,15 @@
         )
         return max(0.0, left_s)
 
-    def keep_only(self, server_ids):
-        """Remove the state of all other servers, and of past pauses."""
+    def remove_past(self):
+        """Remove the pauses that have ended.
+
+        A pause outlasts the record of its server: a server whose
+        announcements are late comes back as the same incarnation.
+        """
         now_s = self._now_s()
         for server_id, pause in list(self._pauses.items()):
-            if server_id not in server_ids or pause.until_s <= now_s:
+            if pause.until_s <= now_s:
                 del self._pauses[server_id]
 
     def _until_s(self, backend):
--- a/pimentowalk/platform/tests/test_gateway.py
+++ b/pimentowalk/platform/tests/test_gateway.py
@@ -493,6 +493,18 @@
     )
 
 
+async def test_pause_outlasts_the_record_of_its_server(cluster):
+    """A server whose announcements were late got requests in its pause."""
+    node, dispatcher = cluster.gateways[0].node, cluster.gateways[0].dispatcher
+    server = node.backends.get('j-1')
+    dispatcher.pauses.record(server, 30.0)
+    node.backends.drop(server)
+    dispatcher._remove_departed()
+    await cluster.platform.announce()
+    await waiting.until(lambda: node.backends.get('j-1'))
+    assert dispatcher.paused_ids(dispatcher.usable('jobs')) == {'j-1'}
+
+
 async def test_caller_is_told_when_the_first_pause_ends(cluster):
     """All servers pause: a refusal at once, with an honest time of return."""
     # The node has known all servers for a long time, and waits for no others.
