Let a failing search end its own stream only

If the search for a path raised an exception that is not of the project's own, the task that admits waiting streams ended: all streams in the queue waited in vain and were refused as overloaded at their time limit, and no line named the request. The next stream to wait started the task again, which failed at the same stream.

The exception now goes to the stream whose search raised it, where the front logs and answers it, and the queue goes on. Found by reading, not seen in a run. The new test failed before and passes after the fix.

--- a/pimentowalk/admission/room.py
+++ b/pimentowalk/admission/room.py
@@ -86,7 +86,14 @@
             if stream.priority in tried_priorities:
                 continue
             tried_priorities.add(stream.priority)
-            target = stream.find()
+            try:
+                target = stream.find()
+            except Exception as error:
+                # It ends this stream alone, whose task logs the error.
+                self._waiting.remove(stream)
+                if not stream.granted.done():
+                    stream.granted.set_exception(error)
+                continue
             if target is not None:
                 self._waiting.remove(stream)
                 if not stream.granted.done():
--- a/pimentowalk/admission/tests/test_room.py
+++ b/pimentowalk/admission/tests/test_room.py
@@ -133,3 +133,21 @@
     await timers.advance(2 * room.POLL_S)
     assert others[0].done()
     assert not blocked[0].done()
+
+
+async def test_failing_search_does_not_stop_the_queue(timers, queue):
+    """One search that raised held up all streams until they were refused."""
+
+    def fail():
+        raise KeyError('a fault of the program')
+
+    failing = asyncio.ensure_future(
+        queue.wait(fail, 0, due_s=20.0, until_s=30.0)
+    )
+    slots = Slots()
+    slots.free = 1
+    others = await start_streams(queue, slots, [('a', 1)])
+    await timers.advance(3 * room.POLL_S)
+    assert others[0].done()
+    with pytest.raises(KeyError):
+        await failing
