Log and repeat recovery steps that fail unexpectedly

An exception that is not of the project's own, raised while a silent stream queried its server or left it, ended the watch over that stream: the finished task stayed in place, so that no step was taken again, and the caller waited for a server that might have failed. Python reports such an exception only when the task is collected, without a request id.

Found by reading, not seen in a run.

--- a/pimentowalk/dispatch/watched_run.py
+++ b/pimentowalk/dispatch/watched_run.py
@@ -1,11 +1,15 @@
 """Detect why a stream has stalled, and recover it on another path."""
 
 import asyncio
+import logging
 
+from pimentowalk.core import logs
 from pimentowalk.dispatch import call_run
 from pimentowalk.dispatch import calls
 from pimentowalk.routing import hops as routing_hops
 
+LOG = logging.getLogger(__name__)
+
 # Without an event for this long, the head (the first server of the path) is
 # asked which server has stalled. Events usually follow each other within
 # 40 ms, and a pause above 250 ms makes an answer late.
@@ -85,7 +89,9 @@
             EVENT_TIMEOUT_S if self._has_output else FIRST_EVENT_TIMEOUT_S
         )
         if silent_s >= timeout_s and self._report_task is None:
-            self._report_task = asyncio.ensure_future(self._query_head())
+            self._report_task = asyncio.ensure_future(
+                self._repeat_if_it_fails(self._query_head())
+            )
 
     def _failed_server(self):
         """Return a server that failed or unloaded its layers, or None."""
@@ -133,6 +139,22 @@
             dispatcher.checks.check_blamed(culprit)
         self._recover(address, 'the path has stalled')
 
+    async def _repeat_if_it_fails(self, step):
+        """Run a step of the recovery; log an exception and allow it again."""
+        try:
+            await step
+        except Exception:
+            LOG.exception(
+                'a step of the recovery failed',
+                extra=logs.fields(
+                    step='recover',
+                    peer=self._target.backend.address,
+                    request_id=self._call.request_id,
+                ),
+            )
+            await self._delay_next_report()
+            self._recovery_task = None
+
     async def _delay_next_report(self):
         delay_s = min(
             REPORT_DELAY_S * 2**self._report_count, MAX_REPORT_DELAY_S
@@ -145,7 +167,7 @@
         """Leave a failed server by rerouting or by another execution."""
         if self._recovery_task is None:
             self._recovery_task = asyncio.ensure_future(
-                self._leave_server(address, reason)
+                self._repeat_if_it_fails(self._leave_server(address, reason))
             )
 
     async def _leave_server(self, address, reason):
