Say in the log what a request cut by a stop was

Operators reported requests that were cut at the end of a planned stop. The line `request cut by the stop` held an id and a serial number alone, so that the cause could not be traced. It now has the kind of the route, the age, how often the request was sent to a backend server, and whether it may have run; the request id is the one that the other lines of the request have.

--- a/pimentowalk/dispatch/call_run.py
+++ b/pimentowalk/dispatch/call_run.py
@@ -51,12 +51,15 @@
                 break
             self._dispatcher.reject_if_barred(self._call)
             self._tries += 1
+            self._call.activity.begin_try()
             try:
                 await self._try_target()
                 return
             except calls.TryFailed as error:
                 failure = error
                 self._handle_failure(error)
+                if isinstance(error, calls.Refused) and not self._executions:
+                    self._call.activity.may_have_run = False
                 if not self._may_retry(error):
                     break
         raise self._final_error(failure)
--- a/pimentowalk/dispatch/calls.py
+++ b/pimentowalk/dispatch/calls.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from pimentowalk.core import activity as core_activity
 from pimentowalk.core import errors
 
 # Protocol headers and status texts stay in the protocol adapter; dispatch
@@ -36,6 +37,9 @@
     last_event_id: int = 0
     fingerprint: int = 0
     shared_parts: tuple = ()
+    activity: core_activity.Activity = attrs.field(
+        factory=core_activity.Activity
+    )
 
     @property
     def traits(self):
--- a/pimentowalk/dispatch/tests/fakes.py
+++ b/pimentowalk/dispatch/tests/fakes.py
@@ -3,6 +3,7 @@
 import types
 
 from pimentowalk.admission import room as admission_room
+from pimentowalk.core import activity as core_activity
 from pimentowalk.core import metrics as core_metrics
 from pimentowalk.core import timers as core_timers
 from pimentowalk.dispatch import pauses
@@ -65,6 +66,7 @@
         priority=1,
         prompt_tokens=tokens,
         expected_answer_tokens=0,
+        activity=core_activity.Activity(),
         route=types.SimpleNamespace(
             is_repeatable=is_repeatable, attempts=2, objective_s=0.5
         ),
--- a/pimentowalk/dispatch/tests/test_call_run.py
+++ b/pimentowalk/dispatch/tests/test_call_run.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from pimentowalk.core import activity as core_activity
 from pimentowalk.core import errors
 from pimentowalk.core import timers as core_timers
 from pimentowalk.dispatch import call_run
@@ -44,7 +45,11 @@
         has_pauses=False,
     )
     now_s = timers.now_s()
-    call = types.SimpleNamespace(received_s=now_s, expires_at_s=now_s + 10)
+    call = types.SimpleNamespace(
+        received_s=now_s,
+        expires_at_s=now_s + 10,
+        activity=core_activity.Activity(),
+    )
     return InstantRun(dispatcher, call, None, None), table
 
 
--- a/pimentowalk/entry/drain.py
+++ b/pimentowalk/entry/drain.py
@@ -4,6 +4,9 @@
 import contextlib
 import logging
 
+import attrs
+
+from pimentowalk.core import activity as core_activity
 from pimentowalk.core import logs
 
 LOG = logging.getLogger(__name__)
@@ -14,6 +17,25 @@
 POLL_PERIOD_S = 0.05
 
 
+@attrs.define(eq=False)
+class ActiveRequest:
+    """A request in progress."""
+
+    request_id: object
+    started_s: float
+    activity: core_activity.Activity
+
+    def log_fields(self, now_s):
+        """Return the log fields of a request that did not finish."""
+        return {
+            'request_id': self.request_id,
+            'kind': self.activity.kind,
+            'age_ms': int((now_s - self.started_s) * 1000),
+            'tries': self.activity.tries,
+            'may_have_run': self.activity.may_have_run,
+        }
+
+
 class Drain:
     """Track requests in progress and let them finish before a stop."""
 
@@ -25,12 +47,15 @@
 
     @contextlib.contextmanager
     def track(self, request_id):
-        """Count a request as in progress."""
-        self._active.add(request_id)
+        """Count a request as in progress; yield its `Activity`."""
+        request = ActiveRequest(
+            request_id, self._timers.now_s(), core_activity.Activity()
+        )
+        self._active.add(request)
         try:
-            yield
+            yield request.activity
         finally:
-            self._active.discard(request_id)
+            self._active.discard(request)
 
     @property
     def active_count(self):
@@ -63,12 +88,13 @@
             if self._aborted.is_set():
                 break
             await self._sleep_unless_aborted(POLL_PERIOD_S)
-        for request_id in self._active:
+        now_s = self._timers.now_s()
+        for request in self._active:
             LOG.warning(
                 'request cut by the stop',
-                extra=logs.fields(request_id=request_id, step='drain'),
+                extra=logs.fields(step='drain', **request.log_fields(now_s)),
             )
-        return set(self._active)
+        return {request.request_id for request in self._active}
 
     async def _sleep_unless_aborted(self, delay_s):
         """Sleep, but return early when `abort` is called."""
--- a/pimentowalk/platform/front.py
+++ b/pimentowalk/platform/front.py
@@ -1,6 +1,5 @@
 """Decode the requests of callers and return the responses to them."""
 
-import itertools
 import logging
 
 from aiohttp import web
@@ -106,7 +105,6 @@
         self._timers = timers
         self._drain = drain
         self._metrics = metrics
-        self._serial = itertools.count()
         self._busy_connections = set()
 
     def is_busy(self, connection):
@@ -125,9 +123,11 @@
         responder = CallerResponder(request, lambda: self._drain.draining)
         self._metrics.count('requests')
         self._busy_connections.add(request.protocol)
-        with self._drain.track(f'{request_id}/{next(self._serial)}'):
+        with self._drain.track(request_id) as activity:
             try:
-                call = await self._decode_call(request, request_id, received_s)
+                call = await self._decode_call(
+                    request, request_id, received_s, activity
+                )
                 await self._dispatcher.handle(call, responder)
                 response = responder.response
             except errors.PimentowalkError as error:
@@ -190,7 +190,7 @@
             return error.retry_after_s + uniform(0.0, RETRY_AFTER_SPREAD_S)
         return uniform(*RETRY_AFTER_BY_CODE_S.get(error.code, RETRY_AFTER_S))
 
-    async def _decode_call(self, request, request_id, received_s):
+    async def _decode_call(self, request, request_id, received_s, activity):
         await self._wait_for_start()
         document = self._node.document
         if document is None:
@@ -201,11 +201,14 @@
         route = document.route(host, path)
         if route is None:
             raise self._admission_error('not_found', 'no route')
+        activity.kind = route.kind
         account = self._authenticate(request, document, route)
         body = await request.read()
-        return self._build_call(
+        call = self._build_call(
             request, request_id, received_s, route, account, target, body
         )
+        call.activity = activity
+        return call
 
     async def _wait_for_start(self):
         """Wait until the node has a configuration and a view of servers."""
