Read bodies to their end when a gateway closes its connections

What callers saw: a caller whose body was still on its way 2.6 s after the stop signal got no answer, and its connection ended with the process (LOST).

Cause: connections with a request in progress were closed by aiohttp's shutdown(), which drops all further bytes of a connection at once, so that the handler waited for the rest of the body until it was cut.

Now such connections are left alone; the response of the request ends them, also if its headers were sent before the stop. No time limit is needed for them, since the drain has one.

Evidence: test_body_may_arrive_after_idle_connections_are_closed failed before with TimeoutError (no answer within 2 s of the rest of the body). test_connection_of_a_stream_ends_after_it passes before and after: it keeps what shutdown() did for streams that began before the stop.

--- a/pimentowalk/platform/daemon.py
+++ b/pimentowalk/platform/daemon.py
@@ -61,7 +61,6 @@
         )
         self._listeners = listeners or sockets.ListenerSet()
         self._runners = []
-        self._closing_tasks = []
         self._stop_requested = asyncio.Event()
         self.front = platform_front.Front(
             self.node,
@@ -171,21 +170,19 @@
         self._close_connections()
 
     def _close_connections(self):
-        remaining_s = (
-            self.bounds.stop_ms / 1000 - STOP_MARGIN_S - SHUTDOWN_DELAY_S
-        )
+        """Close idle connections at once and the others when they are idle.
+
+        aiohttp drops all bytes that arrive on a connection that is shutting
+        down, also the rest of a body that a handler waits for.
+        """
         for connection in self._front_runner.server.connections:
             if self.front.is_busy(connection) or not _is_idle(connection):
-                # Closes the connection after the current response.
-                self._closing_tasks.append(
-                    asyncio.ensure_future(connection.shutdown(remaining_s))
-                )
+                self.front.close_after_response(connection)
             else:
                 connection.force_close()
 
     async def close(self):
         """Close all connections and files."""
-        await core_timers.cancel_all(self._closing_tasks)
         for runner in self._runners:
             await runner.cleanup()
         await super().close()
--- a/pimentowalk/platform/front.py
+++ b/pimentowalk/platform/front.py
@@ -106,11 +106,16 @@
         self._drain = drain
         self._metrics = metrics
         self._busy_connections = set()
+        self._closing_connections = set()
 
     def is_busy(self, connection):
         """Return whether a request on a connection is in progress."""
         return connection in self._busy_connections
 
+    def close_after_response(self, connection):
+        """Close a connection after its response, even if that has begun."""
+        self._closing_connections.add(connection)
+
     def application(self, max_body_bytes):
         """Build the aiohttp application."""
         app = web.Application(client_max_size=max_body_bytes)
@@ -150,6 +155,8 @@
                 response = responder.response or web.Response(status=499)
             finally:
                 self._busy_connections.discard(request.protocol)
+        if request.protocol in self._closing_connections:
+            response.force_close()
         return response
 
     def _error_response(self, request_id, error, responder, received_s):
--- a/pimentowalk/platform/tests/test_stop.py
+++ b/pimentowalk/platform/tests/test_stop.py
@@ -4,10 +4,14 @@
 import logging
 
 import pytest
+import pytest_asyncio
 
 from pimentowalk.platform import daemon
+from pimentowalk.settings import gateway as gateway_settings
 from tools.tests import waiting
 
+TIMEOUT_S = 10.0
+
 
 @pytest.fixture
 def short_delay(monkeypatch):
@@ -15,42 +19,109 @@
     monkeypatch.setattr(daemon, 'SHUTDOWN_DELAY_S', 0.1)
 
 
-async def begin_call(cluster, method, path, *, request_id, **headers):
-    """Send a request; return its task once a server has received it."""
-    before = sum(len(s.requests_seen) for s in cluster.servers)
+@pytest_asyncio.fixture
+async def stop(cluster):
+    """Return a function that begins a planned stop of the first gateway."""
+    tasks = []
+    gateway = cluster.gateways[0]
+
+    async def run():
+        gateway.request_stop()
+        await gateway.run()
+        await gateway.close()
+
+    def begin(grace_s):
+        cluster.gateways.remove(gateway)
+        gateway.bounds = gateway_settings.BoundSettings(stop_ms=grace_s * 1000)
+        tasks.append(asyncio.ensure_future(run()))
+        return tasks[-1]
+
+    yield begin
+    gateway.drain.abort()
+    await asyncio.gather(*tasks)
+
+
+async def begin_call(cluster, method, path):
+    """Send a request to the first gateway; return its task once passed on."""
     task = asyncio.ensure_future(
         cluster.platform.call(
-            cluster.gateways[0], method, path, request_id=request_id, **headers
+            cluster.gateways[0], method, path, request_id='r1'
         )
     )
-    await waiting.until(
-        lambda: sum(len(s.requests_seen) for s in cluster.servers) > before
-    )
+    await waiting.until(lambda: any(s.requests_seen for s in cluster.servers))
     return task
 
 
-def begin_stop(cluster, grace_s):
-    """Stop the first gateway within a time; return the task of its run."""
-    gateway = cluster.gateways[0]
-    gateway.bounds = daemon.gateway_settings.BoundSettings(
-        stop_ms=grace_s * 1000
+async def open_upload(gateway, body):
+    """Send a request with the beginning of its body; return the streams."""
+    address = gateway.settings.front
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(
+        b'POST /book/2f HTTP/1.1\r\nHost: a.example\r\n'
+        b'Pimentowalk-Request-Id: r1\r\nPimentowalk-Key: k1\r\n'
+        b'Content-Length: 8\r\n\r\n' + body
     )
-    running = asyncio.ensure_future(gateway.run())
-    gateway.request_stop()
-    return running
+    await waiting.until(lambda: gateway.drain.active_count)
+    return reader, writer
 
 
-async def test_log_tells_what_a_cut_request_was(cluster, short_delay, caplog):
+async def test_log_tells_what_a_cut_request_was(
+    cluster, stop, short_delay, caplog
+):
     """LOST could not be traced: the line had neither kind, age nor tries."""
     caplog.set_level(logging.WARNING)
     for server in cluster.servers[2:]:
         server.hangs = True
-    call = await begin_call(cluster, 'POST', '/book/2f', request_id='r1')
-    await begin_stop(cluster, 1.0)
+    call = await begin_call(cluster, 'POST', '/book/2f')
+    await stop(1.0)
     line = next(
         r for r in caplog.records if r.message == 'request cut by the stop'
     )
     assert (line.request_id, line.kind) == ('r1', 'non_idempotent')
     assert (line.tries, line.may_have_run) == (1, True)
     assert line.age_ms >= 0
-    call.cancel()
+    await asyncio.wait([call])
+
+
+async def test_body_may_arrive_after_idle_connections_are_closed(
+    cluster, stop, short_delay
+):
+    """LOST: the rest of a body that was on its way was dropped."""
+    gateway = cluster.gateways[0]
+    reader, writer = await open_upload(gateway, b'body')
+    stopping = stop(4.0)
+    await waiting.until(lambda: gateway.drain.draining)
+    await asyncio.sleep(3 * daemon.SHUTDOWN_DELAY_S)
+    writer.write(b'rest')
+    async with asyncio.timeout(2.0):
+        answer = await reader.read()
+    assert answer.startswith(b'HTTP/1.1 200 ')
+    seen = [request for s in cluster.servers for request in s.requests_seen]
+    assert seen == [('POST', '/book/2f', b'bodyrest')]
+    writer.close()
+    await stopping
+
+
+async def test_connection_of_a_stream_ends_after_it(
+    cluster, stop, short_delay
+):
+    """A stream that began before the stop kept its connection open."""
+    await cluster.wait_for_layers()
+    for server in cluster.servers[:2]:
+        server.event_interval_s = 0.1
+    gateway = cluster.gateways[0]
+    address = gateway.settings.front
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(
+        b'POST /draft/2f HTTP/1.1\r\nHost: a.example\r\n'
+        b'Pimentowalk-Request-Id: r1\r\nPimentowalk-Key: k1\r\n'
+        b'Content-Length: 4\r\n\r\nbody'
+    )
+    await reader.readuntil(b'id: 1\n')
+    stopping = stop(20.0)
+    async with asyncio.timeout(TIMEOUT_S):
+        answer = await reader.read()
+        await stopping
+    assert answer.count(b'data') == 6
+    assert answer.endswith(b'0\r\n\r\n')
+    writer.close()
