Answer requests that a planned stop cannot wait for

Cause: the drain only logged these requests; the handlers were cancelled when the HTTP server was closed, so that aiohttp closed the connections.

Now the drain interrupts their handlers before the server is closed and waits up to 0.2 s for the answers: 502 `outcome_unknown`, which promises nothing, if a backend server may have run the request, and 503 `draining` with Retry-After if none can have. A started stream is aborted, so that it does not look complete. A plain response whose headers were not sent becomes an error instead of an aborted connection.

Evidence: test_unfinished_call_gets_an_error_at_the_end failed before with "ServerDisconnectedError: Server disconnected", and test_body_that_does_not_arrive_is_refused_at_the_end with an empty answer. test_stream_that_the_stop_cuts_does_not_look_complete passes before and after.

--- a/pimentowalk/entry/drain.py
+++ b/pimentowalk/entry/drain.py
@@ -7,6 +7,7 @@
 import attrs
 
 from pimentowalk.core import activity as core_activity
+from pimentowalk.core import errors
 from pimentowalk.core import logs
 
 LOG = logging.getLogger(__name__)
@@ -15,15 +16,53 @@
 # accepted until it has seen the failed probe.
 SHUTDOWN_DELAY_S = 2.0
 POLL_PERIOD_S = 0.05
+# For the answers to requests that did not finish in time.
+ANSWER_TIMEOUT_S = 0.2
 
 
 @attrs.define(eq=False)
 class ActiveRequest:
-    """A request in progress."""
+    """A request in progress.
+
+    `scope` is the timeout that ends its handling early.
+    """
 
     request_id: object
     started_s: float
     activity: core_activity.Activity
+    scope: asyncio.Timeout | None = None
+
+    @contextlib.asynccontextmanager
+    async def interruptible(self):
+        """Run a block that the drain may end by `interrupt`.
+
+        The block then raises an error that tells whether the request may
+        have run.
+        """
+        try:
+            async with asyncio.timeout(None) as self.scope:
+                yield
+        except TimeoutError:
+            if not self.scope.expired():
+                raise
+            raise self._interruption() from None
+        finally:
+            self.scope = None
+
+    def interrupt(self):
+        """End the block that `interruptible` runs, if it is still running."""
+        if self.scope is not None and not self.scope.expired():
+            self.scope.reschedule(asyncio.get_running_loop().time())
+
+    def _interruption(self):
+        if self.activity.may_have_run:
+            return errors.OutcomeUnknown(
+                'the process stopped before the response was complete',
+                step='drain',
+            )
+        return errors.PimentowalkError(
+            'the process is stopping', code='draining', step='drain'
+        )
 
     def log_fields(self, now_s):
         """Return the log fields of a request that did not finish."""
@@ -42,20 +81,23 @@
     def __init__(self, timers):
         self._timers = timers
         self._active = set()
+        self._finished = asyncio.Event()
         self._aborted = asyncio.Event()
         self.draining = False
 
     @contextlib.contextmanager
     def track(self, request_id):
-        """Count a request as in progress; yield its `Activity`."""
+        """Count a request as in progress; yield its `ActiveRequest`."""
         request = ActiveRequest(
             request_id, self._timers.now_s(), core_activity.Activity()
         )
         self._active.add(request)
         try:
-            yield request.activity
+            yield request
         finally:
             self._active.discard(request)
+            if not self._active:
+                self._finished.set()
 
     @property
     def active_count(self):
@@ -94,7 +136,26 @@
                 'request cut by the stop',
                 extra=logs.fields(step='drain', **request.log_fields(now_s)),
             )
-        return {request.request_id for request in self._active}
+        cut_ids = {request.request_id for request in self._active}
+        await self._interrupt_active()
+        return cut_ids
+
+    async def _interrupt_active(self):
+        """Interrupt all requests, and wait until they have been answered."""
+        if not self._active:
+            return
+        self._finished.clear()
+        for request in self._active:
+            request.interrupt()
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                await self._finished.wait()
+        except TimeoutError:
+            LOG.warning(
+                'requests without an answer at the stop: %d',
+                len(self._active),
+                extra=logs.fields(step='drain'),
+            )
 
     async def _sleep_unless_aborted(self, delay_s):
         """Sleep, but return early when `abort` is called."""
--- a/pimentowalk/platform/front.py
+++ b/pimentowalk/platform/front.py
@@ -53,6 +53,11 @@
         """Return whether status and headers have been set."""
         return self.response is not None
 
+    @property
+    def is_prepared(self):
+        """Return whether status and headers have been sent."""
+        return self.started and self.response.prepared
+
     async def start(self, answer):
         """Start the response with the status and headers of an answer."""
         self.response = web.StreamResponse(status=answer.status)
@@ -128,12 +133,13 @@
         responder = CallerResponder(request, lambda: self._drain.draining)
         self._metrics.count('requests')
         self._busy_connections.add(request.protocol)
-        with self._drain.track(request_id) as activity:
+        with self._drain.track(request_id) as active:
             try:
-                call = await self._decode_call(
-                    request, request_id, received_s, activity
-                )
-                await self._dispatcher.handle(call, responder)
+                async with active.interruptible():
+                    call = await self._decode_call(
+                        request, request_id, received_s, active.activity
+                    )
+                    await self._dispatcher.handle(call, responder)
                 response = responder.response
             except errors.PimentowalkError as error:
                 response = self._error_response(
@@ -175,7 +181,7 @@
                 lease_age_s=round(min(self._freshness.age_s, 1e6), 2),
             ),
         )
-        if responder.started:
+        if responder.is_prepared:
             responder.abort()
             return responder.response
         response = web.json_response(
--- a/pimentowalk/platform/tests/test_stop.py
+++ b/pimentowalk/platform/tests/test_stop.py
@@ -3,10 +3,12 @@
 import asyncio
 import logging
 
+import aiohttp
 import pytest
 import pytest_asyncio
 
 from pimentowalk.platform import daemon
+from pimentowalk.platform import names
 from pimentowalk.settings import gateway as gateway_settings
 from tools.tests import waiting
 
@@ -125,3 +127,42 @@
     assert answer.count(b'data') == 6
     assert answer.endswith(b'0\r\n\r\n')
     writer.close()
+
+
+async def test_unfinished_call_gets_an_error_at_the_end(
+    cluster, stop, short_delay
+):
+    """LOST: its connection was closed without an answer."""
+    for server in cluster.servers[2:]:
+        server.hangs = True
+    call = await begin_call(cluster, 'POST', '/book/2f')
+    await stop(1.0)
+    status, headers, body = await call
+    assert (status, headers['Connection']) == (502, 'close')
+    assert b'outcome_unknown' in body
+    assert names.RETRY_AFTER not in headers
+
+
+async def test_stream_that_the_stop_cuts_does_not_look_complete(
+    cluster, stop, short_delay
+):
+    """ORDER: a stream that ends early must not pass for a whole one."""
+    await cluster.wait_for_layers()
+    for server in cluster.servers[:2]:
+        server.event_interval_s = 60.0
+    call = await begin_call(cluster, 'POST', '/draft/2f')
+    await stop(1.0)
+    with pytest.raises(aiohttp.ClientError):
+        await call
+
+
+async def test_body_that_does_not_arrive_is_refused_at_the_end(
+    cluster, stop, short_delay
+):
+    """LOST: a caller that was slow to send got no answer at the stop."""
+    reader, writer = await open_upload(cluster.gateways[0], b'body')
+    await stop(1.0)
+    answer = await reader.read()
+    assert answer.startswith(b'HTTP/1.1 503 ')
+    assert b'Connection: close' in answer
+    writer.close()
