Await requests that were read before their handlers begin

What callers saw: a request that arrived in the moment in which a stopping gateway closed its idle connections could be cut before it was answered, even after it had been passed on (LOST).

Cause: the drain awaited the requests that handlers had registered. aiohttp starts a handler some iterations of the event loop after it has read the request; with no other request in progress the drain ended in between.

Now the drain also awaits connections on which a request was read and not yet answered. The test is the one that spares them when connections are closed.

Evidence: test_drain_awaits_a_request_that_was_just_read failed before with "ClientPayloadError: Response payload is not completed", for a stream of 1.2 s with 5.2 s of the grace period left.

--- a/pimentowalk/entry/drain.py
+++ b/pimentowalk/entry/drain.py
@@ -114,19 +114,23 @@
         timeout_s,
         *,
         shutdown_delay_s=SHUTDOWN_DELAY_S,
+        has_unhandled=lambda: False,
     ):
         """Fail readiness, stop accepting connections, await the requests.
 
         Returns the ids of the requests that did not finish in time. For
         `shutdown_delay_s` the entry reports that it is not ready but still
-        accepts connections.
+        accepts connections. `has_unhandled()` tells whether a request has
+        been read whose handler has not begun.
         """
         self.draining = True
         end_s = self._timers.now_s() + timeout_s
         LOG.info('draining', extra=logs.fields(step='drain'))
         await self._sleep_unless_aborted(min(shutdown_delay_s, timeout_s))
         await stop_accepting()
-        while self._active and self._timers.now_s() < end_s:
+        while (
+            self._active or has_unhandled()
+        ) and self._timers.now_s() < end_s:
             if self._aborted.is_set():
                 break
             await self._sleep_unless_aborted(POLL_PERIOD_S)
--- a/pimentowalk/platform/daemon.py
+++ b/pimentowalk/platform/daemon.py
@@ -157,6 +157,7 @@
             self._stop_accepting,
             self.bounds.stop_ms / 1000 - STOP_MARGIN_S,
             shutdown_delay_s=SHUTDOWN_DELAY_S,
+            has_unhandled=self._has_open_request,
         )
         transfer_task.cancel()
 
@@ -169,6 +170,13 @@
         await self._front_site.stop()
         self._close_connections()
 
+    def _has_open_request(self):
+        """Return whether a request has been read but not yet answered."""
+        return any(
+            not _is_idle(connection)
+            for connection in self._front_runner.server.connections
+        )
+
     def _close_connections(self):
         """Close idle connections at once and the others when they are idle.
 
--- a/pimentowalk/platform/tests/test_stop.py
+++ b/pimentowalk/platform/tests/test_stop.py
@@ -4,6 +4,7 @@
 import logging
 
 import aiohttp
+from aiohttp import web_protocol
 import pytest
 import pytest_asyncio
 
@@ -166,3 +167,37 @@
     assert answer.startswith(b'HTTP/1.1 503 ')
     assert b'Connection: close' in answer
     writer.close()
+
+
+async def test_drain_awaits_a_request_that_was_just_read(
+    cluster, stop, monkeypatch
+):
+    """LOST: the drain ended before the handler of a request had begun."""
+    await cluster.wait_for_layers()
+    for server in cluster.servers[:2]:
+        server.event_interval_s = 0.2
+    gateway = cluster.gateways[0]
+    arrived = asyncio.Event()
+    receive = web_protocol.RequestHandler.data_received
+    stop_accepting = daemon.Gateway._stop_accepting
+
+    def receive_and_tell(protocol, data):
+        receive(protocol, data)
+        if b'/draft' in data:
+            arrived.set()
+
+    async def stop_at_arrival(stopped):
+        await arrived.wait()
+        await stop_accepting(stopped)
+
+    monkeypatch.setattr(daemon, 'SHUTDOWN_DELAY_S', 0.0)
+    monkeypatch.setattr(
+        web_protocol.RequestHandler, 'data_received', receive_and_tell
+    )
+    monkeypatch.setattr(daemon.Gateway, '_stop_accepting', stop_at_arrival)
+    stopping = stop(6.0)
+    status, _, body = await cluster.platform.call(
+        gateway, 'POST', '/draft/2f', request_id='r1'
+    )
+    assert (status, body.count(b'data')) == (200, 6)
+    await stopping
