Close the listening socket of a gateway after its last accepted connection

What callers saw: a new connection that was accepted in the moment in which a stopping gateway closed its listening socket was neither served nor closed until the process ended; its caller waited for seconds.

Cause: asyncio accepts a connection in one iteration of its event loop and creates the transport in a later one. If the server was closed in between, the transport refuses to attach to it, and the socket stays open until the garbage collector finds it (Python 3.11).

Now a gateway first stops reading from the listening socket, lets accepted connections get their transports, and then closes it.

--- a/pimentowalk/platform/daemon.py
+++ b/pimentowalk/platform/daemon.py
@@ -61,6 +61,7 @@
         )
         self._listeners = listeners or sockets.ListenerSet()
         self._runners = []
+        self._sockets = {}
         self._stop_requested = asyncio.Event()
         self.front = platform_front.Front(
             self.node,
@@ -111,11 +112,9 @@
             max_field_size=MAX_LINE_BYTES,
         )
         await runner.setup()
-        site = web.SockSite(
-            runner,
-            self._listeners.take(address.host, address.port),
-            backlog=sockets.BACKLOG,
-        )
+        listener = self._listeners.take(address.host, address.port)
+        self._sockets[address] = listener
+        site = web.SockSite(runner, listener, backlog=sockets.BACKLOG)
         await site.start()
         self._runners.append(runner)
         return site
@@ -167,6 +166,7 @@
         A request that arrived later on a keep-alive connection could exceed
         the time that is left until the stop.
         """
+        await sockets.stop_accepting([self._sockets[self.settings.front]])
         await self._front_site.stop()
         self._close_connections()
 
--- a/pimentowalk/platform/tests/test_stop.py
+++ b/pimentowalk/platform/tests/test_stop.py
@@ -1,6 +1,7 @@
 """Tests of the planned stop of a gateway with requests in progress."""
 
 import asyncio
+import collections
 import logging
 
 import aiohttp
@@ -201,3 +202,39 @@
     )
     assert (status, body.count(b'data')) == (200, 6)
     await stopping
+
+
+async def _call_until_refused(cluster, gateway, counts):
+    """Send one call after another while the gateway accepts connections."""
+    while True:
+        try:
+            status, _, _ = await cluster.platform.call(
+                gateway, 'GET', '/look/2f', request_id='r1'
+            )
+            counts[status] += 1
+        except aiohttp.ClientConnectorError:
+            return
+        except aiohttp.ClientError:
+            # Closed while idle, or cut: the gateway's own count tells.
+            counts['closed'] += 1
+
+
+@pytest.mark.parametrize('grace_s', [1.0, 1.5, 4.0])
+async def test_each_request_that_is_read_is_answered(
+    cluster, stop, grace_s, monkeypatch
+):
+    """LOST: callers that go on sending get answers, and are never cut."""
+    monkeypatch.setattr(daemon, 'SHUTDOWN_DELAY_S', 0.6)
+    gateway = cluster.gateways[0]
+    counts = collections.Counter()
+    callers = [
+        asyncio.ensure_future(_call_until_refused(cluster, gateway, counts))
+        for _ in range(8)
+    ]
+    await waiting.until(lambda: counts[200] > 20)
+    await stop(grace_s)
+    async with asyncio.timeout(TIMEOUT_S):
+        await asyncio.gather(*callers)
+    answered = sum(n for status, n in counts.items() if status != 'closed')
+    assert answered == gateway.metrics.counters['requests']
+    assert set(counts) <= {200, 502, 503, 'closed'}
