Refuse requests that a stop would cut before they are sent

What callers saw: requests that came late in the grace period were passed on and cut at its end, among them ones that may not be repeated (LOST). Streams that waited for capacity were held for up to a second and then refused as an overload, or sent with too little time left.

Cause: nothing between the handler and the backend server knew when the process would stop.

Now the drain tells each request when the process stops. A request that was not sent is refused with 503 `draining`, a short Retry-After and `Connection: close` as soon as the usual time of its route (95 % of the latest 100 responses, 2 s until 20 are known, never beyond its deadline) no longer fits: before a try, and every 50 ms while it waits for a body, capacity, a retry or a server. The refusal holds for any grace period, as it depends on the time that is left. A request that may have run already is not refused, as a 503 would be untrue; it may be tried again where its route allows that.

--- a/pimentowalk/dispatch/call_run.py
+++ b/pimentowalk/dispatch/call_run.py
@@ -2,6 +2,7 @@
 
 import abc
 
+from pimentowalk.core import errors
 from pimentowalk.dispatch import calls
 
 # A route does not bound tries that were provably not executed, but each of
@@ -50,6 +51,7 @@
             if self._target is None:
                 break
             self._dispatcher.reject_if_barred(self._call)
+            self._reject_if_late()
             self._tries += 1
             self._call.activity.begin_try()
             try:
@@ -64,6 +66,21 @@
                     break
         raise self._final_error(failure)
 
+    def _reject_if_late(self):
+        """Raise PimentowalkError if the stop would cut the response.
+
+        A try after one that may have run is allowed: its caller gets an
+        error that promises nothing in any case.
+        """
+        activity = self._call.activity
+        now_s = self._dispatcher.timers.now_s()
+        if not activity.may_have_run and activity.is_late(now_s):
+            raise errors.PimentowalkError(
+                'too little time is left before the process stops',
+                code='draining',
+                step='drain',
+            )
+
     def _max_tries(self):
         """Return how many tries the call may take."""
         return MAX_TRIES
--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -11,6 +11,7 @@
 from pimentowalk.core import logs
 from pimentowalk.dispatch import checks as dispatch_checks
 from pimentowalk.dispatch import crash_reports
+from pimentowalk.dispatch import durations as response_durations
 from pimentowalk.dispatch import load_exchange
 from pimentowalk.dispatch import pauses as server_pauses
 from pimentowalk.dispatch import plain
@@ -83,6 +84,7 @@
             self._delegate_check,
             self.pauses.is_paused,
         )
+        self.durations = response_durations.DurationTracker()
         self.admission = admission_room.AdmissionQueue(timers)
         self.runs = set()
         self._verifying = {}
@@ -106,6 +108,7 @@
         self.in_flight.set_engines(
             {s.name: s.engine for s in document.services.values() if s.engine}
         )
+        self.durations.keep_only(route.name for route in document.routes)
 
     def _remove_departed(self):
         known = {r.backend.server_id for r in self.node.backends.records()}
@@ -270,6 +273,7 @@
     def _log_completed(self, call, run):
         elapsed_s = self.timers.now_s() - call.received_s
         self.metrics.record_s('request', elapsed_s)
+        self.durations.record_s(call.route.name, elapsed_s)
         LOG.info(
             'answered',
             extra=logs.fields(
--- /dev/null
+++ b/pimentowalk/dispatch/tests/test_durations.py
@@ -0,0 +1,47 @@
+"""Tests of the usual durations of responses."""
+
+import pytest
+
+from pimentowalk.core import activity as core_activity
+from pimentowalk.dispatch import durations
+
+
+def test_few_samples_do_not_tell_the_usual_duration():
+    """A call was sent just before a stop because the first one was short."""
+    tracker = durations.DurationTracker()
+    for _ in range(durations.MIN_SAMPLES - 1):
+        tracker.record_s('draft', 0.01)
+    assert tracker.usual_s('draft') == durations.DEFAULT_DURATION_S
+
+
+def test_usual_duration_follows_the_latest_responses():
+    """It covers most responses, not the mean, and forgets old ones."""
+    tracker = durations.DurationTracker()
+    for _ in range(durations.MAX_SAMPLES):
+        tracker.record_s('draft', 9.0)
+    for number in range(durations.MAX_SAMPLES):
+        tracker.record_s('draft', 0.5 if number % 10 else 3.0)
+    assert tracker.usual_s('draft') == pytest.approx(3.0, rel=0.02)
+
+
+def test_routes_that_are_gone_are_forgotten():
+    """Names of routes change with each configuration."""
+    tracker = durations.DurationTracker()
+    for _ in range(durations.MIN_SAMPLES):
+        tracker.record_s('draft', 0.5)
+    tracker.keep_only(['book'])
+    assert tracker.usual_s('draft') == durations.DEFAULT_DURATION_S
+
+
+@pytest.mark.parametrize(
+    ('now_s', 'expires_at_s', 'is_late'),
+    [(7.9, 60.0, False), (8.1, 60.0, True), (8.1, 9.5, False)],
+)
+def test_call_is_late_if_its_end_would_be_after_the_stop(
+    now_s, expires_at_s, is_late
+):
+    """A call that its deadline ends before the stop gets an answer anyway."""
+    activity = core_activity.Activity(
+        usual_s=2.0, expires_at_s=expires_at_s, stop_at_s=10.0
+    )
+    assert activity.is_late(now_s) == is_late
--- a/pimentowalk/entry/drain.py
+++ b/pimentowalk/entry/drain.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 
 import attrs
 
@@ -83,13 +84,16 @@
         self._active = set()
         self._finished = asyncio.Event()
         self._aborted = asyncio.Event()
+        self._end_s = math.inf
         self.draining = False
 
     @contextlib.contextmanager
     def track(self, request_id):
         """Count a request as in progress; yield its `ActiveRequest`."""
         request = ActiveRequest(
-            request_id, self._timers.now_s(), core_activity.Activity()
+            request_id,
+            self._timers.now_s(),
+            core_activity.Activity(stop_at_s=self._end_s),
         )
         self._active.add(request)
         try:
@@ -124,16 +128,18 @@
         been read whose handler has not begun.
         """
         self.draining = True
-        end_s = self._timers.now_s() + timeout_s
+        start_s = self._timers.now_s()
+        self._end_s = start_s + timeout_s
+        for request in self._active:
+            request.activity.stop_at_s = self._end_s
         LOG.info('draining', extra=logs.fields(step='drain'))
-        await self._sleep_unless_aborted(min(shutdown_delay_s, timeout_s))
+        await self._poll_until(
+            min(start_s + shutdown_delay_s, self._end_s), lambda: True
+        )
         await stop_accepting()
-        while (
-            self._active or has_unhandled()
-        ) and self._timers.now_s() < end_s:
-            if self._aborted.is_set():
-                break
-            await self._sleep_unless_aborted(POLL_PERIOD_S)
+        await self._poll_until(
+            self._end_s, lambda: self._active or has_unhandled()
+        )
         now_s = self._timers.now_s()
         for request in self._active:
             LOG.warning(
@@ -161,6 +167,24 @@
                 extra=logs.fields(step='drain'),
             )
 
+    async def _poll_until(self, until_s, is_needed):
+        """Refuse late requests until a time, or as long as it is needed."""
+        while is_needed() and not self._aborted.is_set():
+            now_s = self._timers.now_s()
+            if now_s >= until_s:
+                return
+            self._interrupt_late(now_s)
+            await self._sleep_unless_aborted(
+                min(POLL_PERIOD_S, until_s - now_s)
+            )
+
+    def _interrupt_late(self, now_s):
+        """Interrupt requests that were not sent and can no longer be."""
+        for request in self._active:
+            activity = request.activity
+            if not activity.may_have_run and activity.is_late(now_s):
+                request.interrupt()
+
     async def _sleep_unless_aborted(self, delay_s):
         """Sleep, but return early when `abort` is called."""
         waiters = [
--- a/pimentowalk/platform/front.py
+++ b/pimentowalk/platform/front.py
@@ -22,7 +22,12 @@
 OVERLOADED_RETRY_AFTER_S = (1.0, 5.0)
 # Added where the time is known, so that callers do not all return at once.
 RETRY_AFTER_SPREAD_S = 0.3
-RETRY_AFTER_BY_CODE_S = {'overloaded': OVERLOADED_RETRY_AFTER_S}
+# Other nodes can serve the request at once.
+DRAINING_RETRY_AFTER_S = (0.0, 0.3)
+RETRY_AFTER_BY_CODE_S = {
+    'overloaded': OVERLOADED_RETRY_AFTER_S,
+    'draining': DRAINING_RETRY_AFTER_S,
+}
 # A starting node receives the configuration and the backend servers within
 # this time in most cases, and a refused caller retries at most once.
 START_TIMEOUT_S = 1.5
@@ -221,6 +226,8 @@
             request, request_id, received_s, route, account, target, body
         )
         call.activity = activity
+        activity.expires_at_s = call.expires_at_s
+        activity.usual_s = self._dispatcher.durations.usual_s(route.name)
         return call
 
     async def _wait_for_start(self):
--- a/pimentowalk/platform/tests/test_stop.py
+++ b/pimentowalk/platform/tests/test_stop.py
@@ -9,6 +9,7 @@
 import pytest
 import pytest_asyncio
 
+from pimentowalk.dispatch import stream
 from pimentowalk.platform import daemon
 from pimentowalk.platform import names
 from pimentowalk.settings import gateway as gateway_settings
@@ -238,3 +239,42 @@
     answered = sum(n for status, n in counts.items() if status != 'closed')
     assert answered == gateway.metrics.counters['requests']
     assert set(counts) <= {200, 502, 503, 'closed'}
+
+
+async def test_call_that_cannot_end_in_time_is_refused(cluster, stop):
+    """LOST: a call was sent with too little of the grace left, and cut."""
+    gateway = cluster.gateways[0]
+    stopping = stop(1.3)
+    await waiting.until(lambda: gateway.drain.draining)
+    status, headers, body = await cluster.platform.call(
+        gateway, 'POST', '/book/2f', request_id='r1'
+    )
+    assert (status, headers['Connection']) == (503, 'close')
+    assert b'draining' in body
+    assert float(headers[names.RETRY_AFTER]) >= 0
+    assert not any(s.requests_seen for s in cluster.servers)
+    await stopping
+
+
+async def test_stream_that_waits_for_capacity_is_refused_at_the_stop(
+    cluster, stop, short_delay, monkeypatch
+):
+    """LOST: it was sent from the queue with too little of the grace left."""
+    await cluster.wait_for_layers()
+    monkeypatch.setattr(
+        stream.StreamRun,
+        '_find_full_server',
+        lambda run, target: target.backend,
+    )
+    gateway = cluster.gateways[0]
+    call = asyncio.ensure_future(
+        cluster.platform.call(gateway, 'POST', '/draft/2f', request_id='r1')
+    )
+    await waiting.until(lambda: len(gateway.dispatcher.admission))
+    started_s = gateway.timers.now_s()
+    stopping = stop(1.3)
+    status, headers, body = await call
+    assert (status, headers['Connection']) == (503, 'close')
+    assert b'draining' in body
+    assert gateway.timers.now_s() - started_s < stream.ADMISSION_WAIT_S / 2
+    await stopping
