End the drain of a gateway at a second stop signal

What operators saw: a second SIGTERM or SIGINT did nothing, and a gateway with a long grace period could not be ended sooner without cutting its requests.

Cause: the gateway did not call `Drain.abort`, as the entry does. A drain that is ended this way now answers all requests as at the end of the grace period.

Evidence: test_second_signal_ends_the_drain_with_an_answer failed before with "504 == 502", the call having waited for the timeout of its route.

--- a/pimentowalk/platform/daemon.py
+++ b/pimentowalk/platform/daemon.py
@@ -144,7 +144,9 @@
         return app
 
     def request_stop(self):
-        """Begin a graceful stop."""
+        """Begin a graceful stop; a second call ends the drain at once."""
+        if self._stop_requested.is_set():
+            self.drain.abort()
         self._stop_requested.set()
 
     async def run(self):
--- a/pimentowalk/platform/tests/test_stop.py
+++ b/pimentowalk/platform/tests/test_stop.py
@@ -88,23 +88,31 @@
     await asyncio.wait([call])
 
 
-async def test_body_may_arrive_after_idle_connections_are_closed(
+async def test_unfinished_call_gets_an_error_at_the_end(
     cluster, stop, short_delay
 ):
-    """LOST: the rest of a body that was on its way was dropped."""
-    gateway = cluster.gateways[0]
-    reader, writer = await open_upload(gateway, b'body')
-    stopping = stop(4.0)
-    await waiting.until(lambda: gateway.drain.draining)
-    await asyncio.sleep(3 * daemon.SHUTDOWN_DELAY_S)
-    writer.write(b'rest')
-    async with asyncio.timeout(2.0):
-        answer = await reader.read()
-    assert answer.startswith(b'HTTP/1.1 200 ')
-    seen = [request for s in cluster.servers for request in s.requests_seen]
-    assert seen == [('POST', '/book/2f', b'bodyrest')]
-    writer.close()
-    await stopping
+    """LOST: its connection was closed without an answer."""
+    for server in cluster.servers[2:]:
+        server.hangs = True
+    call = await begin_call(cluster, 'POST', '/book/2f')
+    await stop(1.0)
+    status, headers, body = await call
+    assert (status, headers['Connection']) == (502, 'close')
+    assert b'outcome_unknown' in body
+    assert names.RETRY_AFTER not in headers
+
+
+async def test_stream_that_the_stop_cuts_does_not_look_complete(
+    cluster, stop, short_delay
+):
+    """ORDER: a stream that ends early must not pass for a whole one."""
+    await cluster.wait_for_layers()
+    for server in cluster.servers[:2]:
+        server.event_interval_s = 60.0
+    call = await begin_call(cluster, 'POST', '/draft/2f')
+    await stop(1.0)
+    with pytest.raises(aiohttp.ClientError):
+        await call
 
 
 async def test_connection_of_a_stream_ends_after_it(
@@ -132,31 +140,23 @@
     writer.close()
 
 
-async def test_unfinished_call_gets_an_error_at_the_end(
-    cluster, stop, short_delay
-):
-    """LOST: its connection was closed without an answer."""
-    for server in cluster.servers[2:]:
-        server.hangs = True
-    call = await begin_call(cluster, 'POST', '/book/2f')
-    await stop(1.0)
-    status, headers, body = await call
-    assert (status, headers['Connection']) == (502, 'close')
-    assert b'outcome_unknown' in body
-    assert names.RETRY_AFTER not in headers
-
-
-async def test_stream_that_the_stop_cuts_does_not_look_complete(
+async def test_body_may_arrive_after_idle_connections_are_closed(
     cluster, stop, short_delay
 ):
-    """ORDER: a stream that ends early must not pass for a whole one."""
-    await cluster.wait_for_layers()
-    for server in cluster.servers[:2]:
-        server.event_interval_s = 60.0
-    call = await begin_call(cluster, 'POST', '/draft/2f')
-    await stop(1.0)
-    with pytest.raises(aiohttp.ClientError):
-        await call
+    """LOST: the rest of a body that was on its way was dropped."""
+    gateway = cluster.gateways[0]
+    reader, writer = await open_upload(gateway, b'body')
+    stopping = stop(4.0)
+    await waiting.until(lambda: gateway.drain.draining)
+    await asyncio.sleep(3 * daemon.SHUTDOWN_DELAY_S)
+    writer.write(b'rest')
+    async with asyncio.timeout(2.0):
+        answer = await reader.read()
+    assert answer.startswith(b'HTTP/1.1 200 ')
+    seen = [request for s in cluster.servers for request in s.requests_seen]
+    assert seen == [('POST', '/book/2f', b'bodyrest')]
+    writer.close()
+    await stopping
 
 
 async def test_body_that_does_not_arrive_is_refused_at_the_end(
@@ -205,6 +205,45 @@
     await stopping
 
 
+async def test_call_that_cannot_end_in_time_is_refused(cluster, stop):
+    """LOST: a call was sent with too little of the grace left, and cut."""
+    gateway = cluster.gateways[0]
+    stopping = stop(1.3)
+    await waiting.until(lambda: gateway.drain.draining)
+    status, headers, body = await cluster.platform.call(
+        gateway, 'POST', '/book/2f', request_id='r1'
+    )
+    assert (status, headers['Connection']) == (503, 'close')
+    assert b'draining' in body
+    assert float(headers[names.RETRY_AFTER]) >= 0
+    assert not any(s.requests_seen for s in cluster.servers)
+    await stopping
+
+
+async def test_stream_that_waits_for_capacity_is_refused_at_the_stop(
+    cluster, stop, short_delay, monkeypatch
+):
+    """LOST: it was sent from the queue with too little of the grace left."""
+    await cluster.wait_for_layers()
+    monkeypatch.setattr(
+        stream.StreamRun,
+        '_find_full_server',
+        lambda run, target: target.backend,
+    )
+    gateway = cluster.gateways[0]
+    call = asyncio.ensure_future(
+        cluster.platform.call(gateway, 'POST', '/draft/2f', request_id='r1')
+    )
+    await waiting.until(lambda: len(gateway.dispatcher.admission))
+    started_s = gateway.timers.now_s()
+    stopping = stop(1.3)
+    status, headers, body = await call
+    assert (status, headers['Connection']) == (503, 'close')
+    assert b'draining' in body
+    assert gateway.timers.now_s() - started_s < stream.ADMISSION_WAIT_S / 2
+    await stopping
+
+
 async def _call_until_refused(cluster, gateway, counts):
     """Send one call after another while the gateway accepts connections."""
     while True:
@@ -241,40 +280,18 @@
     assert set(counts) <= {200, 502, 503, 'closed'}
 
 
-async def test_call_that_cannot_end_in_time_is_refused(cluster, stop):
-    """LOST: a call was sent with too little of the grace left, and cut."""
+async def test_second_signal_ends_the_drain_with_an_answer(cluster, stop):
+    """A second signal was ignored by a gateway."""
+    for server in cluster.servers[2:]:
+        server.hangs = True
     gateway = cluster.gateways[0]
-    stopping = stop(1.3)
+    call = await begin_call(cluster, 'POST', '/book/2f')
+    stopping = stop(60.0)
     await waiting.until(lambda: gateway.drain.draining)
-    status, headers, body = await cluster.platform.call(
-        gateway, 'POST', '/book/2f', request_id='r1'
-    )
-    assert (status, headers['Connection']) == (503, 'close')
-    assert b'draining' in body
-    assert float(headers[names.RETRY_AFTER]) >= 0
-    assert not any(s.requests_seen for s in cluster.servers)
-    await stopping
-
-
-async def test_stream_that_waits_for_capacity_is_refused_at_the_stop(
-    cluster, stop, short_delay, monkeypatch
-):
-    """LOST: it was sent from the queue with too little of the grace left."""
-    await cluster.wait_for_layers()
-    monkeypatch.setattr(
-        stream.StreamRun,
-        '_find_full_server',
-        lambda run, target: target.backend,
-    )
-    gateway = cluster.gateways[0]
-    call = asyncio.ensure_future(
-        cluster.platform.call(gateway, 'POST', '/draft/2f', request_id='r1')
-    )
-    await waiting.until(lambda: len(gateway.dispatcher.admission))
     started_s = gateway.timers.now_s()
-    stopping = stop(1.3)
-    status, headers, body = await call
-    assert (status, headers['Connection']) == (503, 'close')
-    assert b'draining' in body
-    assert gateway.timers.now_s() - started_s < stream.ADMISSION_WAIT_S / 2
-    await stopping
+    gateway.request_stop()
+    status, _, _ = await call
+    assert status == 502
+    assert gateway.timers.now_s() - started_s < 0.5
+    async with asyncio.timeout(TIMEOUT_S):
+        await stopping
