Answer requests of an entry that a planned stop cannot wait for

What callers saw: a request that was unfinished when the drain of an entry ended was cut with no answer.

Cause: as in the gateway, the drain only logged it, and closing the HTTP server cancelled its handler.

Now the handlers of an entry are interrupted like those of a gateway: 503 `draining` if no attempt was begun, 502 `outcome_unknown` with `not_run` false otherwise. A response whose headers were sent is aborted. This also holds for an internal error in a stream that has begun, which was answered with a second response in the same stream.

Evidence: test_request_that_the_stop_cuts_gets_an_error failed before with "ServerDisconnectedError: Server disconnected". test_stream_that_the_stop_cuts_does_not_look_complete passes before and after.

--- a/pimentowalk/entry/front.py
+++ b/pimentowalk/entry/front.py
@@ -75,12 +75,16 @@
             timers = self._context.timers
             request = replies.CallerRequest(http_request, timers.now_s())
             self._context.metrics.count('requests')
-            with self._drain.track(request.request_id):
+            with self._drain.track(request.request_id) as active:
+                request.activity = active.activity
                 try:
-                    account = self._authenticate(http_request)
-                    response = await handler(request, account)
+                    async with active.interruptible():
+                        account = self._authenticate(http_request)
+                        response = await handler(request, account)
                 except failures.RequestFailed as error:
                     response = self._error_reply(request, error, error.not_run)
+                except errors.OutcomeUnknown as error:
+                    response = self._error_reply(request, error, False)
                 except errors.PimentowalkError as error:
                     # Raised before an attempt was opened, so nothing has run.
                     response = self._error_reply(request, error, True)
@@ -116,6 +120,11 @@
                 not_run=not_run,
             ),
         )
+        if request.stream is not None:
+            # The caller must not take the beginning for the whole response.
+            if request.http_request.transport is not None:
+                request.http_request.transport.abort()
+            return request.stream
         return replies.error_response(
             error, request.request_id, not_run=not_run
         )
@@ -172,6 +181,7 @@
                 self._context, account, api_format, body, request
             )
             self._admit(spec)
+            request.activity.begin_try()
             call = model_call.ModelCall(self._context, spec)
             reply = completions.ReplyBuilder(
                 api_format, body['model'], request.request_id
@@ -229,6 +239,7 @@
         if self._drain.draining:
             response.force_close()
         await response.prepare(request.http_request)
+        request.stream = response
         # After the caller has disconnected there is nothing left to write;
         # the handler closes the attempt.
         with contextlib.suppress(ConnectionError):
--- a/pimentowalk/entry/replies.py
+++ b/pimentowalk/entry/replies.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 import attrs
 
+from pimentowalk.core import activity as core_activity
 from pimentowalk.core import errors
 from pimentowalk.core import identifiers
 
@@ -16,11 +17,18 @@
 
 @attrs.define
 class CallerRequest:
-    """An HTTP request with its id and start time, before it is parsed."""
+    """An HTTP request with its id and start time, before it is parsed.
+
+    `stream` is the response once its headers have been sent.
+    """
 
     http_request: web.Request
     started_s: float
     request_id: bytes = attrs.field(factory=identifiers.new_request_id)
+    activity: core_activity.Activity = attrs.field(
+        factory=core_activity.Activity
+    )
+    stream: web.StreamResponse | None = None
 
     @property
     def path(self):
--- a/pimentowalk/entry/service_front.py
+++ b/pimentowalk/entry/service_front.py
@@ -75,6 +75,7 @@
         spec = await self._build_spec(request, account)
         self._context.charge_account(account, service_call.CALL_COST)
         call = service_call.ServiceRequest(self._context, self._claims, spec)
+        request.activity.begin_try()
         if spec.non_idempotent:
             return _build_response(await self._run_detached(call))
         return _build_response(await call.run())
--- a/pimentowalk/entry/tests/test_drain.py
+++ b/pimentowalk/entry/tests/test_drain.py
@@ -11,7 +11,7 @@
 from pimentowalk.entry.tests import harness
 
 
-async def start_blocked_request(entry):
+async def start_blocked_request(entry, send=harness.EntryHarness.stream):
     """Start a request that its agent blocks.
 
     Returns the task of the request and the event that unblocks the agent.
@@ -30,7 +30,7 @@
 
     agent.script = run
     entry.update_view()
-    request = asyncio.ensure_future(entry.stream())
+    request = asyncio.ensure_future(send(entry))
     await agent.stalled.wait()
     return request, release
 
@@ -83,6 +83,38 @@
         request.cancel()
 
 
+async def stop_at_once(entry):
+    """Stop an entry by two signals, without time for its requests."""
+    entry.daemon.request_stop()
+    entry.daemon.request_stop()
+    await entry.daemon.run()
+    await entry.daemon.close()
+
+
+async def test_request_that_the_stop_cuts_gets_an_error():
+    """Its connection was closed without an answer."""
+    async with harness.running() as entry:
+        request, release = await start_blocked_request(
+            entry, harness.EntryHarness.complete
+        )
+        await stop_at_once(entry)
+        status, body = await request
+        assert (status, body['error']['not_run']) == (502, False)
+        release.set()
+
+
+async def test_stream_that_the_stop_cuts_does_not_look_complete():
+    """A caller must not take the beginning of an answer for all of it."""
+    async with harness.running() as entry:
+        request, release = await start_blocked_request(entry)
+        metrics = entry.context.metrics
+        await harness.wait_until(lambda: 'first_token' in metrics.histograms)
+        await stop_at_once(entry)
+        with pytest.raises(aiohttp.ClientError):
+            await request
+        release.set()
+
+
 async def test_drain_timeout_returns_unfinished_requests():
     """A request that never ends must not block the stop."""
     timers = core_timers.ManualTimerService()
