--- a/pimentowalk/dispatch/calls.py
+++ b/pimentowalk/dispatch/calls.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from pimentowalk.core import activity as core_activity
 from pimentowalk.core import errors
 
 # Protocol headers and status texts stay in the protocol adapter; dispatch
@@ -18,8 +19,8 @@
     `forwarded_headers` go to the backend server unchanged. `last_event_id`
     is the last event that the client has received. `fingerprint` is a hash of
     the request, 0 if it has no body, and `shared_parts` are the hashes of the
-    parts of its prompt that other requests may have as well. `sends` counts
-    the tries that may have reached a server.
+    parts of its prompt that other requests may have as well. `activity`
+    is what a planned stop needs to know of the request.
     """
 
     request_id: str
@@ -39,7 +40,9 @@
     last_event_id: int = 0
     fingerprint: int = 0
     shared_parts: tuple = ()
-    sends: int = 0
+    activity: core_activity.Activity = attrs.field(
+        factory=core_activity.Activity
+    )
 
     @property
     def traits(self):
--- a/pimentowalk/platform/daemon.py
+++ b/pimentowalk/platform/daemon.py
@@ -61,7 +61,7 @@
         )
         self._listeners = listeners or sockets.ListenerSet()
         self._runners = []
-        self._closing_tasks = []
+        self._sockets = {}
         self._stop_requested = asyncio.Event()
         self.front = platform_front.Front(
             self.node,
@@ -112,11 +112,9 @@
             max_field_size=MAX_LINE_BYTES,
         )
         await runner.setup()
-        site = web.SockSite(
-            runner,
-            self._listeners.take(address.host, address.port),
-            backlog=sockets.BACKLOG,
-        )
+        listener = self._listeners.take(address.host, address.port)
+        self._sockets[address] = listener
+        site = web.SockSite(runner, listener, backlog=sockets.BACKLOG)
         await site.start()
         self._runners.append(runner)
         return site
@@ -146,7 +144,9 @@
         return app
 
     def request_stop(self):
-        """Begin a graceful stop."""
+        """Begin a graceful stop; a second call ends the drain at once."""
+        if self._stop_requested.is_set():
+            self.drain.abort()
         self._stop_requested.set()
 
     async def run(self):
@@ -158,6 +158,7 @@
             self._stop_accepting,
             self.bounds.stop_ms / 1000 - STOP_MARGIN_S,
             shutdown_delay_s=SHUTDOWN_DELAY_S,
+            has_unhandled=self._has_open_request,
         )
         transfer_task.cancel()
 
@@ -167,25 +168,31 @@
         A request that arrived later on a keep-alive connection could exceed
         the time that is left until the stop.
         """
+        await sockets.stop_accepting([self._sockets[self.settings.front]])
         await self._front_site.stop()
         self._close_connections()
 
-    def _close_connections(self):
-        remaining_s = (
-            self.bounds.stop_ms / 1000 - STOP_MARGIN_S - SHUTDOWN_DELAY_S
+    def _has_open_request(self):
+        """Return whether a request has been read but not yet answered."""
+        return any(
+            not _is_idle(connection)
+            for connection in self._front_runner.server.connections
         )
+
+    def _close_connections(self):
+        """Close idle connections at once and the others when they are idle.
+
+        aiohttp drops all bytes that arrive on a connection that is shutting
+        down, also the rest of a body that a handler waits for.
+        """
         for connection in self._front_runner.server.connections:
             if self.front.is_busy(connection) or not _is_idle(connection):
-                # Closes the connection after the current response.
-                self._closing_tasks.append(
-                    asyncio.ensure_future(connection.shutdown(remaining_s))
-                )
+                self.front.close_after_response(connection)
             else:
                 connection.force_close()
 
     async def close(self):
         """Close all connections and files."""
-        await core_timers.cancel_all(self._closing_tasks)
         for runner in self._runners:
             await runner.cleanup()
         await super().close()
--- a/pimentowalk/platform/front.py
+++ b/pimentowalk/platform/front.py
@@ -1,7 +1,6 @@
 """Decode the requests of callers and return the responses to them."""
 
 import asyncio
-import itertools
 
 from aiohttp import web
 
@@ -21,7 +20,12 @@
 OVERLOADED_RETRY_AFTER_S = (1.0, 5.0)
 # Added where the time is known, so that callers do not all return at once.
 RETRY_AFTER_SPREAD_S = 0.3
-RETRY_AFTER_BY_CODE_S = {'overloaded': OVERLOADED_RETRY_AFTER_S}
+# Other nodes can serve the request at once.
+DRAINING_RETRY_AFTER_S = (0.0, 0.3)
+RETRY_AFTER_BY_CODE_S = {
+    'overloaded': OVERLOADED_RETRY_AFTER_S,
+    'draining': DRAINING_RETRY_AFTER_S,
+}
 # A starting node receives the configuration and the backend servers within
 # this time in most cases, and a refused caller retries at most once.
 START_TIMEOUT_S = 1.5
@@ -111,13 +115,17 @@
         self._timers = timers
         self._drain = drain
         self._metrics = metrics
-        self._serial = itertools.count()
         self._busy_connections = set()
+        self._closing_connections = set()
 
     def is_busy(self, connection):
         """Return whether a request on a connection is in progress."""
         return connection in self._busy_connections
 
+    def close_after_response(self, connection):
+        """Close a connection after its response, even if that has begun."""
+        self._closing_connections.add(connection)
+
     def application(self, max_body_bytes):
         """Build the aiohttp application."""
         app = web.Application(client_max_size=max_body_bytes)
@@ -133,12 +141,13 @@
         responder = CallerResponder(request, lambda: self._drain.draining)
         self._metrics.count('requests')
         self._busy_connections.add(request.protocol)
-        with self._drain.track(f'{request_id}/{next(self._serial)}'):
+        with self._drain.track(request_id) as active:
             try:
-                log.call = await self._decode_call(
-                    request, request_id, received_s
-                )
-                await self._dispatcher.handle(log.call, responder)
+                async with active.interruptible():
+                    log.call = await self._decode_call(
+                        request, request_id, received_s, active.activity
+                    )
+                    await self._dispatcher.handle(log.call, responder)
                 response = responder.response
             except asyncio.CancelledError:
                 log.log_cancelled(
@@ -153,6 +162,8 @@
                 response = self._error_response(error, log, responder)
             finally:
                 self._busy_connections.discard(request.protocol)
+        if request.protocol in self._closing_connections:
+            response.force_close()
         return response
 
     def _error_response(self, exception, log, responder):
@@ -192,7 +203,7 @@
             return error.retry_after_s + uniform(0.0, RETRY_AFTER_SPREAD_S)
         return uniform(*RETRY_AFTER_BY_CODE_S.get(error.code, RETRY_AFTER_S))
 
-    async def _decode_call(self, request, request_id, received_s):
+    async def _decode_call(self, request, request_id, received_s, activity):
         await self._wait_for_start()
         document = self._node.document
         if document is None:
@@ -202,11 +213,18 @@
         route = document.route(host, path)
         if route is None:
             raise self._admission_error('not_found', 'no route')
+        activity.kind = route.kind
         account = self._authenticate(request, document, route)
         body = await request.read()
-        return self._build_call(
+        call = self._build_call(
             request, request_id, received_s, document, route, account, body
         )
+        call.activity = activity
+        activity.expires_at_s = call.expires_at_s
+        activity.usual_s = self._dispatcher.durations.usual_s(
+            route.name, call.expected_answer_tokens
+        )
+        return call
 
     async def _wait_for_start(self):
         """Wait until the node has a configuration and a view of servers."""
--- a/pimentowalk/platform/request_log.py
+++ b/pimentowalk/platform/request_log.py
@@ -25,9 +25,9 @@
     call: object = None
 
     @property
-    def sends(self):
-        """Return how often the request may have reached a server."""
-        return self.call.sends if self.call is not None else 0
+    def tries(self):
+        """Return how often the request was sent to a server."""
+        return self.call.activity.tries if self.call is not None else 0
 
     def log_failed(self, error, *, is_cut, lease_age_s):
         """Log an error response, or that a started response was cut."""
@@ -71,7 +71,7 @@
             exc_info=error,
             extra=self._fields('answer'),
         )
-        code = 'internal' if self.sends else 'not_run'
+        code = 'internal' if self.tries else 'not_run'
         return errors.PimentowalkError(
             'unexpected error', code=code, step='answer'
         )
@@ -84,7 +84,7 @@
             peer=peer,
             request_id=self.request_id,
             route=call.route.name if call is not None else '',
-            sends=self.sends,
+            tries=self.tries,
             elapsed_ms=int((self.now_s() - self.received_s) * 1000),
             version=document.version if document is not None else 0,
             **others,
--- a/pimentowalk/platform/tests/test_failed_requests.py
+++ b/pimentowalk/platform/tests/test_failed_requests.py
@@ -34,10 +34,10 @@
 
 
 @pytest.mark.parametrize(
-    ('step', 'status', 'sends'), [('admit', 503, 0), ('send 1', 500, 1)]
+    ('step', 'status', 'tries'), [('admit', 503, 0), ('send 1', 500, 1)]
 )
 async def test_unexpected_exception_gets_an_honest_answer(
-    scene, caplog, step, status, sends
+    scene, caplog, step, status, tries
 ):
     """LOST: the caller got a bare 500 without an id, and no line told why.
 
@@ -52,7 +52,7 @@
     lines = _lines(caplog, 'r1')
     (unexpected,) = [x for x in lines if x.startswith('unexpected error')]
     assert lines[unexpected].exc_info
-    assert lines[unexpected].sends == sends
+    assert lines[unexpected].tries == tries
 
 
 async def test_unexpected_exception_cuts_a_started_stream(scene, caplog):
@@ -79,4 +79,4 @@
     request.cancel()
     message = 'the caller closed the connection'
     await waiting.until(lambda: message in _lines(caplog, 'r1'))
-    assert _lines(caplog, 'r1')[message].sends == 1
+    assert _lines(caplog, 'r1')[message].tries == 1
