--- a/pimentowalk/control/applier.py
+++ b/pimentowalk/control/applier.py
@@ -43,6 +43,7 @@
         self._kept_records = kept_records
         self._waiters = {}
         self._applied = control_consensus.Signal()
+        self._snapshot_due = asyncio.Event()
         self.applied_index = 0
         self.last_time_s = 0.0
         self.snapshot = None
@@ -96,7 +97,8 @@
             if applied_count % RECORDS_PER_YIELD == 0:
                 self._applied.notify()
                 await asyncio.sleep(0)
-            await self._snapshot_if_due()
+            if self._is_snapshot_due():
+                self._snapshot_due.set()
         self._applied.notify()
 
     def _apply(self, record):
@@ -147,10 +149,21 @@
             if not consensus.is_voter:
                 consensus.become_follower()
 
-    async def _snapshot_if_due(self):
+    def _is_snapshot_due(self):
         last_snapshot_index = self.snapshot.last_index if self.snapshot else 0
-        if self.applied_index - last_snapshot_index >= self._snapshot_every:
-            await self.take_snapshot()
+        return self.applied_index - last_snapshot_index >= self._snapshot_every
+
+    async def run_snapshots(self):
+        """Take snapshots as they become due, until cancelled.
+
+        The disk may block for seconds, which must not delay the results of
+        commands.
+        """
+        while True:
+            await self._snapshot_due.wait()
+            self._snapshot_due.clear()
+            if self._is_snapshot_due():
+                await self.take_snapshot()
 
     async def take_snapshot(self):
         """Write a snapshot of the applied state and compact the log."""
--- a/pimentowalk/control/replica.py
+++ b/pimentowalk/control/replica.py
@@ -169,6 +169,7 @@
         for coroutine in (
             self._elections.run(),
             self._applier.run(),
+            self._applier.run_snapshots(),
             self._sync_loop(),
             self._bootstrap.run(),
         ):
--- a/pimentowalk/control/tests/faulty_files.py
+++ b/pimentowalk/control/tests/faulty_files.py
@@ -5,6 +5,11 @@
 # A crash keeps or loses each unsynced sector independently. Real sectors are
 # larger; with small ones a record can be torn in more ways.
 SECTOR_BYTES = 16
+# Operations that a full disk may refuse.
+WRITE = 'write'
+TRUNCATE = 'truncate'
+CREATE = 'create'
+RENAME = 'rename'
 
 
 class FaultyFile:
@@ -18,6 +23,7 @@
     def write_at(self, offset, data):
         """Write the data, or half of it while `short_writes` is set."""
         self._files.count_operation()
+        self._files.check_room(WRITE)
         data = bytes(data)
         if self._files.short_writes and len(data) > 1:
             data = data[: len(data) // 2]
@@ -28,6 +34,7 @@
     def truncate(self, size):
         """Truncate the file."""
         self._files.count_operation()
+        self._files.check_room(TRUNCATE)
         self.current = self.current[:size]
 
     def sync(self):
@@ -54,7 +61,8 @@
     """An in-memory folder with the interface of `files.Files`.
 
     If `fail_after` is set, that many operations succeed, and all later ones
-    raise OSError until `crash` is called.
+    raise OSError until `crash` is called. The operations in `refused` fail
+    as on a full disk, with the error number `full_error`.
     """
 
     folder = 'memory'
@@ -65,6 +73,13 @@
         self._unsynced_entry_changes = []
         self.short_writes = False
         self.fail_after = None
+        self.refused = frozenset()
+        self.full_error = errno.ENOSPC
+
+    def check_room(self, operation):
+        """Raise OSError if the operation needs room on a full disk."""
+        if operation in self.refused:
+            raise OSError(self.full_error, 'the disk is full')
 
     def count_operation(self):
         """Count one operation; raise OSError once `fail_after` is used up."""
@@ -83,6 +98,7 @@
     def open(self, name):
         """Open or create a file."""
         if name not in self._current:
+            self.check_room(CREATE)
             self._change_entries(name, FaultyFile(self))
         return self._current[name]
 
@@ -93,6 +109,7 @@
 
     def replace(self, source, target):
         """Rename a file over another."""
+        self.check_room(RENAME)
         file = self._current[source]
         self._change_entries(source, None, target, file)
 
--- a/pimentowalk/control/tests/simulation.py
+++ b/pimentowalk/control/tests/simulation.py
@@ -8,12 +8,14 @@
 from pimentowalk.control import members
 from pimentowalk.control import replica as control_replica
 from pimentowalk.control.tests import faulty_files
+from pimentowalk.control.tests import file_threads
 from pimentowalk.control.tests import simulated_links
 from pimentowalk.core import errors
 from pimentowalk.core import timers
 from pimentowalk.topology import instances
 
 STEP_S = 0.05
+SNAPSHOT_EVERY = 12
 
 
 class CommandRecorder:
@@ -64,13 +66,14 @@
         simulation = self.simulation
         self.timers = simulated_links.FreezableTimers(simulation.clock)
         self.recorder = CommandRecorder()
+        self.file_thread = simulation.make_file_thread(simulation.clock)
         disk_name = f'{self.node_id}-disk-{self.lost_disk_count}'
         log = simulation.make_log(
             '',
             files=self.files,
             on_fatal=simulation.fatal.append,
             new_identity=simulation.new_identity_for(disk_name, self.node_id),
-            run_blocking=faulty_files.run_inline,
+            run_blocking=self.file_thread.run,
         )
         self.replica = control_replica.Replica(
             self.node_id,
@@ -83,7 +86,7 @@
             rules=simulation.rules,
             random=self.random,
             clock=simulation.clock.now_s,
-            snapshot_every=12,
+            snapshot_every=SNAPSHOT_EVERY,
             kept_records=4,
         )
         await self.replica.start()
@@ -105,6 +108,7 @@
         for link in self.links:
             link.abort()
         self.links.clear()
+        self.file_thread.kill()
         if lose_disk:
             self.files.wipe()
             self.lost_disk_count += 1
@@ -125,11 +129,13 @@
         *,
         rules=None,
         make_log=control_log.DurableLog,
+        make_file_thread=file_threads.InlineFileThread,
         new_identity_for=lambda disk_name, node_id: lambda: disk_name,
     ):
         self.clock = timers.ManualTimerService()
         self.rules = rules
         self.make_log = make_log
+        self.make_file_thread = make_file_thread
         self.new_identity_for = new_identity_for
         self.fatal = []
         self.partitioned = set()
--- /dev/null
+++ b/pimentowalk/control/tests/test_full_disks.py
@@ -0,0 +1,150 @@
+"""Test clusters whose disks fill up one after another."""
+
+import asyncio
+import contextlib
+import random
+import types
+
+import pytest
+
+from pimentowalk.control import files
+from pimentowalk.control.tests import faulty_files
+from pimentowalk.control.tests import file_threads
+from pimentowalk.control.tests import simulation
+from pimentowalk.core import errors
+
+# An operator gets an acknowledgement within this time.
+MAX_ACKNOWLEDGEMENT_S = 4.0
+# The same after the last disk has room again.
+MAX_RECOVERY_S = 1.0
+CALL_TIMEOUT_S = 0.7
+ATTEMPT_DELAY_S = 0.05
+SEEDS = range(12)
+REFUSALS = (
+    (faulty_files.WRITE,),
+    (faulty_files.WRITE, faulty_files.CREATE, faulty_files.RENAME),
+)
+
+
+@pytest.fixture(autouse=True)
+def manual_retry_delay(monkeypatch):
+    monkeypatch.setattr(
+        files,
+        'time',
+        types.SimpleNamespace(sleep=file_threads.wait_for_room),
+    )
+
+
+class Operator:
+    """Send changes to the leader until each is acknowledged."""
+
+    def __init__(self, sim):
+        self._sim = sim
+        self._count = 0
+        self._tasks = {}
+        self.delays_s = []
+
+    def send(self):
+        """Send a change in the background."""
+        self._count += 1
+        name = f'change{self._count}'
+        self._tasks[name] = asyncio.ensure_future(self._send(name))
+
+    async def _send(self, name):
+        sim = self._sim
+        start_s = sim.clock.now_s()
+        attempt = 0
+        while True:
+            for leader in sim.leaders():
+                attempt += 1
+                command = f'{name}/{attempt}'.encode()
+                try:
+                    await leader.replica.propose(command, CALL_TIMEOUT_S)
+                except errors.PimentowalkError:
+                    continue
+                delay_s = sim.clock.now_s() - start_s
+                self.delays_s.append(delay_s)
+                assert delay_s <= MAX_ACKNOWLEDGEMENT_S, (
+                    f'{name} took {delay_s:.2f} s: {sim.describe()}'
+                )
+                return
+            await sim.clock.sleep(ATTEMPT_DELAY_S)
+
+    def check(self):
+        """Raise the error of a change that was acknowledged too late."""
+        for name in [n for n, task in self._tasks.items() if task.done()]:
+            self._tasks.pop(name).result()
+
+    async def wait_all(self, limit_s):
+        """Fail unless all changes are acknowledged within the limit."""
+        await self._sim.advance_until(
+            lambda: all(task.done() for task in self._tasks.values()), limit_s
+        )
+        self.check()
+
+
+async def run_with_changes(sim, operator, delay_s, rng):
+    """Advance the clock while changes are sent at random moments."""
+    end_s = sim.clock.now_s() + delay_s
+    while (left_s := end_s - sim.clock.now_s()) > 1e-9:
+        operator.send()
+        await sim.advance(min(left_s, rng.uniform(0.05, 0.6)) + 0.049)
+        operator.check()
+
+
+@contextlib.asynccontextmanager
+async def running_cluster():
+    """Run three replicas that have committed one command."""
+    sim = simulation.Simulation(make_file_thread=file_threads.FileThread)
+    await sim.start()
+    await sim.replicate_command()
+    yield sim
+    await sim.stop()
+
+
+async def test_full_disk_does_not_delay_changes_beside_a_due_snapshot():
+    """A leader that could not write its snapshot answered no change."""
+    async with running_cluster() as sim:
+        leader = sim.leaders()[0]
+        leader.files.refused = frozenset([faulty_files.WRITE])
+        operator = Operator(sim)
+        for _ in range(2 * simulation.SNAPSHOT_EVERY):
+            operator.send()
+            await sim.advance(0.1)
+        await operator.wait_all(0.5)
+        assert leader.file_thread.wait_count
+        assert sim.leaders() == [leader]
+
+
+def choose_node(sim, order, round_number, rng):
+    """Return the next node whose disk fills up."""
+    leaders = sim.leaders()
+    if order == 'leader' and leaders:
+        return leaders[0]
+    if order == 'turn':
+        return sim.nodes[round_number % 3]
+    return rng.choice(sim.nodes)
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+async def test_changes_are_acknowledged_while_disks_fill_up_in_turn(seed):
+    """Changes stayed unanswered after the last disk had room again."""
+    rng = random.Random(seed)
+    async with running_cluster() as sim:
+        operator = Operator(sim)
+        order = rng.choice(['leader', 'turn', 'random'])
+        for round_number in range(rng.randint(3, 8)):
+            node = choose_node(sim, order, round_number, rng)
+            node.files.refused = frozenset(rng.choice(REFUSALS))
+            await run_with_changes(sim, operator, rng.uniform(2.0, 5.0), rng)
+            assert node.file_thread.wait_count
+            node.files.refused = frozenset()
+            gap_s = rng.choice([0.0, 0.1, 0.5, 2.0])
+            if gap_s:
+                await run_with_changes(sim, operator, gap_s, rng)
+        operator.send()
+        await operator.wait_all(MAX_RECOVERY_S)
+        await sim.advance_until(
+            lambda: len({n.replica.applied_index for n in sim.nodes}) == 1,
+            MAX_RECOVERY_S,
+        )
