Keep running on a full disk that refuses more than writes

An instance ended, and ended again after each restart until the disk had room, where the full disk also refused to shorten or remove a file, or where a quota rather than the device was used up. Its requests in progress were cut each time.

Cause: only writes, opens and renames were retried, and only after ENOSPC. Truncating the temporary vote file or a torn log segment raised ENOSPC, which ends the process, as did any EDQUOT. A restart while the disk is full finds a torn segment more often than others do, because the write that waited was partly done.

None of these operations changes a file when it fails, so that a retry is safe. A failed sync still ends the process.

--- a/pimentowalk/control/files.py
+++ b/pimentowalk/control/files.py
@@ -13,6 +13,7 @@
 # A full disk rejects writes but loses no data, so a write is retried after
 # this time. Until it succeeds, nothing that depends on it is acknowledged.
 DISK_FULL_RETRY_S = 0.2
+DISK_FULL_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT})
 
 
 def retry_while_disk_full(operation, *arguments):
@@ -26,7 +27,7 @@
         try:
             result = operation(*arguments)
         except OSError as error:
-            if error.errno != errno.ENOSPC:
+            if error.errno not in DISK_FULL_ERRORS:
                 raise
             if not is_logged:
                 is_logged = True
@@ -100,7 +101,7 @@
 
     def remove(self, name):
         """Remove a file."""
-        os.unlink(self._path(name))
+        retry_while_disk_full(os.unlink, self._path(name))
 
     def sync_folder(self):
         """Return once creations, renames and removals are on disk."""
@@ -115,6 +116,12 @@
         os.close(fd)
 
 
+def truncate(file, size):
+    """Truncate a file to a size in bytes."""
+    # A copy-on-write file system needs room to shorten a file.
+    retry_while_disk_full(file.truncate, size)
+
+
 def write_all(file, offset, data):
     """Write all of the data, continuing after short writes."""
     remaining = memoryview(data)
@@ -131,7 +138,7 @@
     temporary = name + '.tmp'
     file = files.open(temporary)
     try:
-        file.truncate(0)
+        truncate(file, 0)
         write_all(file, 0, data)
         file.sync()
     finally:
--- a/pimentowalk/control/segments.py
+++ b/pimentowalk/control/segments.py
@@ -198,7 +198,7 @@
                 f'{segment.name} is damaged at byte {segment.size}, '
                 f'before the synced index {known_synced}'
             )
-        segment.file.truncate(segment.size)
+        control_files.truncate(segment.file, segment.size)
         segment.file.sync()
 
     def write(self, records, synced_index):
@@ -262,7 +262,7 @@
         if self._segments:
             segment = self._segments[-1]
             del segment.record_ends[index - segment.first_index :]
-            segment.file.truncate(segment.size)
+            control_files.truncate(segment.file, segment.size)
             segment.file.sync()
 
     def remove_through(self, index):
--- a/pimentowalk/control/tests/faulty_files.py
+++ b/pimentowalk/control/tests/faulty_files.py
@@ -2,6 +2,8 @@
 
 import errno
 
+from pimentowalk.control import files as control_files
+
 # A crash keeps or loses each unsynced sector independently. Real sectors are
 # larger; with small ones a record can be torn in more ways.
 SECTOR_BYTES = 16
@@ -10,6 +12,7 @@
 TRUNCATE = 'truncate'
 CREATE = 'create'
 RENAME = 'rename'
+ALL = frozenset([WRITE, TRUNCATE, CREATE, RENAME])
 
 
 class FaultyFile:
@@ -98,7 +101,7 @@
     def open(self, name):
         """Open or create a file."""
         if name not in self._current:
-            self.check_room(CREATE)
+            control_files.retry_while_disk_full(self.check_room, CREATE)
             self._change_entries(name, FaultyFile(self))
         return self._current[name]
 
@@ -109,7 +112,7 @@
 
     def replace(self, source, target):
         """Rename a file over another."""
-        self.check_room(RENAME)
+        control_files.retry_while_disk_full(self.check_room, RENAME)
         file = self._current[source]
         self._change_entries(source, None, target, file)
 
--- a/pimentowalk/control/tests/test_full_disk.py
+++ b/pimentowalk/control/tests/test_full_disk.py
@@ -1,6 +1,8 @@
 """Test that a full disk only delays writes and never ends the process."""
 
 import errno
+import os
+import types
 
 import pytest
 
@@ -76,3 +78,98 @@
     await reopened.open()
     assert fatal_errors == []
     assert [r.content for r in reopened.retained_records()] == [b'one']
+
+
+async def open_log(files_on_disk, fatal_errors):
+    """Return a log in the given files whose fatal errors are collected."""
+    log = control_log.DurableLog(
+        'x',
+        files=files_on_disk,
+        on_fatal=fatal_errors.append,
+        run_blocking=faulty_files.run_inline,
+    )
+    await log.open()
+    return log
+
+
+def make_room_after_retries(monkeypatch, files_on_disk, count):
+    """Give the disk room once some operations have been retried."""
+    delays_s = []
+
+    def sleep(delay_s):
+        delays_s.append(delay_s)
+        if len(delays_s) == count:
+            files_on_disk.refused = frozenset()
+
+    monkeypatch.setattr(files, 'time', types.SimpleNamespace(sleep=sleep))
+    return delays_s
+
+
+@pytest.mark.parametrize('code', [errno.ENOSPC, errno.EDQUOT])
+@pytest.mark.parametrize(
+    ('operation', 'refused'),
+    [
+        (lambda log: log.save_vote(7, 'a'), faulty_files.ALL),
+        (lambda log: log.save_vote(7, 'a'), [faulty_files.TRUNCATE]),
+        (lambda log: log.truncate_from(2), faulty_files.ALL),
+        (lambda log: log.truncate_from(2), [faulty_files.TRUNCATE]),
+        (lambda log: log.reset(9, 3), faulty_files.ALL),
+        (lambda log: log.sync(), faulty_files.ALL),
+    ],
+)
+async def test_process_does_not_end_while_the_disk_refuses_changes(
+    monkeypatch, operation, refused, code
+):
+    """A disk that also refused to shorten a file ended the process."""
+    files_on_disk = faulty_files.FaultyFiles()
+    fatal_errors = []
+    log = await open_log(files_on_disk, fatal_errors)
+    log.append(
+        [messages.LogRecord(n, 1, 'command', b'one') for n in (1, 2, 3)]
+    )
+    await log.sync()
+    log.append([messages.LogRecord(4, 1, 'command', b'two')])
+    files_on_disk.refused = refused
+    files_on_disk.full_error = code
+    retries = make_room_after_retries(monkeypatch, files_on_disk, 3)
+    await operation(log)
+    assert len(retries) == 3
+    assert fatal_errors == []
+
+
+async def test_log_opens_after_a_torn_write_on_a_full_disk(monkeypatch):
+    """A process that restarted on a full disk ended again and again."""
+    files_on_disk = faulty_files.FaultyFiles()
+    fatal_errors = []
+    log = await open_log(files_on_disk, fatal_errors)
+    log.append([messages.LogRecord(1, 1, 'command', b'one')])
+    await log.sync()
+    segment = files_on_disk.open(log._store._segments[-1].name)
+    segment.write_at(len(segment.current), b'PREC torn')
+    files_on_disk.refused = faulty_files.ALL
+    make_room_after_retries(monkeypatch, files_on_disk, 3)
+    reopened = await open_log(files_on_disk, fatal_errors)
+    assert fatal_errors == []
+    assert [r.content for r in reopened.retained_records()] == [b'one']
+
+
+@pytest.mark.parametrize('name', ['open', 'replace', 'unlink'])
+def test_change_of_names_is_retried_while_the_disk_is_full(
+    monkeypatch, tmp_path, name
+):
+    """A folder entry may need room, too; the process ended without it."""
+    folder = files.Files(tmp_path)
+    call = getattr(os, name)
+    failures = iter([True, True])
+
+    def call_or_fail(*arguments):
+        if next(failures, False):
+            raise OSError(errno.ENOSPC, 'full')
+        return call(*arguments)
+
+    monkeypatch.setattr(os, name, call_or_fail)
+    folder.open('a').close()
+    folder.replace('a', 'b')
+    folder.remove('b')
+    assert next(failures, None) is None
+    assert folder.names() == []
--- a/pimentowalk/control/tests/test_full_disks.py
+++ b/pimentowalk/control/tests/test_full_disks.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import errno
 import random
 import types
 
@@ -20,10 +21,8 @@
 CALL_TIMEOUT_S = 0.7
 ATTEMPT_DELAY_S = 0.05
 SEEDS = range(12)
-REFUSALS = (
-    (faulty_files.WRITE,),
-    (faulty_files.WRITE, faulty_files.CREATE, faulty_files.RENAME),
-)
+RESTART_SHARE = 0.3
+REFUSALS = (frozenset([faulty_files.WRITE]), faulty_files.ALL)
 
 
 @pytest.fixture(autouse=True)
@@ -126,6 +125,27 @@
     return rng.choice(sim.nodes)
 
 
+async def fill_disk_for_a_while(sim, operator, node, rng):
+    """Fill the disk of a node, which may restart before it has room."""
+    node.files.refused = rng.choice(REFUSALS)
+    node.files.full_error = rng.choice([errno.ENOSPC, errno.EDQUOT])
+    full_s = rng.uniform(2.0, 5.0)
+    if rng.random() < RESTART_SHARE:
+        running_s = rng.uniform(0.2, full_s - 1.0)
+        await run_with_changes(sim, operator, running_s, rng)
+        await node.crash(rng)
+        await run_with_changes(sim, operator, 0.3, rng)
+        starting = asyncio.ensure_future(node.start())
+        await run_with_changes(sim, operator, full_s - running_s, rng)
+        node.files.refused = frozenset()
+        await sim.advance_until(starting.done, MAX_RECOVERY_S)
+        starting.result()
+    else:
+        await run_with_changes(sim, operator, full_s, rng)
+        assert node.file_thread.wait_count
+        node.files.refused = frozenset()
+
+
 @pytest.mark.parametrize('seed', SEEDS)
 async def test_changes_are_acknowledged_while_disks_fill_up_in_turn(seed):
     """Changes stayed unanswered after the last disk had room again."""
@@ -135,10 +155,7 @@
         order = rng.choice(['leader', 'turn', 'random'])
         for round_number in range(rng.randint(3, 8)):
             node = choose_node(sim, order, round_number, rng)
-            node.files.refused = frozenset(rng.choice(REFUSALS))
-            await run_with_changes(sim, operator, rng.uniform(2.0, 5.0), rng)
-            assert node.file_thread.wait_count
-            node.files.refused = frozenset()
+            await fill_disk_for_a_while(sim, operator, node, rng)
             gap_s = rng.choice([0.0, 0.1, 0.5, 2.0])
             if gap_s:
                 await run_with_changes(sim, operator, gap_s, rng)
