Do not wait for a full disk when an instance stops

A planned stop of an instance whose disk was full did not end before the disk had room, so that the process had to be killed after its grace.

Cause: the log was closed only after the write in progress, which is retried until the disk has room, and the exit of the process joins the thread that retries.

With the fix it stops, and recovers when it is started again on the full disk.

A stop now ends the retry. The interrupted record is a torn tail, as after a crash, and was never acknowledged by this instance.

--- a/pimentowalk/control/files.py
+++ b/pimentowalk/control/files.py
@@ -6,19 +6,42 @@
 import errno
 import logging
 import os
+import threading
 import time
 
+from pimentowalk.core import errors
+
 LOG = logging.getLogger(__name__)
 
 # A full disk rejects writes but loses no data, so a write is retried after
 # this time. Until it succeeds, nothing that depends on it is acknowledged.
 DISK_FULL_RETRY_S = 0.2
 DISK_FULL_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT})
+_THREAD = threading.local()
+
+
+class WriteStopped(errors.PimentowalkError):
+    """A stop interrupted an operation that may be partly done."""
+
+
+def end_retries_on(stopping):
+    """End the retries of the calling thread once an event is set."""
+    _THREAD.stopping = stopping
+
+
+def _wait_before_retry():
+    stopping = getattr(_THREAD, 'stopping', None)
+    if stopping is None:
+        time.sleep(DISK_FULL_RETRY_S)
+    elif stopping.wait(DISK_FULL_RETRY_S):
+        raise WriteStopped('stopped while the disk was full', step='write')
 
 
 def retry_while_disk_full(operation, *arguments):
     """Return the result of an operation, retried while the disk is full.
 
+    Raises WriteStopped if the thread is stopped meanwhile.
+
     Do not use it for a sync: after a failed sync the content of the disk is
     unknown.
     """
@@ -32,7 +55,7 @@
             if not is_logged:
                 is_logged = True
                 LOG.warning('the disk is full; waiting for room')
-            time.sleep(DISK_FULL_RETRY_S)
+            _wait_before_retry()
         else:
             if is_logged:
                 LOG.info('the disk has room again')
--- a/pimentowalk/control/log.py
+++ b/pimentowalk/control/log.py
@@ -6,6 +6,7 @@
 import logging
 import os
 import secrets
+import threading
 
 import attrs
 import xxhash
@@ -99,8 +100,12 @@
         self.on_fatal = on_fatal
         self._new_identity = new_identity
         self._store = segments.SegmentStore(self.files, segment_bytes)
+        self._stopping = threading.Event()
         self._executor = concurrent.futures.ThreadPoolExecutor(
-            1, thread_name_prefix='log'
+            1,
+            thread_name_prefix='log',
+            initializer=control_files.end_retries_on,
+            initargs=(self._stopping,),
         )
         self._run_blocking = run_blocking or self._run_in_thread
         self._lock = asyncio.Lock()
@@ -217,6 +222,7 @@
         await self._run_exclusively(self._sync())
 
     async def _sync(self):
+        self._check_intact()
         pending, self._pending = self._pending, []
         if pending:
             await self._run(self._store.write, pending, self.synced_index)
@@ -290,9 +296,14 @@
 
     async def close(self):
         """Close the files; queued records that are not synced are lost."""
-        await self._run_exclusively(self._run(self._store.close))
+        self._stopping.set()
+        await self._run_exclusively(self._close())
         self._executor.shutdown()
 
+    async def _close(self):
+        if self._failure is None:
+            await self._run(self._store.close)
+
     async def _run_exclusively(self, operation):
         # Shielded, so that cancelling a caller cannot leave memory and disk
         # inconsistent.
@@ -310,13 +321,20 @@
         """Run `function(files, *arguments)`; an OSError is fatal."""
         return await self._run(function, self.files, *arguments)
 
-    async def _run(self, function, *arguments):
+    def _check_intact(self):
+        """Raise DamagedData if memory and disk may differ."""
         if self._failure is not None:
             raise segments.damage_error(
                 f'an earlier write failed: {self._failure}'
             )
+
+    async def _run(self, function, *arguments):
+        self._check_intact()
         try:
             return await self._run_blocking(function, *arguments)
+        except control_files.WriteStopped as error:
+            self._failure = error
+            raise
         except OSError as error:
             self._failure = error
             self.on_fatal(error)
--- a/pimentowalk/control/tests/test_full_disk.py
+++ b/pimentowalk/control/tests/test_full_disk.py
@@ -1,7 +1,9 @@
 """Test that a full disk only delays writes and never ends the process."""
 
+import asyncio
 import errno
 import os
+import threading
 import types
 
 import pytest
@@ -9,6 +11,7 @@
 from pimentowalk.control import files
 from pimentowalk.control import log as control_log
 from pimentowalk.control.tests import faulty_files
+from pimentowalk.core import errors
 from pimentowalk.wire import messages
 
 
@@ -173,3 +176,27 @@
     folder.remove('b')
     assert next(failures, None) is None
     assert folder.names() == []
+
+
+async def test_record_that_a_stop_interrupts_is_not_acknowledged(
+    monkeypatch, tmp_path
+):
+    """A later sync found nothing to write and reported success."""
+    log = control_log.DurableLog(tmp_path)
+    await log.open()
+    is_full = threading.Event()
+
+    def reject(file, offset, data):
+        is_full.set()
+        raise OSError(errno.ENOSPC, 'full')
+
+    monkeypatch.setattr(files.File, 'write_at', reject)
+    log.append([messages.LogRecord(1, 1, 'command', b'one')])
+    syncs = [asyncio.ensure_future(log.sync()) for _ in range(2)]
+    await asyncio.to_thread(is_full.wait)
+    async with asyncio.timeout(5.0):
+        await log.close()
+    for sync in syncs:
+        with pytest.raises(errors.PimentowalkError):
+            await sync
+    assert log.synced_index == 0
--- a/pimentowalk/platform/tests/test_full_disks.py
+++ b/pimentowalk/platform/tests/test_full_disks.py
@@ -13,6 +13,7 @@
 # An operator gets an acknowledgement within this time.
 MAX_ACKNOWLEDGEMENT_S = 4.0
 FULL_S = 2.5
+MAX_STOP_S = 2.0
 
 
 class Disks:
@@ -111,3 +112,23 @@
             for g in cluster.gateways
         )
     )
+
+
+async def test_gateway_on_a_full_disk_stops_and_recovers(cluster, disks):
+    """A stop waited for the disk, so that the process had to be killed."""
+    leader = leader_of(cluster)
+    disks.fill(leader)
+    await put_configuration(cluster, 10)
+    await waiting.until(lambda: disks.rejected_writes)
+    others = [g for g in cluster.gateways if g is not leader]
+    cluster.gateways = others
+    async with asyncio.timeout(MAX_STOP_S):
+        await leader.close()
+    await put_configuration(cluster, 11)
+    restarted = await cluster.start_gateway(
+        leader.settings.host, first_start=False
+    )
+    cluster.gateways = [restarted, *others]
+    disks.make_room()
+    await waiting.until(lambda: restarted.node.document_version == 11)
+    await put_configuration(cluster, 12)
