--- a/pimentowalk/control/files.py
+++ b/pimentowalk/control/files.py
@@ -17,6 +17,7 @@
 # this time. Until it succeeds, nothing that depends on it is acknowledged.
 DISK_FULL_RETRY_S = 0.2
 DISK_FULL_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT})
+TEMPORARY_SUFFIX = '.tmp'
 _THREAD = threading.local()
 
 
@@ -158,7 +159,7 @@
 
 def replace_durably(files, name, data):
     """Replace a file atomically: a crash leaves the old or new content."""
-    temporary = name + '.tmp'
+    temporary = name + TEMPORARY_SUFFIX
     file = files.open(temporary)
     try:
         truncate(file, 0)
--- a/pimentowalk/control/snapshot.py
+++ b/pimentowalk/control/snapshot.py
@@ -68,6 +68,7 @@
 def load(files):
     """Return the latest snapshot of a folder, or None."""
     files.make_folder()
+    _remove_unfinished(files)
     names = [name for name in files.names() if name.endswith(SNAPSHOT_SUFFIX)]
     if not names:
         return None
@@ -76,6 +77,14 @@
     return Snapshot.decode(files.read(names[-1]))
 
 
+def _remove_unfinished(files):
+    # The name has the index, so that no later snapshot replaces the file.
+    suffix = SNAPSHOT_SUFFIX + control_files.TEMPORARY_SUFFIX
+    for name in files.names():
+        if name.endswith(suffix):
+            files.remove(name)
+
+
 def save(files, snapshot):
     """Write a snapshot durably, then remove the older ones."""
     name = _name(snapshot)
--- a/pimentowalk/control/tests/test_full_disk.py
+++ b/pimentowalk/control/tests/test_full_disk.py
@@ -10,6 +10,7 @@
 
 from pimentowalk.control import files
 from pimentowalk.control import log as control_log
+from pimentowalk.control import snapshot
 from pimentowalk.control.tests import faulty_files
 from pimentowalk.core import errors
 from pimentowalk.wire import messages
@@ -200,3 +201,17 @@
         with pytest.raises(errors.PimentowalkError):
             await sync
     assert log.synced_index == 0
+
+
+def test_unfinished_snapshot_is_removed_at_the_next_start(tmp_path):
+    """Each crash during the write of a snapshot used up room for good."""
+    folder = files.Files(tmp_path)
+    finished = snapshot.Snapshot(1, 1, b'', b'state')
+    snapshot.save(folder, finished)
+    folder.open(
+        '00000000000000000009-00000000000000000001.snapshot.tmp'
+    ).close()
+    folder.open('servers.tmp').close()
+    assert snapshot.load(folder) == finished
+    assert len(folder.names()) == 2
+    assert 'servers.tmp' in folder.names()
