--- a/pimentowalk/control/files.py
+++ b/pimentowalk/control/files.py
@@ -6,18 +6,43 @@
 import errno
 import logging
 import os
+import threading
 import time
 
+from pimentowalk.core import errors
+
 LOG = logging.getLogger(__name__)
 
 # A full disk rejects writes but loses no data, so a write is retried after
 # this time. Until it succeeds, nothing that depends on it is acknowledged.
 DISK_FULL_RETRY_S = 0.2
+DISK_FULL_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT})
+TEMPORARY_SUFFIX = '.tmp'
+_THREAD = threading.local()
+
+
+class WriteStopped(errors.PimentowalkError):
+    """A stop interrupted an operation that may be partly done."""
+
+
+def end_retries_on(stopping):
+    """End the retries of the calling thread once an event is set."""
+    _THREAD.stopping = stopping
+
+
+def _wait_before_retry():
+    stopping = getattr(_THREAD, 'stopping', None)
+    if stopping is None:
+        time.sleep(DISK_FULL_RETRY_S)
+    elif stopping.wait(DISK_FULL_RETRY_S):
+        raise WriteStopped('stopped while the disk was full', step='write')
 
 
 def retry_while_disk_full(operation, *arguments):
     """Return the result of an operation, retried while the disk is full.
 
+    Raises WriteStopped if the thread is stopped meanwhile.
+
     Do not use it for a sync: after a failed sync the content of the disk is
     unknown.
     """
@@ -26,12 +51,12 @@
         try:
             result = operation(*arguments)
         except OSError as error:
-            if error.errno != errno.ENOSPC:
+            if error.errno not in DISK_FULL_ERRORS:
                 raise
             if not is_logged:
                 is_logged = True
                 LOG.warning('the disk is full; waiting for room')
-            time.sleep(DISK_FULL_RETRY_S)
+            _wait_before_retry()
         else:
             if is_logged:
                 LOG.info('the disk has room again')
@@ -100,7 +125,7 @@
 
     def remove(self, name):
         """Remove a file."""
-        os.unlink(self._path(name))
+        retry_while_disk_full(os.unlink, self._path(name))
 
     def sync_folder(self):
         """Return once creations, renames and removals are on disk."""
@@ -115,6 +140,12 @@
         os.close(fd)
 
 
+def truncate(file, size):
+    """Truncate a file to a size in bytes."""
+    # A copy-on-write file system needs room to shorten a file.
+    retry_while_disk_full(file.truncate, size)
+
+
 def write_all(file, offset, data):
     """Write all of the data, continuing after short writes."""
     remaining = memoryview(data)
@@ -128,10 +159,10 @@
 
 def replace_durably(files, name, data):
     """Replace a file atomically: a crash leaves the old or new content."""
-    temporary = name + '.tmp'
+    temporary = name + TEMPORARY_SUFFIX
     file = files.open(temporary)
     try:
-        file.truncate(0)
+        truncate(file, 0)
         write_all(file, 0, data)
         file.sync()
     finally:
