Ramp up only servers that joined after the first whole view

Seen while tracing test_drained_server_finishes_what_it_runs: after a start of a whole deployment, entries gave nearly all requests to the servers that happened to be in their first view update.

Cause: the index of servers treated those of the first update that was not empty as old, and ramped up all others over 5 s. A control instance that warms up reports servers one by one as it hears of them, so the first update holds whichever was quickest. The view already knows the join times (a server joined before the entry until a control instance has sent a whole view), but nothing read them.

Change: the index takes the join times from the view. A server that joins after the first whole view is ramped up as before.

The test of the growing share passes its join times in now, since the index has no rule of its own; its bounds are unchanged.

--- a/pimentowalk/entry/context.py
+++ b/pimentowalk/entry/context.py
@@ -110,8 +110,9 @@
 
     def update_from_view(self, *_):
         """Apply a changed view of the backend servers to the routing."""
-        servers = self.session.view.servers()
-        self.routing.index.update(servers)
+        view = self.session.view
+        servers = view.servers()
+        self.routing.index.update(servers, view.joined_s)
         self.routing.loads.keep_only({server.server_id for server in servers})
 
 
--- a/pimentowalk/entry/tests/fake_control.py
+++ b/pimentowalk/entry/tests/fake_control.py
@@ -6,6 +6,7 @@
 
 from pimentowalk.control import commands
 from pimentowalk.core import errors
+from pimentowalk.membership import view
 
 
 class FakeView:
@@ -18,6 +19,9 @@
     def servers(self):
         return list(self.records)
 
+    def joined_s(self, server_id):
+        return view.JOINED_BEFORE_S
+
 
 class FakeSession:
     """A fake of `control.client.NodeSession`."""
--- a/pimentowalk/routing/index.py
+++ b/pimentowalk/routing/index.py
@@ -88,6 +88,10 @@
         return self.total_layers > 0 and 0 in self._useful_boundaries
 
 
+def _join_before_index(server_id):
+    return float('-inf')
+
+
 class ServerIndex:
     """Maintain groups of servers as the view changes.
 
@@ -102,11 +106,15 @@
         self._variants = collections.defaultdict(set)
         self._plain = {}
         self._plain_lists = {}
-        self._joined_s = {}
-        self._has_view = False
+        self._joined_s = _join_before_index
 
-    def update(self, servers):
-        """Replace the view; draining servers are left out."""
+    def update(self, servers, joined_s=_join_before_index):
+        """Replace the view; draining servers are left out.
+
+        `joined_s(server_id)` returns when a server joined. Without it, all of
+        them joined before this index existed and are not ramped up.
+        """
+        self._joined_s = joined_s
         wanted = {s.server_id: s for s in servers if not s.draining}
         changed = set()
         for server_id in list(self._servers):
@@ -118,21 +126,10 @@
                 continue
             if old is not None:
                 changed |= self._remove(old)
-            self._record_join(old, server)
+            self._servers[server_id] = server
             changed |= self._add(server)
         for key in changed:
             self._rebuild(key)
-        self._has_view = self._has_view or bool(wanted)
-
-    def _record_join(self, old, server):
-        self._servers[server.server_id] = server
-        if old is not None and old.incarnation == server.incarnation:
-            return
-        # Servers in the first view may have been running for long, so they
-        # are not ramped up.
-        long_ago = float('-inf')
-        joined_s = self._timers.now_s() if self._has_view else long_ago
-        self._joined_s[server.server_id] = joined_s
 
     def _group_keys(self, server):
         for adapter in {'', *server.adapters}:
@@ -210,5 +207,4 @@
 
     def age_s(self, server_id):
         """Return how long ago a server joined, in seconds."""
-        joined_s = self._joined_s.get(server_id, float('-inf'))
-        return self._timers.now_s() - joined_s
+        return self._timers.now_s() - self._joined_s(server_id)
--- a/pimentowalk/routing/tests/test_policies.py
+++ b/pimentowalk/routing/tests/test_policies.py
@@ -151,7 +151,11 @@
     old = [clusters.server(n, (0, 5)) for n in range(1, 4)]
     routing_state = clusters.state(old, timers=timers)
     policy = policies.LeastCost(routing_state, servers=4)
-    routing_state.index.update([*old, clusters.server(4, (0, 5), 10_000.0)])
+    joined_s = {server.server_id: float('-inf') for server in old}
+    joined_s['s4'] = timers.now_s()
+    routing_state.index.update(
+        [*old, clusters.server(4, (0, 5), 10_000.0)], joined_s.__getitem__
+    )
     shares = []
     for _ in range(4):
         chains = [policy.choose(clusters.query()) for _ in range(400)]
