Wait for an engine under sustained load instead of 24 requests

Cause: the test sent 24 requests at once and then waited for one engine to run 30 steps. A server that has just joined gets a small share of the work, 5% at first, so all 24 may go to the other server of its layers; no work follows, and the wait cannot end. `ready` returns as soon as control lists all servers.

The test now keeps 24 callers sending until the fault has been caused. It waits for the same 30 steps as before, the fault always hits running requests, and every answer is checked, including those sent during the fault. The other tests of the module with this wait use the same load.

--- a/tools/tests/test_failures.py
+++ b/tools/tests/test_failures.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import signal
 
 import pytest
 
+from pimentowalk.core import timers
 from tools import demo
 from tools import deployment as deployments
 from tools import load
@@ -14,6 +16,7 @@
 pytestmark = pytest.mark.processes
 # Long enough for a fault to hit answers that are under way.
 TOKENS = 60
+CALLERS = 24
 FAST_ENGINE = ('--tokens-per-s', '4000', '--base-s', '0.004')
 
 
@@ -31,16 +34,18 @@
 
 def bodies(count):
     """Return requests with fixed seeds, all long enough to be hit."""
-    return [
-        {
-            'model': demo.MODEL,
-            'prompt': f'repair note number {number}',
-            'max_tokens': TOKENS,
-            'seed': number + 1,
-            'temperature': 0.8,
-        }
-        for number in range(count)
-    ]
+    return [request_body(number) for number in range(count)]
+
+
+def request_body(number):
+    """Return a request with a fixed seed, long enough to be hit."""
+    return {
+        'model': demo.MODEL,
+        'prompt': f'repair note number {number}',
+        'max_tokens': TOKENS,
+        'seed': number + 1,
+        'temperature': 0.8,
+    }
 
 
 async def send(site, session, requests, accounts=None):
@@ -74,13 +79,47 @@
     await deployments.wait_until(enough, what=f'{steps} steps at {name}')
 
 
-async def under_load(site, session, fault, count=24):
+@contextlib.asynccontextmanager
+async def sustained_load(site, session, callers=CALLERS):
+    """Keep one request of each caller running; yield what was answered.
+
+    At the end of the block, each caller finishes the request that it has
+    sent. A fixed number of requests might all avoid a server that has just
+    joined, since its share of the work grows over seconds.
+    """
+    answered = []
+    numbers = itertools.count()
+    block_ended = asyncio.Event()
+
+    async def call(url, key):
+        while not block_ended.is_set():
+            body = request_body(next(numbers))
+            outcome = await demo.complete_with_retries(session, url, key, body)
+            answered.append((body, outcome))
+
+    accounts = site.accounts(demo.MODEL)[:3]
+    calls = asyncio.ensure_future(
+        load.run_all(
+            call(
+                site.entries[number % len(site.entries)],
+                site.key(accounts[number % len(accounts)]),
+            )
+            for number in range(callers)
+        )
+    )
+    async with timers.cancelling(calls):
+        yield answered
+        block_ended.set()
+        await calls
+
+
+async def under_load(site, session, fault):
     """Cause a fault while requests run; check all their answers."""
-    requests = bodies(count)
-    sending = asyncio.ensure_future(send(site, session, requests))
-    await engine_has_run(site, f'{demo.MODEL}-1-1')
-    await fault()
-    check(site, requests, await sending)
+    async with sustained_load(site, session) as answered:
+        await engine_has_run(site, f'{demo.MODEL}-1-1')
+        await fault()
+    assert len(answered) >= CALLERS
+    check(site, *zip(*answered, strict=True))
 
 
 @pytest.mark.parametrize('stage', [0, 1])
@@ -129,29 +168,23 @@
 async def test_stopped_processes_cut_no_request(tmp_path):
     """A planned stop of an agent or an entry must finish its requests."""
     async with running(tmp_path) as (site, session):
-        requests = bodies(24)
-        sending = asyncio.ensure_future(send(site, session, requests))
-        await engine_has_run(site, f'{demo.MODEL}-1-1')
         agent = site.processes[f'agent-{demo.MODEL}-1-0']
         entry = site.processes['entry-2']
-        agent.signal(signal.SIGTERM)
-        entry.signal(signal.SIGTERM)
-        outcomes = await sending
+        async with sustained_load(site, session) as answered:
+            await engine_has_run(site, f'{demo.MODEL}-1-1')
+            agent.signal(signal.SIGTERM)
+            entry.signal(signal.SIGTERM)
         # Requests that came after the stop are sent to the other entry, as
         # the platform's balancer does.
-        late = [
-            number
-            for number, outcome in enumerate(outcomes)
-            if not outcome.complete
-        ]
-        for number in late:
-            assert not outcomes[number].text, outcomes[number]
+        done = [pair for pair in answered if pair[1].complete]
+        late = [pair for pair in answered if not pair[1].complete]
+        for _, outcome in late:
+            assert not outcome.text, outcome
         site.entries = site.entries[:1]
-        again = [requests[number] for number in late]
+        again = [body for body, _ in late]
         check(site, again, await send(site, session, again))
-        done = [n for n in range(len(requests)) if n not in late]
-        check(site, [requests[n] for n in done], [outcomes[n] for n in done])
         assert done
+        check(site, *zip(*done, strict=True))
         assert await asyncio.to_thread(agent.wait_stopped) == 0
         assert await asyncio.to_thread(entry.wait_stopped) == 0
 
