Report departures of gateways to control before they stop

A control instance knew that a gateway had ended only from its closed connection. If another connection of the gateway was half open, for instance after a lost link, the gateway was counted as live for up to 2.5 s more, and a status that came late listed it again.

The last status of a node now carries `leaving` as a call to every control instance, bounded by 0.3 s, since a gateway keeps 0.8 s of its stop time for closing. A hub removes the records of all connections of that incarnation before it answers, and ignores its later statuses. Older hubs ignore the field.

The fake connections of test_homes have a real `Hello` now, because the hub reads the incarnation.

--- a/pimentowalk/mesh/hub.py
+++ b/pimentowalk/mesh/hub.py
@@ -55,6 +55,8 @@
         self.requests = None
         self._timers = timers
         self._records = {}
+        # Nodes that reported that they leave: (incarnation, time).
+        self._departed = {}
         self._tasks = set()
         self._batched_backends = {}
         self._batched_loads = {}
@@ -110,6 +112,11 @@
                 )
                 self._records.pop(peer, None)
                 peer.abort()
+        self._departed = {
+            node_id: (incarnation, left_s)
+            for node_id, (incarnation, left_s) in self._departed.items()
+            if now_s - left_s <= CONNECTION_TIMEOUT_S
+        }
 
     async def _on_frame(self, peer, envelope):
         if isinstance(envelope.body, receiver.FRAMES):
@@ -123,8 +130,14 @@
 
     def record_status(self, peer, status):
         """Record the status of a node and send what it subscribes to."""
-        record = self._records.get(peer)
         now_s = self._timers.now_s()
+        if status.leaving:
+            self._record_departure(peer.hello, now_s)
+        incarnation, _ = self._departed.get(peer.hello.node_id, (None, 0.0))
+        if incarnation == peer.hello.incarnation:
+            # A status that arrives late must not restore the record.
+            return
+        record = self._records.get(peer)
         if record is None:
             record = NodeRecord(peer.hello.node_id, status, now_s)
             self._records[peer] = record
@@ -142,6 +155,17 @@
         else:
             record.sent_backends = False
 
+    def _record_departure(self, hello, now_s):
+        """Remove the records of all connections of one incarnation."""
+        key = hello.node_id, hello.incarnation
+        self._departed[hello.node_id] = hello.incarnation, now_s
+        for peer in list(self._records):
+            if (peer.hello.node_id, peer.hello.incarnation) == key:
+                del self._records[peer]
+        LOG.info(
+            'node leaves', extra=logs.fields(step='mesh', peer=hello.node_id)
+        )
+
     def push_document(self):
         """Send the document in force to the nodes without it."""
         for peer, record in self._records.items():
--- a/pimentowalk/mesh/links.py
+++ b/pimentowalk/mesh/links.py
@@ -3,6 +3,8 @@
 import asyncio
 import logging
 
+import attrs
+
 from pimentowalk.core import errors
 from pimentowalk.core import logs
 from pimentowalk.core import timers as core_timers
@@ -20,6 +22,9 @@
 # The link reconnects if a status report is not answered within this time,
 # which detects connections that broke without a reset.
 STATUS_TIMEOUT_S = 1.0
+# A node that stops waits at most this long for the answer to its last status;
+# the platform kills gateways that exceed their stop time.
+LEAVE_TIMEOUT_S = 0.3
 MIN_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 0.8
 
@@ -79,6 +84,23 @@
             await self._timers.sleep(delay_s)
             delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
 
+    async def leave(self):
+        """Report that the node stops, so that its record is removed now.
+
+        Without the answer, the record ends with the connection.
+        """
+        if not self.is_open:
+            return
+        status = attrs.evolve(self._node.status_for(self), leaving=True)
+        try:
+            await self._peer.call(status, LEAVE_TIMEOUT_S)
+        except (errors.PimentowalkError, TimeoutError) as error:
+            LOG.warning(
+                'control did not acknowledge that the node leaves: %r',
+                error,
+                extra=logs.fields(step='leave', peer=self.address.node_id),
+            )
+
     async def _connect(self):
         node = self._node
         peer = await wire.dial(
--- a/pimentowalk/mesh/node.py
+++ b/pimentowalk/mesh/node.py
@@ -89,7 +89,8 @@
         self.update_links()
 
     async def stop(self):
-        """Close all connections."""
+        """Leave all control instances and close the connections."""
+        await asyncio.gather(*[link.leave() for link in self._links.values()])
         await core_timers.cancel_all(list(self._tasks.values()))
         await self.hub.stop()
 
--- a/pimentowalk/mesh/tests/test_homes.py
+++ b/pimentowalk/mesh/tests/test_homes.py
@@ -59,7 +59,7 @@
     """A connection of a node that records the bodies sent to it."""
 
     def __init__(self, node_id):
-        self.hello = types.SimpleNamespace(node_id=node_id)
+        self.hello = messages.Hello(node_id, 'control', 1, 'z1')
         self.bodies = []
         self.posted = []
 
--- a/pimentowalk/wire/frames.capnp
+++ b/pimentowalk/wire/frames.capnp
@@ -376,6 +376,7 @@
   draining @5 :Bool;
   changesOnly @6 :Bool;
   acceptsSummaries @7 :Bool;
+  leaving @8 :Bool;
 }
 
 struct ControlAddress {
--- a/pimentowalk/wire/node_messages.py
+++ b/pimentowalk/wire/node_messages.py
@@ -29,7 +29,8 @@
     announcements and loads from them. `version` is that of the document in
     force. A node with `accepts_summaries` receives the loads of all nodes
     summed up instead of one by one, and heartbeats instead of announcements
-    that repeat earlier ones.
+    that repeat earlier ones. The last status of a node that stops has
+    `leaving` set.
     """
 
     host: str
@@ -40,6 +41,7 @@
     draining: bool
     changes_only: bool = False
     accepts_summaries: bool = False
+    leaving: bool = False
 
 
 @messages.message('controlNews')
