--- a/pimentowalk/control/tests/test_session.py
+++ b/pimentowalk/control/tests/test_session.py
@@ -115,3 +115,24 @@
                 connection.PeerConnection, 'reply', never_reply
             )
     assert 'did not acknowledge' in caplog.text
+
+
+async def test_entry_that_has_stopped_no_longer_counts():
+    """The other entries would grant less than their share of each rate."""
+    async with (
+        harness.control_instances(3) as instances,
+        harness.node_session(instances, services=[]) as remaining,
+    ):
+
+        def live_entries():
+            return [i.server.directory.live_entries for i in instances]
+
+        async with harness.node_session(instances, 'entry-2', services=[]):
+            await harness.wait_until(
+                lambda: (
+                    live_entries() == [2, 2, 2]
+                    and remaining.view.live_entries == 2
+                )
+            )
+        assert live_entries() == [1, 1, 1]
+        await harness.wait_until(lambda: remaining.view.live_entries == 1)
