--- a/bench/run_all.py
+++ b/bench/run_all.py
@@ -15,6 +15,7 @@
     'fairness',
     'routing',
     'recovery',
+    'drains',
     'crest',
 )
 
