Reject answers with control characters in a header

A caller got 500 for a call that its server had answered with a control character in a header, though the route allowed another try. The HTTP library accepts such a header from a server but refuses to write it to the caller with a ValueError, so that the call ended in the last handler of the front.

Such an answer now counts as broken, like others that are no valid response: calls that may be repeated are tried elsewhere, and the rest get 502. Of the four new cases three failed before (the parser rejects a zero byte itself); all pass after the fix.

--- a/pimentowalk/platform/engines.py
+++ b/pimentowalk/platform/engines.py
@@ -4,6 +4,7 @@
 import functools
 import json
 import logging
+import re
 
 import aiohttp
 from aiohttp import client_proto
@@ -34,6 +35,8 @@
 ACCEPTED_STATUSES = (200, 202)
 # Invalid pauses are logged once a server, for this many servers at most.
 MAX_LOGGED_PAUSES = 1000
+# The HTTP library accepts these in a header but does not send them.
+CONTROL_CHARACTER = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
 # A report with a larger factor is faulty.
 MAX_SLOWNESS = 1000.0
 
@@ -211,6 +214,11 @@
         if names.REQUEST_ID not in headers:
             response.close()
             raise calls.Broken('the answer names no request', peer=peer)
+        if any(CONTROL_CHARACTER.search(text) for text in headers.values()):
+            response.close()
+            raise calls.Broken(
+                'the answer has a control character in a header', peer=peer
+            )
         return BackendResponse(
             response, _parse_load(headers.get(names.LOAD)), peer
         )
--- a/pimentowalk/platform/tests/test_engines.py
+++ b/pimentowalk/platform/tests/test_engines.py
@@ -127,6 +127,16 @@
         )
 
 
+@pytest.mark.parametrize('character', [b'\x00', b'\x01', b'\x1f', b'\x7f'])
+async def test_header_that_cannot_be_forwarded_is_rejected(client, character):
+    """The caller got 500 though the call could have been tried elsewhere."""
+    with pytest.raises(calls.Broken):
+        await _exchange(
+            client,
+            RESPONSE_HEAD + b'X-A: a' + character + b'b\r\n\r\nwhole',
+        )
+
+
 async def test_bytes_after_the_response_are_discarded(client):
     """A second response must not be used as the answer to another request."""
     content = (
