Log the expected time of a request that a stop cut

The time tells whether the request was begun although it was expected not to end, or whether the estimate was wrong.

--- a/pimentowalk/entry/drain.py
+++ b/pimentowalk/entry/drain.py
@@ -73,6 +73,7 @@
             'age_ms': int((now_s - self.started_s) * 1000),
             'tries': self.activity.tries,
             'may_have_run': self.activity.may_have_run,
+            'usual_ms': int(self.activity.usual_s * 1000),
         }
 
 
