Expect long answers to take longer when a gateway stops

Cause: the usual time of a route holds for most answers, but a few answers take many times longer, and with nine machines most have seen fewer than the 20 answers of a route that an estimate needs, so that 2 s were assumed.

Now the estimate grows with the expected tokens of the answer, from the median of the route or, until that is known, from the default.

Evidence: test_long_answer_takes_in_proportion_to_its_tokens.

--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -273,7 +273,9 @@
     def _log_completed(self, call, run):
         elapsed_s = self.timers.now_s() - call.received_s
         self.metrics.record_s('request', elapsed_s)
-        self.durations.record_s(call.route.name, elapsed_s)
+        self.durations.record_s(
+            call.route.name, elapsed_s, call.expected_answer_tokens
+        )
         LOG.info(
             'answered',
             extra=logs.fields(
--- a/pimentowalk/dispatch/tests/test_durations.py
+++ b/pimentowalk/dispatch/tests/test_durations.py
@@ -10,27 +10,39 @@
     """A call was sent just before a stop because the first one was short."""
     tracker = durations.DurationTracker()
     for _ in range(durations.MIN_SAMPLES - 1):
-        tracker.record_s('draft', 0.01)
-    assert tracker.usual_s('draft') == durations.DEFAULT_DURATION_S
+        tracker.record_s('draft', 0.01, 200)
+    assert tracker.usual_s('draft', 200) == durations.DEFAULT_DURATION_S
 
 
 def test_usual_duration_follows_the_latest_responses():
     """It covers most responses, not the mean, and forgets old ones."""
     tracker = durations.DurationTracker()
     for _ in range(durations.MAX_SAMPLES):
-        tracker.record_s('draft', 9.0)
+        tracker.record_s('draft', 9.0, 200)
     for number in range(durations.MAX_SAMPLES):
-        tracker.record_s('draft', 0.5 if number % 10 else 3.0)
-    assert tracker.usual_s('draft') == pytest.approx(3.0, rel=0.02)
+        tracker.record_s('draft', 0.5 if number % 10 else 3.0, 200)
+    assert tracker.usual_s('draft', 200) == pytest.approx(3.0, rel=0.02)
+
+
+def test_long_answer_takes_in_proportion_to_its_tokens():
+    """Answers of 13 s were begun with 5 s left, and cut by the stop."""
+    tracker = durations.DurationTracker()
+    default_s = durations.DEFAULT_DURATION_S
+    long_tokens = 10 * durations.DEFAULT_TOKENS
+    assert tracker.usual_s('draft', long_tokens) == 10 * default_s
+    for _ in range(durations.MAX_SAMPLES):
+        tracker.record_s('draft', 1.5, 200)
+    assert tracker.usual_s('draft', 100) == pytest.approx(1.5, rel=0.02)
+    assert tracker.usual_s('draft', 2000) == pytest.approx(15.0, rel=0.02)
 
 
 def test_routes_that_are_gone_are_forgotten():
     """Names of routes change with each configuration."""
     tracker = durations.DurationTracker()
     for _ in range(durations.MIN_SAMPLES):
-        tracker.record_s('draft', 0.5)
+        tracker.record_s('draft', 0.5, 200)
     tracker.keep_only(['book'])
-    assert tracker.usual_s('draft') == durations.DEFAULT_DURATION_S
+    assert tracker.usual_s('draft', 200) == durations.DEFAULT_DURATION_S
 
 
 @pytest.mark.parametrize(
--- a/pimentowalk/platform/front.py
+++ b/pimentowalk/platform/front.py
@@ -227,7 +227,9 @@
         )
         call.activity = activity
         activity.expires_at_s = call.expires_at_s
-        activity.usual_s = self._dispatcher.durations.usual_s(route.name)
+        activity.usual_s = self._dispatcher.durations.usual_s(
+            route.name, call.expected_answer_tokens
+        )
         return call
 
     async def _wait_for_start(self):
