--- a/pimentowalk/control/applier.py
+++ b/pimentowalk/control/applier.py
@@ -169,9 +169,13 @@
         """Write a snapshot of the applied state and compact the log."""
         consensus = self._consensus
         index = self.applied_index
+        term = consensus.log.term_at(index)
+        if term is None:
+            # A later snapshot is being installed and has replaced the log.
+            return
         snapshot = control_snapshot.Snapshot(
             index,
-            consensus.log.term_at(index),
+            term,
             consensus.members_at(index).encode(),
             self._state_machine.snapshot(),
         )
@@ -186,6 +190,8 @@
         index, term = snapshot.last_index, snapshot.last_term
         if index <= consensus.commit_index:
             return
+        # The log is about to drop the records that are still to be applied.
+        await self.wait_applied(consensus.commit_index)
         await consensus.log.run_file_operation(control_snapshot.save, snapshot)
         if consensus.log.term_at(index) == term:
             await consensus.log.sync()
--- a/pimentowalk/control/tests/test_full_disks.py
+++ b/pimentowalk/control/tests/test_full_disks.py
@@ -8,11 +8,14 @@
 
 import pytest
 
+from pimentowalk.control import applier
 from pimentowalk.control import files
+from pimentowalk.control import snapshot
 from pimentowalk.control.tests import faulty_files
 from pimentowalk.control.tests import file_threads
 from pimentowalk.control.tests import simulation
 from pimentowalk.core import errors
+from pimentowalk.wire import messages
 
 # An operator gets an acknowledgement within this time.
 MAX_ACKNOWLEDGEMENT_S = 4.0
@@ -115,6 +118,33 @@
         assert sim.leaders() == [leader]
 
 
+async def test_snapshot_is_installed_while_older_records_are_applied():
+    """The applier read records that the snapshot had just replaced."""
+    async with running_cluster() as sim:
+        node = next(n for n in sim.nodes if n not in sim.leaders())
+        consensus = node.replica._consensus
+        first = consensus.log.last_index + 1
+        last = first + 4 * applier.RECORDS_PER_YIELD
+        content = applier.encode_command(b'command', 0.0)
+        consensus.append(
+            [
+                messages.LogRecord(
+                    index, node.replica.term, 'command', content
+                )
+                for index in range(first, last + 1)
+            ]
+        )
+        await consensus.log.sync()
+        consensus.commit_to(last)
+        installed = snapshot.Snapshot(
+            last + 100, node.replica.term, consensus.members.encode(), b'[]'
+        )
+        await node.replica._applier.install_snapshot(installed)
+        await sim.clock.advance(simulation.STEP_S)
+        assert not sim.fatal
+        assert node.replica.applied_index == installed.last_index
+
+
 def choose_node(sim, order, round_number, rng):
     """Return the next node whose disk fills up."""
     leaders = sim.leaders()
