Count the silent try before a stream leaves its server

What callers saw: a started stream that was resumed at a server which then paused before its first event was cut (LOST), although that server would have gone on and the retry for a third one had been granted.

Cause: the check before leaving compared the executions with the attempts of the route. The execution that a silent head may have begun was counted only after the try had been given up, and then no attempt was left.

Now the check counts it as well, so that such a stream stays at its server and takes no retry from the budget.

Evidence: test_silent_successor_is_not_left_without_an_attempt failed before with "ClientPayloadError: Response payload is not completed".

--- a/pimentowalk/dispatch/watched_run.py
+++ b/pimentowalk/dispatch/watched_run.py
@@ -192,10 +192,14 @@
         self._excluded -= suspects
         await self._wait_for_events(address, reason)
 
-    def _can_execute(self):
-        """Return whether the route allows another execution."""
+    def _can_execute(self, *, is_head):
+        """Return whether the route allows another execution.
+
+        A head that has sent nothing may have begun to execute.
+        """
         route = self._call.route
-        return route.is_repeatable and self._executions < route.attempts
+        executions = self._executions + (is_head and not self._has_output)
+        return route.is_repeatable and executions < route.attempts
 
     def _can_fail(self):
         """Return whether the client can repeat the call if it fails now."""
@@ -208,8 +212,8 @@
         leaves it only for another path, with a retry that is granted before.
         """
         if self._can_fail():
-            return is_head or self._can_execute()
-        if not (self._can_execute() and self._choose_hops()):
+            return is_head or self._can_execute(is_head=is_head)
+        if not (self._can_execute(is_head=is_head) and self._choose_hops()):
             return False
         self._has_retry = self._has_retry or self._take_retry()
         return self._has_retry
--- a/pimentowalk/platform/tests/test_silent_streams.py
+++ b/pimentowalk/platform/tests/test_silent_streams.py
@@ -105,3 +105,40 @@
     assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
     assert scene.runs('r1') == 2
     assert scene.timers.now_s() - since_s < SILENCE_S
+
+
+@pytest.mark.parametrize('reports', [200, 503])
+async def test_silent_successor_is_not_left_without_an_attempt(reports):
+    """LOST: a resumed stream was cut when its last server paused at once.
+
+    The attempt that the try may have used was counted only after the stream
+    had left the server, with a third one free and a retry granted.
+    """
+    scene = changing.Scene()
+    third = changing.SteppedServer('model-3', 'model', scene.steps)
+    scene.servers.append(third)
+    await scene.start()
+
+    def stall(servers):
+        (running,) = [server for server in servers if server.runs['r1']]
+        running.stalled = [{'id': 'r1', 'address': running.address}]
+        return running
+
+    async def pause_first():
+        first = stall(scene.servers)
+
+        async def pause_second():
+            second = stall([x for x in scene.servers if x is not first])
+            second.report_status = reports
+            await asyncio.sleep(SILENCE_S)
+
+        scene.steps.actions['run'] = pause_second
+        await asyncio.sleep(SILENCE_S)
+
+    scene.steps.actions['pause'] = pause_first
+    try:
+        answer = await scene.request('POST', '/draft/2f', 'r1')
+        assert answer == ANSWER
+        assert scene.runs('r1') == 2
+    finally:
+        await scene.stop()
