Watch a stream again after it has been rerouted

What callers saw: a stream that had been moved to another path once, and whose new path stalled as well, got no further event until the caller gave up or the timeout of its route ended (LOST).

Cause: a stalled stream asks its head for a report only while no earlier report task is recorded. The task that led to a reroute stayed recorded after its end, so that the head was never asked again.

Now a task that has ended does not prevent the next report. Its recovery does, as long as that runs.

--- a/pimentowalk/dispatch/tests/test_asking.py
+++ b/pimentowalk/dispatch/tests/test_asking.py
@@ -8,7 +8,10 @@
 from pimentowalk.dispatch import stream
 from pimentowalk.dispatch import transport
 from pimentowalk.dispatch import watched_run
+from pimentowalk.dispatch.tests import fakes
+from pimentowalk.routing import hops
 from pimentowalk.topology import backends
+from tools.tests import waiting
 
 HEAD = backends.Backend('i-1', 100, 5, 'svc', '10.0.0.1', 80, 'z1')
 
@@ -67,3 +70,46 @@
     assert gaps_s[0] < 2 * watched_run.REPORT_DELAY_S
     assert all(b > a for a, b in zip(gaps_s, gaps_s[1:], strict=False))
     assert len(checks.requested_s) <= 5
+
+
+async def test_stream_whose_second_path_stalls_is_rerouted_again():
+    """LOST: nothing watched a stream that had been rerouted once."""
+    servers = [fakes.server(number) for number in (1, 2, 3, 4)]
+    head, *others = servers
+    paths = [(hops.Hop(head, 0, 4), hops.Hop(x, 4, 8)) for x in others]
+    used = paths[:1]
+
+    async def report(backend):
+        return transport.ServerReport({'r1': used[-1][1].backend.address})
+
+    async def reroute(backend, request_id, path):
+        used.append(path)
+
+    dispatcher = fakes.dispatcher(*servers)
+    dispatcher.checks.report = report
+    dispatcher.checks.check_blamed = lambda backend: None
+    dispatcher.transport = types.SimpleNamespace(reroute=reroute)
+    dispatcher.in_flight.begin = dispatcher.in_flight.end = lambda *_: None
+    dispatcher.paths = types.SimpleNamespace(
+        choose=lambda _, query: next(
+            path
+            for path in paths
+            if path[1].backend.server_id not in query.avoid
+        )
+    )
+    call = fakes.call(dispatcher.timers.now_s(), is_repeatable=False)
+    call.request_id = 'r1'
+    service = types.SimpleNamespace(
+        name='svc', engine=types.SimpleNamespace(total_layers=8)
+    )
+    run = stream.StreamRun(dispatcher, call, service, fakes.responder())
+    run._target = calls.Target(head, paths[0])
+    run._try_task = asyncio.ensure_future(asyncio.sleep(60))
+    run.progress_s = dispatcher.timers.now_s()
+    progress_checks = dispatcher.timers.every(
+        0.01, lambda: run.check_progress(dispatcher.timers.now_s())
+    )
+    await waiting.until(lambda: len(used) == len(paths))
+    progress_checks.cancel()
+    run._try_task.cancel()
+    assert used == paths
--- a/pimentowalk/dispatch/watched_run.py
+++ b/pimentowalk/dispatch/watched_run.py
@@ -88,7 +88,10 @@
         timeout_s = (
             EVENT_TIMEOUT_S if self._has_output else FIRST_EVENT_TIMEOUT_S
         )
-        if silent_s >= timeout_s and self._report_task is None:
+        is_asking = (
+            self._report_task is not None and not self._report_task.done()
+        )
+        if silent_s >= timeout_s and not is_asking:
             self._report_task = asyncio.ensure_future(
                 self._repeat_if_it_fails(self._query_head())
             )
