Test that leaving a silent server takes one retry from the budget

A seeded fault that requests the retry again, after it was granted before the server was left, passed all tests. test_move_to_another_server_takes_one_retry fails with it: "assert [True, True] == [True]".

--- a/pimentowalk/platform/tests/test_silent_streams.py
+++ b/pimentowalk/platform/tests/test_silent_streams.py
@@ -142,3 +142,19 @@
         assert scene.runs('r1') == 2
     finally:
         await scene.stop()
+
+
+async def test_move_to_another_server_takes_one_retry(scene):
+    """The retry granted before a server was left was requested twice."""
+    budget = scene.dispatcher.budget
+    take, granted = budget.take, []
+
+    def take_one(*arguments, **others):
+        granted.append(take(*arguments, **others))
+        return granted[-1]
+
+    budget.take = take_one
+    _fall_silent(scene, reports=200)
+    assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
+    assert scene.runs('r1') == 2
+    assert granted == [True]
