Test that streams keep the pauses of the heads of paths

A seeded fault that passes no paused servers to the choice of a path passed all tests: the test of a gateway has a second server that costs less. test_paused_servers_receive_no_stream fails with it: "assert 200 == 503".

--- a/pimentowalk/platform/tests/test_failed_requests.py
+++ b/pimentowalk/platform/tests/test_failed_requests.py
@@ -80,3 +80,12 @@
     message = 'the caller closed the connection'
     await waiting.until(lambda: message in _lines(caplog, 'r1'))
     assert _lines(caplog, 'r1')[message].tries == 1
+
+
+async def test_paused_servers_receive_no_stream(scene):
+    """BUDGET: streams were sent to heads that had asked for a pause."""
+    for server in scene.dispatcher.usable('model'):
+        scene.dispatcher.pauses.record(server, 30.0)
+    answer = await scene.request('POST', '/draft/2f', 'r1')
+    assert answer.status == 503
+    assert scene.runs('r1') == 0
