Take the scope version of a request from its configuration

What callers saw: a request whose body was on its way when its account was removed was run by an agent, also long after the change.

Cause: the account, and for services the route, came from the configuration at the arrival of the headers. The scope version, and for models the service, was taken from the one in force after the body, so that the agent took the request for one that the new configuration allows.

Now all of them come from the configuration in force at the arrival of the headers, and an agent refuses such a request as stale, unrun.

--- a/pimentowalk/entry/completions.py
+++ b/pimentowalk/entry/completions.py
@@ -131,12 +131,14 @@
     return not account.services or service.name in account.services
 
 
-def model_spec(context, account, api_format, body, request):
+def model_spec(account, api_format, body, request):
     """Return the specification of the model request in a parsed body.
 
-    `request` provides the request id, the path and the caller's timeout.
+    `request` provides the request id, the path and the caller's timeout. All
+    of it comes from the configuration that admitted the request: with a newer
+    one, agents would not refuse a request that a change has overtaken.
     """
-    configuration = context.configuration
+    configuration = request.configuration
     name = body.get('model')
     service, adapter = find_model(configuration, account, name)
     route = entry_context.find_route(configuration, service, request.path)
@@ -165,7 +167,7 @@
             name,
             json.dumps([prompt, max_tokens, seed, temperature]),
         ),
-        scope_version=context.scope_version(
+        scope_version=configuration.scope_version(
             f'service/{service.name}',
             f'route/{route.name}',
             f'account/{account.name}',
--- a/pimentowalk/entry/context.py
+++ b/pimentowalk/entry/context.py
@@ -91,11 +91,6 @@
             self._policies[name] = policy(self.routing)
         return self._policies[name]
 
-    def scope_version(self, *scopes):
-        """Return the latest version that changed one of these scopes."""
-        versions = self.configuration.scope_versions
-        return max(versions.get(scope, 0) for scope in scopes)
-
     def charge_account(self, account, tokens):
         """Charge the rate limit of an account; raise RequestFailed."""
         wait_s = self.account_limits.charge(account, tokens)
--- a/pimentowalk/entry/front.py
+++ b/pimentowalk/entry/front.py
@@ -73,13 +73,15 @@
 
         async def handle(http_request):
             timers = self._context.timers
-            request = replies.CallerRequest(http_request, timers.now_s())
+            request = replies.CallerRequest(
+                http_request, timers.now_s(), self._context.configuration
+            )
             self._context.metrics.count('requests')
             with self._drain.track(request.request_id) as active:
                 request.activity = active.activity
                 try:
                     async with active.interruptible():
-                        account = self._authenticate(http_request)
+                        account = self._authenticate(request)
                         response = await handler(request, account)
                 except failures.RequestFailed as error:
                     response = self._error_reply(request, error, error.not_run)
@@ -139,15 +141,16 @@
         )
         return self._error_reply(request, internal_error, False)
 
-    def _authenticate(self, http_request):
-        configuration = self._context.configuration
+    def _authenticate(self, request):
         if not self._context.ready:
             raise errors.NotRun('no configuration yet', step='authenticate')
-        header = http_request.headers.get('Authorization', '')
+        header = request.http_request.headers.get('Authorization', '')
         scheme, _, key = header.partition(' ')
         account = None
         if scheme.lower() == BEARER:
-            account = self._context.accounts.find(configuration, key.strip())
+            account = self._context.accounts.find(
+                request.configuration, key.strip()
+            )
         if account is None:
             raise errors.PimentowalkError(
                 'the key belongs to no client account',
@@ -158,7 +161,7 @@
 
     async def _list_models(self, request, account):
         data = []
-        for service in self._context.configuration.services.values():
+        for service in request.configuration.services.values():
             if service.kind != contracts.MODEL:
                 continue
             if not completions.may_use_service(account, service):
@@ -177,9 +180,7 @@
     def _completions_handler(self, api_format):
         async def handle(request, account):
             body = completions.parse_body(await request.http_request.read())
-            spec = completions.model_spec(
-                self._context, account, api_format, body, request
-            )
+            spec = completions.model_spec(account, api_format, body, request)
             self._admit(spec)
             request.activity.begin_try()
             call = model_call.ModelCall(self._context, spec)
--- a/pimentowalk/entry/replies.py
+++ b/pimentowalk/entry/replies.py
@@ -19,11 +19,13 @@
 class CallerRequest:
     """An HTTP request with its id and start time, before it is parsed.
 
+    `configuration` is the version that admits it, None if there is none yet.
     `stream` is the response once its headers have been sent.
     """
 
     http_request: web.Request
     started_s: float
+    configuration: object
     request_id: bytes = attrs.field(factory=identifiers.new_request_id)
     activity: core_activity.Activity = attrs.field(
         factory=core_activity.Activity
--- a/pimentowalk/entry/service_front.py
+++ b/pimentowalk/entry/service_front.py
@@ -102,7 +102,7 @@
 
     async def _build_spec(self, request, account):
         http_request = request.http_request
-        configuration = self._context.configuration
+        configuration = request.configuration
         path = _checked_path(http_request)
         route, service = self._find_service(
             configuration, account, http_request.path
@@ -128,7 +128,7 @@
             body=body,
             key=_idempotency_key(http_request),
             fingerprint=fingerprint,
-            scope_version=self._context.scope_version(
+            scope_version=configuration.scope_version(
                 f'service/{service.name}',
                 f'route/{route.name}',
                 f'account/{account.name}',
--- a/pimentowalk/entry/tests/test_front.py
+++ b/pimentowalk/entry/tests/test_front.py
@@ -1,8 +1,14 @@
 """Tests of the HTTP handlers with fake agents."""
 
+import json
+
+import attrs
+import pytest
+
 from pimentowalk.core import timers as core_timers
 from pimentowalk.entry.tests import fake_agent
 from pimentowalk.entry.tests import harness
+from tools.tests import waiting
 
 
 async def test_completion_returns_all_tokens():
@@ -269,3 +275,42 @@
         await timers.advance(20)
         assert entry.context.account_limits.is_cut_off
         assert (await entry.complete())[0] == 200
+
+
+@pytest.mark.parametrize('path', ['/v1/completions', '/bookings/new'])
+async def test_request_keeps_the_configuration_that_admitted_it(path):
+    """An agent ran a request of an account that a change had removed.
+
+    The request carried the version of the change that came during its body.
+    """
+    async with harness.running() as entry:
+        model = await entry.add_agent('a')
+        service = await entry.add_agent('s', kind='plain')
+        called = []
+
+        async def record_call(agent, peer, frame):
+            called.append(frame)
+            await fake_agent.echo_call(agent, peer, frame)
+
+        service.service_script = record_call
+        entry.update_view()
+        metrics = entry.context.metrics
+
+        async def body():
+            yield json.dumps({'model': 'm1', 'prompt': 'Hi'}).encode()
+            await waiting.until(lambda: metrics.counters['requests'])
+            old = entry.session.configuration
+            entry.session.configuration = attrs.evolve(
+                old,
+                version=6,
+                accounts={},
+                scope_versions={**old.scope_versions, 'account/north': 6},
+            )
+            yield b' '
+
+        async with entry.client.post(
+            path, data=body(), headers=harness.AUTH_HEADERS
+        ) as response:
+            assert response.status == 200
+        (frame,) = [*model.opened, *called]
+        assert frame.scope_version == 4
--- a/pimentowalk/topology/contracts.py
+++ b/pimentowalk/topology/contracts.py
@@ -66,6 +66,10 @@
     accounts: dict[str, ClientAccount] = attrs.field(factory=dict)
     scope_versions: dict[str, int] = attrs.field(factory=dict)
 
+    def scope_version(self, *scopes):
+        """Return the latest version that changed one of these scopes."""
+        return max(self.scope_versions.get(scope, 0) for scope in scopes)
+
     def account_of_key(self, key_sha256):
         """Return the client account with this key hash, or None."""
         for account in self.accounts.values():
