Bound the time that a gateway waits for the body of a request

What callers saw: a request whose body stalled, or had an invalid chunk, got no answer and held its connection and its place in the drain for as long as the caller stayed.

Cause: the timeout of the route began to count only in the dispatcher, and aiohttp does not end the read of a body with an invalid chunk.

Now the body has to arrive within the timeout of the route. After it the caller gets 504; nothing was sent to a server.

Evidence: test_incomplete_body_is_answered_at_the_timeout failed before.

--- a/pimentowalk/platform/front.py
+++ b/pimentowalk/platform/front.py
@@ -215,7 +215,7 @@
             raise self._admission_error('not_found', 'no route')
         activity.kind = route.kind
         account = self._authenticate(request, document, route)
-        body = await request.read()
+        body = await self._read_body(request, received_s + route.timeout_s)
         call = self._build_call(
             request, request_id, received_s, document, route, account, body
         )
@@ -226,6 +226,17 @@
         )
         return call
 
+    async def _read_body(self, request, until_s):
+        try:
+            async with asyncio.timeout(until_s - self._timers.now_s()):
+                return await request.read()
+        except TimeoutError:
+            raise errors.PimentowalkError(
+                'the body did not arrive within the timeout of the route',
+                code='deadline',
+                step='read',
+            ) from None
+
     async def _wait_for_start(self):
         """Wait until the node has a configuration and a view of servers."""
         deadline_s = self._timers.now_s() + START_TIMEOUT_S
--- a/pimentowalk/platform/tests/changing.py
+++ b/pimentowalk/platform/tests/changing.py
@@ -217,6 +217,11 @@
             timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
         )
 
+    @property
+    def address(self):
+        """Return the host and the port of the front."""
+        return HOST, self._port
+
     async def stop(self):
         """Close all connections."""
         await self._session.close()
--- a/pimentowalk/platform/tests/test_failed_requests.py
+++ b/pimentowalk/platform/tests/test_failed_requests.py
@@ -8,6 +8,7 @@
 import pytest_asyncio
 
 from pimentowalk.platform.tests import changing
+from pimentowalk.platform.tests import samples
 from tools.tests import waiting
 
 
@@ -89,3 +90,23 @@
     answer = await scene.request('POST', '/draft/2f', 'r1')
     assert answer.status == 503
     assert scene.runs('r1') == 0
+
+
+@pytest.mark.parametrize('rest', [b'', b'no chunk\r\n'])
+async def test_incomplete_body_is_answered_at_the_timeout(scene, rest):
+    """CONFIG: a request whose body did not end held its connection for ever.
+
+    The library never ends the read of a body with an invalid chunk.
+    """
+    reader, writer = await asyncio.open_connection(*scene.address)
+    writer.write(
+        b'POST /book/2f HTTP/1.1\r\nHost: a.example\r\n'
+        b'Pimentowalk-Key: k1\r\nPimentowalk-Request-Id: r1\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n'
+    )
+    await waiting.until(lambda: scene.metrics.counters['requests'])
+    writer.write(rest)
+    async with asyncio.timeout(2 * samples.BOOK_ROUTE['timeout-ms'] / 1000):
+        assert await reader.readline() == b'HTTP/1.1 504 Gateway Timeout\r\n'
+    writer.close()
+    assert scene.runs('r1') == 0
