--- a/pimentowalk/dispatch/tests/test_durations.py
+++ b/pimentowalk/dispatch/tests/test_durations.py
@@ -36,6 +36,25 @@
     assert tracker.usual_s('draft', 2000) == pytest.approx(15.0, rel=0.02)
 
 
+def test_quantiles_are_computed_once_for_many_requests(monkeypatch):
+    """Each request took half a millisecond longer to be decoded."""
+    tracker = durations.DurationTracker()
+    for _ in range(durations.MAX_SAMPLES):
+        tracker.record_s('draft', 0.5, 200)
+    computed = []
+    median = durations.statistics.median
+    monkeypatch.setattr(
+        durations.statistics,
+        'median',
+        lambda values: computed.append(1) or median(values),
+    )
+    for _ in range(5 * durations.UPDATE_SAMPLES):
+        tracker.usual_s('draft', 200)
+        tracker.record_s('draft', 0.5, 200)
+    # Two medians for each time that the samples have changed enough.
+    assert len(computed) == 2 * 5
+
+
 def test_routes_that_are_gone_are_forgotten():
     """Names of routes change with each configuration."""
     tracker = durations.DurationTracker()
