Cancel a stream also if its recovery interrupts it in the same moment

Callers: a stream that a planned stop interrupted in the iteration of the event loop in which its path was given up began another try, and was cut without an answer when the process closed its connections (found by reading).

Cause: the run took the cancellation for the interruption by its recovery. Now a cancellation of the whole request wins.

test_cancelled_stream_does_not_go_on_after_an_interruption failed before: Stalled instead of CancelledError.

--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -194,7 +194,10 @@
                 'no complete response before the deadline'
             ) from None
         except asyncio.CancelledError:
-            if self._interruption is None:
+            # The recovery may interrupt the try in the iteration of the event
+            # loop in which the whole request is cancelled.
+            is_cancelled = asyncio.current_task().cancelling() > 0
+            if self._interruption is None or is_cancelled:
                 self._report_abandoned_run()
                 raise
             raise self._interruption from None
--- a/pimentowalk/dispatch/tests/test_resuming.py
+++ b/pimentowalk/dispatch/tests/test_resuming.py
@@ -1,5 +1,6 @@
 """Test started streams whose path fails."""
 
+import asyncio
 import types
 
 import pytest
@@ -139,3 +140,31 @@
         await run.run()
     assert raised.value.code == 'not_run'
     assert run.try_count == 1
+
+
+class PendingStream(stream.StreamRun):
+    """A stream whose server never answers."""
+
+    async def _pass_response(self):
+        await asyncio.get_running_loop().create_future()
+
+
+async def test_cancelled_stream_does_not_go_on_after_an_interruption():
+    """A stop and a recovery in the same moment began another try."""
+    dispatcher = fakes.dispatcher(fakes.server(1))
+    dispatcher.in_flight = types.SimpleNamespace(
+        begin=lambda *_: None, end=lambda *_: None
+    )
+    run = PendingStream(
+        dispatcher,
+        fakes.call(dispatcher.timers.now_s()),
+        types.SimpleNamespace(name='svc'),
+        fakes.responder(started=True),
+    )
+    run._target = calls.Target(fakes.server(1))
+    task = asyncio.ensure_future(run._try_target())
+    await asyncio.sleep(0.01)
+    run._interrupt(calls.Stalled('the path has stalled'))
+    task.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await task
