--- a/pimentowalk/platform/tests/conftest.py
+++ b/pimentowalk/platform/tests/conftest.py
@@ -7,6 +7,7 @@
 import pytest_asyncio
 
 from pimentowalk.platform import daemon
+from pimentowalk.platform.tests import changing
 from pimentowalk.platform.tests import standin
 from pimentowalk.settings import gateway as gateway_settings
 from tools.tests import waiting
@@ -111,3 +112,12 @@
     await new_cluster.start(servers)
     yield new_cluster
     await new_cluster.stop()
+
+
+@pytest_asyncio.fixture
+async def scene():
+    """Start a front and its servers."""
+    new_scene = changing.Scene()
+    await new_scene.start()
+    yield new_scene
+    await new_scene.stop()
--- a/pimentowalk/platform/tests/test_document_changes.py
+++ b/pimentowalk/platform/tests/test_document_changes.py
@@ -5,7 +5,6 @@
 
 import attrs
 import pytest
-import pytest_asyncio
 
 from pimentowalk.platform.tests import changing
 from pimentowalk.platform.tests import samples
@@ -117,15 +116,6 @@
 }
 
 
-@pytest_asyncio.fixture
-async def scene():
-    """Start a front and its servers."""
-    new_scene = changing.Scene()
-    await new_scene.start()
-    yield new_scene
-    await new_scene.stop()
-
-
 def _schedule(scene, kind, step, names):
     """Change the configuration at a step, by each change in turn."""
 
--- a/pimentowalk/platform/tests/test_failed_requests.py
+++ b/pimentowalk/platform/tests/test_failed_requests.py
@@ -5,22 +5,11 @@
 
 import aiohttp
 import pytest
-import pytest_asyncio
 
-from pimentowalk.platform.tests import changing
 from pimentowalk.platform.tests import samples
 from tools.tests import waiting
 
 
-@pytest_asyncio.fixture
-async def scene():
-    """Start a front and its servers."""
-    new_scene = changing.Scene()
-    await new_scene.start()
-    yield new_scene
-    await new_scene.stop()
-
-
 async def _raise():
     raise KeyError('a fault of the program')
 
--- a/pimentowalk/platform/tests/test_silent_streams.py
+++ b/pimentowalk/platform/tests/test_silent_streams.py
@@ -4,7 +4,6 @@
 import json
 
 import pytest
-import pytest_asyncio
 
 from pimentowalk.platform import announcements
 from pimentowalk.platform.tests import changing
@@ -14,15 +13,6 @@
 ANSWER = changing.Answer(200, 'r1', test_document_changes.EVENTS)
 
 
-@pytest_asyncio.fixture
-async def scene():
-    """Start a front and its servers."""
-    new_scene = changing.Scene()
-    await new_scene.start()
-    yield new_scene
-    await new_scene.stop()
-
-
 def _fall_silent(scene, *, reports, step='pause'):
     """Let the server of a stream pause; its report says that it stalls.
 
