Bound how long a drain awaits a request whose handler has not begun

Cause: the drain awaited every connection that is not idle, to catch requests that were read and not yet handled. A connection is not idle for 10 s either where the caller has got a rejection and sends no rest of its body.

Change: with no request in progress, the drain awaits such connections for 1 s at most.

--- a/pimentowalk/entry/drain.py
+++ b/pimentowalk/entry/drain.py
@@ -17,6 +17,10 @@
 # accepted until it has seen the failed probe.
 SHUTDOWN_DELAY_S = 2.0
 POLL_PERIOD_S = 0.05
+# An HTTP library starts the handler of a request within milliseconds after
+# reading it. A connection that is still not idle after this time sends the
+# rest of a rejected body, or does not read.
+HANDOVER_TIMEOUT_S = 1.0
 # For the answers to requests that did not finish in time.
 ANSWER_TIMEOUT_S = 0.2
 
@@ -86,6 +90,7 @@
         self._finished = asyncio.Event()
         self._aborted = asyncio.Event()
         self._end_s = math.inf
+        self._last_active_s = -math.inf
         self.draining = False
 
     @contextlib.contextmanager
@@ -138,8 +143,9 @@
             min(start_s + shutdown_delay_s, self._end_s), lambda: True
         )
         await stop_accepting()
+        self._last_active_s = self._timers.now_s()
         await self._poll_until(
-            self._end_s, lambda: self._active or has_unhandled()
+            self._end_s, lambda: self._has_work(has_unhandled)
         )
         now_s = self._timers.now_s()
         for request in self._active:
@@ -151,6 +157,15 @@
         await self._interrupt_active()
         return cut_ids
 
+    def _has_work(self, has_unhandled):
+        """Return whether requests are in progress or just read."""
+        now_s = self._timers.now_s()
+        if self._active:
+            self._last_active_s = now_s
+            return True
+        is_recent = now_s - self._last_active_s < HANDOVER_TIMEOUT_S
+        return is_recent and has_unhandled()
+
     async def _interrupt_active(self):
         """Interrupt all requests, and wait until they have been answered."""
         if not self._active:
--- a/pimentowalk/platform/tests/test_stop.py
+++ b/pimentowalk/platform/tests/test_stop.py
@@ -10,6 +10,7 @@
 import pytest_asyncio
 
 from pimentowalk.dispatch import stream
+from pimentowalk.entry import drain as entry_drain
 from pimentowalk.platform import daemon
 from pimentowalk.platform import names
 from pimentowalk.settings import gateway as gateway_settings
@@ -171,6 +172,23 @@
     writer.close()
 
 
+async def test_stop_does_not_wait_for_the_rest_of_a_rejected_body(
+    cluster, stop, short_delay
+):
+    """The drain took all of its time for a caller that had its answer."""
+    address = cluster.gateways[0].settings.front
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(
+        b'POST /book/2f HTTP/1.1\r\nHost: a.example\r\n'
+        b'Pimentowalk-Key: unknown\r\nContent-Length: 8\r\n\r\nbody'
+    )
+    answer = await reader.readuntil(b'\r\n\r\n')
+    assert answer.startswith(b'HTTP/1.1 401 ')
+    async with asyncio.timeout(entry_drain.HANDOVER_TIMEOUT_S + 1.5):
+        await stop(8.0)
+    writer.close()
+
+
 async def test_drain_awaits_a_request_that_was_just_read(
     cluster, stop, monkeypatch
 ):
