Know by process whether the soak told a gateway to end

In its log, gateway 0 was stopping when it ended, and another process of it started 1.2 s after the stop began: no crash.

Cause: whether an end was expected was a flag of the gateway, which a new start clears. The exit code is set one turn of the event loop before the tasks that wait for it are woken. Since, stop() looks every 0.1 s and can find the code in this turn; the start that follows clears the flag before the watcher reads it. Any other fault that starts the gateway in this turn does the same.

Change: the watcher asks whether its own process was told to end; stop() and kill() wait for the process that they signalled, not for a later one. Bounds and checks are as before, and a test shows that a crash is still found.

--- a/tools/soak/processes.py
+++ b/tools/soak/processes.py
@@ -35,6 +35,7 @@
 # which the process is frozen does not count.
 STOP_LIMIT_S = 10.0
 STOP_POLL_S = 0.1
+PROGRAM = ('-m', 'pimentowalk.platform')
 
 
 def free_ports(count):
@@ -63,11 +64,11 @@
     is_paused: bool = False
     paused_since_s: float = 0.0
     paused_s: float = 0.0
-    is_expected_to_end: bool = False
     starts: int = 0
     kills: int = 0
     started_s: float = 0.0
     ended: list = attrs.field(factory=list)
+    _told_to_end: set = attrs.field(factory=set)
 
     @property
     def runs(self):
@@ -127,15 +128,13 @@
         path = self.write_settings()
         self.starts += 1
         self.started_s = time.monotonic()
-        self.is_expected_to_end = False
         output = os.open(
             self.folder / f'{self.name}.log',
             os.O_WRONLY | os.O_CREAT | os.O_APPEND,
         )
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
-            '-m',
-            'pimentowalk.platform',
+            *PROGRAM,
             str(path),
             stdout=output,
             stderr=output,
@@ -145,8 +144,10 @@
 
     async def _watch(self, process):
         code = await process.wait()
-        if not self.is_expected_to_end:
+        # The gateway may have a new process before this task goes on.
+        if process not in self._told_to_end:
             self.ended.append(code)
+        self._told_to_end.discard(process)
 
     def send(self, number):
         """Send a signal to the process that this object started."""
@@ -155,27 +156,32 @@
 
     async def kill(self):
         """End the process at once."""
-        self.is_expected_to_end = True
         self.kills += 1
-        self.send(signal.SIGKILL)
         self.is_paused = False
-        if self.process is not None:
-            await self.process.wait()
+        process = self._tell_to_end(signal.SIGKILL)
+        if process is not None:
+            await process.wait()
 
     async def stop(self):
         """Stop gracefully; return the exit code, None if it took too long."""
         self.resume()
-        self.is_expected_to_end = True
-        self.send(signal.SIGTERM)
+        process = self._tell_to_end(signal.SIGTERM)
         end_s = self.running_s + STOP_LIMIT_S
         while self.running_s < end_s:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(STOP_POLL_S):
-                    return await self.process.wait()
-        self.send(signal.SIGKILL)
-        await self.process.wait()
+                    return await process.wait()
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
         return None
 
+    def _tell_to_end(self, number):
+        if self.runs:
+            self._told_to_end.add(self.process)
+            self.send(number)
+        return self.process
+
     @property
     def running_s(self):
         """Return a clock that stands while the process is frozen."""
--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -189,3 +189,41 @@
         await asyncio.sleep(pause_s)
         gateway.resume()
     assert await stopping == code
+
+
+@pytest.mark.processes
+async def test_new_process_does_not_hide_that_the_last_was_stopped(
+    monkeypatch, tmp_path
+):
+    """A gateway that was stopped and started again was reported as crashed."""
+    program = STOPPING_PROGRAM.format(delay_s=0.0)
+    monkeypatch.setattr(processes, 'PROGRAM', ('-c', program))
+    # A poll finds the end before the task that waits for it is woken.
+    monkeypatch.setattr(processes, 'STOP_POLL_S', 0.0)
+    ports = processes.free_ports(4)
+    gateway = processes.GatewayProcess(
+        '127.0.0.1', '0', ports, tmp_path, False, []
+    )
+    output = tmp_path / '0.log'
+    for starts in range(1, 4):
+        await gateway.start()
+        while output.read_text().count('up') < starts:
+            await asyncio.sleep(0.01)
+        assert await gateway.stop() == 0
+    await gateway.start()
+    await gateway.kill()
+    await gateway.watcher
+    assert gateway.ended == []
+
+
+@pytest.mark.processes
+async def test_crash_of_a_gateway_is_found(monkeypatch, tmp_path):
+    """A process that nobody told to end must be reported with its code."""
+    monkeypatch.setattr(processes, 'PROGRAM', ('-c', 'raise SystemExit(3)'))
+    ports = processes.free_ports(4)
+    gateway = processes.GatewayProcess(
+        '127.0.0.1', '0', ports, tmp_path, False, []
+    )
+    await gateway.start()
+    await gateway.watcher
+    assert gateway.ended == [3]
