Start one process only when two faults start a gateway of the soak

Cause: start() returns if the process runs, but the new process is known only after an await. Two faults that start the same gateway at once both go on, and the first process is neither ended nor watched.

Change: a lock around the check and the start.

Measured: test_crash_of_a_gateway_is_found with two starts at once gave two processes before ("assert 2 == 1") and gives one now.

--- a/tools/soak/processes.py
+++ b/tools/soak/processes.py
@@ -69,6 +69,7 @@
     started_s: float = 0.0
     ended: list = attrs.field(factory=list)
     _told_to_end: set = attrs.field(factory=set)
+    _start_lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
     @property
     def runs(self):
@@ -123,8 +124,11 @@
 
     async def start(self):
         """Start the process; do nothing if it runs."""
-        if self.runs:
-            return
+        async with self._start_lock:
+            if not self.runs:
+                await self._start()
+
+    async def _start(self):
         path = self.write_settings()
         self.starts += 1
         self.started_s = time.monotonic()
--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -224,6 +224,7 @@
     gateway = processes.GatewayProcess(
         '127.0.0.1', '0', ports, tmp_path, False, []
     )
-    await gateway.start()
+    await asyncio.gather(gateway.start(), gateway.start())
     await gateway.watcher
     assert gateway.ended == [3]
+    assert gateway.starts == 1
