--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -11,6 +11,7 @@
 from tools.soak import faults
 from tools.soak import processes
 from tools.soak import run
+from tools.tests import waiting
 
 # Covers kills, pauses, lost disks and link faults within the short run.
 SEED = 2
@@ -207,8 +208,9 @@
     output = tmp_path / '0.log'
     for starts in range(1, 4):
         await gateway.start()
-        while output.read_text().count('up') < starts:
-            await asyncio.sleep(0.01)
+        await waiting.until(
+            lambda count=starts: output.read_text().count('up') == count
+        )
         assert await gateway.stop() == 0
     await gateway.start()
     await gateway.kill()
