--- a/bench/run_all.py
+++ b/bench/run_all.py
@@ -16,6 +16,7 @@
     'routing',
     'recovery',
     'drains',
+    'pauses',
     'crest',
 )
 
