--- a/bench/tests/test_pauses.py
+++ b/bench/tests/test_pauses.py
@@ -40,6 +40,12 @@
     assert result.in_pause <= pauses.MAX_REQUESTS_IN_PAUSE
 
 
+def test_no_wave_at_a_server_that_returns_from_a_long_pause():
+    """WAVE: all nodes return at once, unaware of each other's requests."""
+    case = _case(pausing_servers.PLAIN, share=0.5, pause_s=3.0, in_turn=True)
+    assert pauses.violations(case, pauses.measure(case)) == []
+
+
 @pytest.mark.parametrize('kind', pausing_servers.KINDS, ids=lambda k: k.name)
 def test_check_finds_ignored_pauses(kind):
     """A check of BUDGET that passes without pauses guards nothing."""
