Wait for a free slot of a server that runs all layers of a stream

Cause: streams were admitted as long as the memory of the servers had room. A server whose slots bind first queued them, while the queue of the node, which prefers streams that can still be in time, was passed by.

Change: a new stream also needs a free slot where one server runs all layers. The requests in flight at a server of a longer path include those that began at other servers, so that nothing changes there, and in the given deployments.

--- a/bench/pauses.py
+++ b/bench/pauses.py
@@ -38,7 +38,6 @@
 # In a shorter pause, a server receives so few requests that chance takes the
 # fullest one above its slots.
 MIN_LOAD_PERIOD_S = 3.0
-REFUSED_CODES = ('not_run', 'overloaded', 'no_chain')
 BUDGET, WAVE, CONCENTRATION = 'budget', 'wave', 'concentration'
 IN_TIME, LATE, REFUSED, FAILED = 'in_time', 'late', 'refused', 'failed'
 
@@ -188,7 +187,7 @@
         try:
             await node.handle(call, caller)
         except errors.PimentowalkError as error:
-            is_refused = error.code in REFUSED_CODES
+            is_refused = error.code in pausing_servers.REFUSED_CODES
             outcome = REFUSED if is_refused else FAILED
         else:
             is_in_time = caller.is_in_time(case.kind.route.objective_s)
--- a/bench/pausing_servers.py
+++ b/bench/pausing_servers.py
@@ -33,6 +33,8 @@
 MAX_QUEUED = 4
 PROMPT_TOKENS = 100
 MAX_GAP_S = 0.25
+# Errors whose requests have not run.
+REFUSED_CODES = ('not_run', 'overloaded', 'no_chain')
 
 
 @attrs.frozen
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -20,6 +20,9 @@
 # because an answer uses its whole reservation only at its end, and most
 # answers are shorter.
 MAX_RESERVED_SHARE = 1.25
+# A server queues streams beyond its slots, which then start late although
+# another one may be free.
+MAX_SLOT_SHARE = 1.0
 # A client abandons a stream without an event after 2 s. A stream that waited
 # this long for admission still sends its first event before that.
 ADMISSION_WAIT_S = 1.0
@@ -118,8 +121,14 @@
         for server in target.servers:
             if in_flight.refused_recently(server.server_id):
                 return server
-        if not is_started and self._memory_share >= MAX_RESERVED_SHARE:
-            return fullest
+        if not is_started:
+            # The requests in flight at a server include those that began at
+            # another one, unless it runs all layers itself.
+            runs_alone = len(target.hops) == 1
+            if runs_alone and self._slot_share > MAX_SLOT_SHARE:
+                return target.backend
+            if self._memory_share >= MAX_RESERVED_SHARE:
+                return fullest
         return None
 
     async def _select_target(self):
--- a/pimentowalk/dispatch/tests/test_admission.py
+++ b/pimentowalk/dispatch/tests/test_admission.py
@@ -91,6 +91,24 @@
     assert run.try_count == 1
 
 
+async def test_stream_waits_until_a_slot_of_the_first_server_is_free(
+    dispatcher,
+):
+    """At a server with room in memory, streams queued behind its slots."""
+    for _ in range(SERVER.slots - 1):
+        reserve(dispatcher, 1)
+    run = new_run(dispatcher)
+    await asyncio.wait_for(run.run(), 0.1)
+    reserve(dispatcher, 1)
+    run = new_run(dispatcher)
+    running = asyncio.ensure_future(run.run())
+    await asyncio.sleep(4 * admission_room.POLL_S)
+    assert run.try_count == 0
+    dispatcher.in_flight.end(['i-1'], 1)
+    await asyncio.wait_for(running, 1.0)
+    assert run.try_count == 1
+
+
 async def test_stream_without_capacity_is_refused_in_time(
     dispatcher, monkeypatch
 ):
