Estimate the load of other nodes before their first reports

Cause: a gateway multiplies the work that it has just begun by the number of other nodes that have reported load, since they make the same choices. After a common restart no node has reported, so the number was 0, and all gateways sent to the same path: their own counts of its memory added up to 1.6 times what it has.

Now the number of live nodes, which control tells each node, is used for 2 s from the first request of a process.

Evidence: test_started_gateway_counts_on_the_work_of_the_others failed before with "(1, 10) == (3, 30)".

--- a/pimentowalk/gateway/core.py
+++ b/pimentowalk/gateway/core.py
@@ -99,7 +99,9 @@
             self.node,
             engines,
             timers,
-            in_flight=work.InFlightTracker(settings.node_id, now_s),
+            in_flight=work.InFlightTracker(
+                settings.node_id, now_s, lambda: self.node.live_nodes
+            ),
             budget=window_budget.WindowBudget(
                 now_s,
                 window_s=bounds.retry_window_s,
--- a/pimentowalk/platform/tests/test_start.py
+++ b/pimentowalk/platform/tests/test_start.py
@@ -12,6 +12,7 @@
 from pimentowalk.platform import daemon
 from pimentowalk.platform import program
 from pimentowalk.settings import gateway as gateway_settings
+from tools.tests import waiting
 
 SETTINGS = """
 [gateway]
@@ -173,3 +174,12 @@
     returned_socket = listeners.take('127.0.0.1', port)
     assert returned_socket is not first
     returned_socket.close()
+
+
+async def test_started_gateway_counts_on_the_work_of_the_others(cluster):
+    """Gateways that had restarted together all sent to the same path."""
+    gateway = cluster.gateways[0]
+    await waiting.until(lambda: gateway.node.live_nodes == 3)
+    in_flight = gateway.dispatcher.in_flight
+    in_flight.begin(['m-1'], 10)
+    assert (in_flight.requests('m-1'), in_flight.tokens('m-1')) == (3, 30)
--- a/pimentowalk/routing/tests/test_herd.py
+++ b/pimentowalk/routing/tests/test_herd.py
@@ -23,6 +23,9 @@
 REQUESTS_PER_S = 60.0
 DURATION_S = 12.0
 TICK_S = 0.01
+# Callers whose requests were cut return to the restarted nodes at once.
+RESTART_BURST_S = 0.1
+RESTART_REQUESTS = 100
 ENGINE = documents.Engine(
     model='m',
     total_layers=80,
@@ -64,12 +67,14 @@
 class ZoneSimulation:
     """Simulates the nodes of one zone and the memory of its servers."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, *, live_nodes=1):
         self.now_s = 0.0
         self.rng = random.Random(seed)
         self.servers = servers()
         self.trackers = [
-            work.InFlightTracker(f'n{number}', lambda: self.now_s)
+            work.InFlightTracker(
+                f'n{number}', lambda: self.now_s, lambda: live_nodes
+            )
             for number in range(NODES)
         ]
         for tracker in self.trackers:
@@ -102,6 +107,12 @@
             if self.rng.random() < REQUESTS_PER_S * TICK_S:
                 self._begin(self.rng.randrange(NODES))
 
+    def begin_together(self, count):
+        """Begin requests at all nodes before any of them has reported."""
+        for _ in range(count):
+            self.now_s += RESTART_BURST_S / count
+            self._begin(self.rng.randrange(NODES))
+
     def _report(self):
         for number, tracker in enumerate(self.trackers):
             if self.now_s >= self.next_report_s[number]:
@@ -162,3 +173,19 @@
     """The simulation overfills the server without the estimate."""
     monkeypatch.setattr(work, 'UNREPORTED_S', 0.0)
     assert rejected_share(1) > 0.02
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_restarted_nodes_do_not_overfill_the_best_server(seed):
+    """Nodes that started together sent half of the requests to one path."""
+    simulation = ZoneSimulation(seed, live_nodes=NODES)
+    simulation.begin_together(RESTART_REQUESTS)
+    assert simulation.sent == RESTART_REQUESTS
+    assert simulation.rejected == 0
+
+
+def test_restarted_nodes_that_know_no_others_overfill_the_best_server():
+    """The simulation overfills the server without the number of nodes."""
+    simulation = ZoneSimulation(1)
+    simulation.begin_together(RESTART_REQUESTS)
+    assert simulation.rejected > 0.2 * RESTART_REQUESTS
--- a/pimentowalk/routing/tests/test_work.py
+++ b/pimentowalk/routing/tests/test_work.py
@@ -93,3 +93,15 @@
     tracker.record_summary(3, {})
     tracker.begin(['s1'], 50)
     assert tracker.tokens('s1') == 50 * 4
+
+
+def test_unreported_work_is_estimated_before_the_first_reports(now):
+    """All nodes sent to the same server after they had started together."""
+    tracker = work.InFlightTracker('own', lambda: now[0], lambda: 7)
+    tracker.begin(['s1'], 10)
+    assert (tracker.requests('s1'), tracker.tokens('s1')) == (7, 70)
+    tracker.record_summary(1, {})
+    assert tracker.requests('s1') == 7
+    now[0] += load_totals.REPORT_EXPIRY_S + 0.1
+    tracker.begin(['s2'], 10)
+    assert tracker.requests('s2') == 2
--- a/pimentowalk/routing/work.py
+++ b/pimentowalk/routing/work.py
@@ -25,11 +25,16 @@
 
 
 class InFlightTracker:
-    """Count requests and tokens in flight at each server, over all nodes."""
+    """Count requests and tokens in flight at each server, over all nodes.
 
-    def __init__(self, node_id, now_s):
+    `live_nodes` returns how many nodes are connected to control.
+    """
+
+    def __init__(self, node_id, now_s, live_nodes=lambda: 1):
         self._node_id = node_id
         self._now_s = now_s
+        self._live_nodes = live_nodes
+        self._first_start_s = None
         self._own_requests = collections.Counter()
         self._own_tokens = collections.Counter()
         self._reports = load_totals.LoadTotals()
@@ -54,6 +59,8 @@
     def begin(self, server_ids, tokens):
         """Count a request as in flight at its servers."""
         now_s = self._now_s()
+        if self._first_start_s is None:
+            self._first_start_s = now_s
         for server_id in server_ids:
             self._own_requests[server_id] += 1
             self._own_tokens[server_id] += tokens
@@ -127,7 +134,20 @@
             if self._recent_requests[started_id] <= 0:
                 del self._recent_requests[started_id]
                 del self._recent_tokens[started_id]
-        return recent[server_id] * self._other_nodes
+        return recent[server_id] * self._count_other_nodes()
+
+    def _count_other_nodes(self):
+        """Return how many other nodes probably start requests.
+
+        After a restart of all nodes, their callers return at once and no node
+        has reported any load.
+        """
+        start_s = self._first_start_s
+        if start_s is None:
+            return self._other_nodes
+        if self._now_s() - start_s > load_totals.REPORT_EXPIRY_S:
+            return self._other_nodes
+        return max(self._other_nodes, self._live_nodes() - 1)
 
     def requests(self, server_id):
         """Return the requests in flight at a server, with an estimate."""
