Refuse streams at once that an overloaded node cannot admit in time

What callers saw: beyond the capacity, each refused stream had waited 1 s for its 503, twice the objective, and streams that had missed the objective took the place of others.

Cause: a stream waits up to 1 s for room, however many wait before it and however long none has been admitted in time.

Change: once a new stream has waited in vain, for 1 s after the last refusal, a stream is refused on arrival if those before it, at the rate of the last second, leave no room for it while it can meet its objective, and none waits longer than that. Arrivals that find room are admitted as before, so that the overload ends with the first of them that does not have to wait.

--- a/pimentowalk/admission/tests/test_room.py
+++ b/pimentowalk/admission/tests/test_room.py
@@ -151,3 +151,49 @@
     assert others[0].done()
     with pytest.raises(KeyError):
         await failing
+
+
+async def refuse_one(timers, queue, admitted):
+    """Record an overload in which some streams were admitted."""
+    for _ in range(admitted):
+        queue.record_admission()
+    queue.record_refusal()
+    await timers.advance(room.RATE_WINDOW_S / 2)
+
+
+@pytest.mark.parametrize(
+    ('admitted', 'ahead', 'is_futile'),
+    [(10, 3, True), (10, 2, False), (0, 0, True), (3, 0, False)],
+)
+async def test_stream_that_the_queue_leaves_no_time_for_is_futile(
+    timers, queue, admitted, ahead, is_futile
+):
+    """Under overload, refused streams had waited in vain before."""
+    await refuse_one(timers, queue, admitted)
+    tasks = await start_streams(queue, Slots(), [('s', 1)] * ahead)
+    due_s = timers.now_s() + 0.35 * room.RATE_WINDOW_S
+    assert queue.is_futile(1, due_s) == is_futile
+    # More urgent streams go before those that wait.
+    assert queue.is_futile(0, due_s) == (admitted == 0)
+    for task in tasks:
+        task.cancel()
+
+
+async def test_no_stream_is_futile_before_another_has_waited_in_vain(
+    timers, queue
+):
+    """A short burst is over before its streams miss their objective."""
+    tasks = await start_streams(queue, Slots(), [('s', 1)] * 5)
+    assert not queue.is_futile(1, timers.now_s() + 0.1)
+    for task in tasks:
+        task.cancel()
+
+
+async def test_an_overload_is_over_some_time_after_the_last_refusal(
+    timers, queue
+):
+    """Later streams would be refused although servers may have room."""
+    await refuse_one(timers, queue, 0)
+    assert queue.is_futile(1, timers.now_s() + 0.3)
+    await timers.advance(room.OVERLOAD_S)
+    assert not queue.is_futile(1, timers.now_s() + 0.3)
