Load the fencing number of an agent before its announcement

Operators saw `pimentowalk drain` right after the start of an agent end with stale_fence, although the order was new.

An agent without a stored number was announced as soon as it was connected, and asked control for the highest number issued about 0.1 s later. A number issued in between was part of the answer, so its order was refused. After a failed first load nothing asked again until the first order came, which was then refused for the same reason.

The agent now announces its server once it has the number, or after 2 s without an answer, so that servers still join while control has no leader. A failed load is repeated every second. An order that was issued before the start is refused as before.

--- a/pimentowalk/agent/daemon.py
+++ b/pimentowalk/agent/daemon.py
@@ -17,6 +17,9 @@
 LOG = logging.getLogger(__name__)
 
 CONFIGURATION_TIMEOUT_S = 10.0
+# The announcement waits at most this long for the fencing number: requests
+# are routed to a server also while control has no leader.
+FENCE_TIMEOUT_S = 2.0
 
 
 class ControlRequests:
@@ -114,9 +117,17 @@
 
     async def _load_control_state(self):
         # Peers send work as soon as they discover the server, so this must
-        # not delay the handling of signals. The fencing number is loaded
-        # first, because an order issued before the answer is refused.
-        await self.agent.load_highest_fence()
+        # not delay the handling of signals.
+        loading = asyncio.ensure_future(self.agent.load_highest_fence())
+        async with timer_services.cancelling(loading):
+            # An operator finds the server by its announcement. An order that
+            # is issued before the number is loaded is refused as stale.
+            await asyncio.wait([loading], timeout=FENCE_TIMEOUT_S)
+            await self.session.start_announcing(self.agent.announcement)
+            await self._await_configuration()
+            await loading
+
+    async def _await_configuration(self):
         try:
             await self.session.ready(CONFIGURATION_TIMEOUT_S)
         except (TimeoutError, errors.PimentowalkError) as error:
@@ -130,8 +141,8 @@
         )
 
 
-async def serve(settings):
-    """Run an agent until a signal stops it."""
+def make_daemon(settings):
+    """Return the daemon of an agent and its session with control."""
     from pimentowalk.control import client
 
     process = settings.process
@@ -155,12 +166,16 @@
         ),
         process.control,
         timers,
-        announcement=agent.announcement,
         heartbeat_s=process.heartbeat_s,
         draining=lambda: agent.gate.draining,
     )
     agent.session = control.session = session
-    daemon = Daemon(agent, session, timers, settings.drain_timeout_s)
+    return Daemon(agent, session, timers, settings.drain_timeout_s)
+
+
+async def serve(settings):
+    """Run an agent until a signal stops it."""
+    daemon = make_daemon(settings)
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, daemon.on_signal)
--- a/pimentowalk/agent/node.py
+++ b/pimentowalk/agent/node.py
@@ -30,6 +30,7 @@
 LOG = logging.getLogger(__name__)
 
 HEALTH_TIMEOUT_S = 2.0
+FENCE_RETRY_DELAY_S = 1.0
 
 
 @attrs.frozen
@@ -189,11 +190,17 @@
         self.lifecycle.start()
 
     async def load_highest_fence(self):
-        """Load the highest fencing number; on an error, orders try again."""
-        try:
-            await self.orders.load()
-        except errors.PimentowalkError as error:
-            LOG.warning('fencing number unknown yet: %s', error)
+        """Load the highest fencing number; repeat until control answers."""
+        while True:
+            try:
+                await self.orders.load()
+                return
+            except errors.DamagedData as error:
+                LOG.error('orders are refused: %s', error)
+                return
+            except errors.PimentowalkError as error:
+                LOG.warning('fencing number unknown yet: %s', error)
+            await self.timers.sleep(FENCE_RETRY_DELAY_S)
 
     async def stop(self):
         """Stop without waiting for work in progress."""
--- a/pimentowalk/agent/tests/fakes.py
+++ b/pimentowalk/agent/tests/fakes.py
@@ -57,6 +57,10 @@
         """Wait until the test sets `has_configuration`."""
         await self.has_configuration.wait()
 
+    async def start_announcing(self, announcement):
+        """Count an announcement."""
+        await self.announce_now()
+
     async def announce_now(self):
         """Count announcements."""
         self.announcements += 1
--- a/pimentowalk/control/client.py
+++ b/pimentowalk/control/client.py
@@ -136,6 +136,11 @@
             if self._watch is not None:
                 await self._has_view.wait()
 
+    async def start_announcing(self, announcement):
+        """Announce the server that `announcement()` returns from now on."""
+        self.announcement = announcement
+        await self.announce_now()
+
     async def announce_now(self):
         """Send the announcement and a heartbeat to all instances now."""
         for link in self._links.values():
