Report network errors of a send as a lost peer, within the call's timeout

An entry, agent or gateway that stopped while its connection to control was broken ended with the traceback of an OSError instead of a clean stop.

PeerConnection.send turned only ConnectionError into PeerLost. EHOSTUNREACH, ENETUNREACH and ETIMEDOUT are other OSErrors, which no caller of `send` or `call` handles, `Link.leave` and `ControlLink.leave` among them. In addition the timeout of a call did not cover the wait for room in the write buffer, so that a peer that does not read could hold the caller, and a departure, for ever.

Each OSError of a send is now PeerLost, and the timeout of a call begins before the request is sent. A departure on a broken connection writes one warning, and the process ends.

Failed before the change, with injected errors: both test_stop_ends_on_a_broken_connection (OSError 113), test_error_of_the_network_is_reported_as_a_lost_peer for EHOSTUNREACH and ETIMEDOUT, and test_call_to_a_peer_that_does_not_read_times_out.

--- a/pimentowalk/control/tests/test_session.py
+++ b/pimentowalk/control/tests/test_session.py
@@ -1,6 +1,7 @@
 """Tests of pushes and views from control to nodes over TCP."""
 
 import asyncio
+import errno
 import logging
 
 import attrs
@@ -117,6 +118,20 @@
     assert 'did not acknowledge' in caplog.text
 
 
+async def test_stop_ends_on_a_broken_connection(monkeypatch, caplog):
+    """An error of the network stopped the departure with an exception."""
+    server = builders.backend()
+
+    async def fail(writer):
+        raise OSError(errno.EHOSTUNREACH, 'no route to host')
+
+    async with harness.control_instances() as instances:
+        async with harness.agent_session(instances, lambda: server) as node:
+            await harness.wait_until(lambda: node.subscribed_ids)
+            monkeypatch.setattr(asyncio.StreamWriter, 'drain', fail)
+    assert caplog.text.count('did not acknowledge that the node leaves') == 1
+
+
 async def test_entry_that_has_stopped_no_longer_counts():
     """The other entries would grant less than their share of each rate."""
     async with (
--- a/pimentowalk/mesh/tests/test_leaving.py
+++ b/pimentowalk/mesh/tests/test_leaving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import errno
 
 from pimentowalk.core import timers as core_timers
 from pimentowalk.membership import backends as membership
@@ -115,3 +116,19 @@
         async with asyncio.timeout(WAIT_S):
             await node.stop()
     assert 'did not acknowledge that the node leaves' in caplog.text
+
+
+async def test_stop_ends_on_a_broken_connection(monkeypatch, caplog):
+    """An error of the network stopped the departure with an exception."""
+    async with running_control() as (_, address):
+        node = make_node('n1', seeds=[address])
+        await node.start()
+        await wait_until(node.open_links)
+
+        async def fail(writer):
+            raise OSError(errno.EHOSTUNREACH, 'no route to host')
+
+        monkeypatch.setattr(asyncio.StreamWriter, 'drain', fail)
+        async with asyncio.timeout(WAIT_S):
+            await node.stop()
+    assert caplog.text.count('did not acknowledge that the node leaves') == 1
--- a/pimentowalk/wire/connection.py
+++ b/pimentowalk/wire/connection.py
@@ -131,9 +131,9 @@
         self._flush()
         try:
             await self._writer.drain()
-        except ConnectionError:
+        except OSError as error:
             raise errors.PeerLost(
-                'the connection ended', step='send', peer=self.peer
+                f'the connection ended: {error}', step='send', peer=self.peer
             ) from None
 
     async def call(self, body, timeout_s):
@@ -146,8 +146,8 @@
         future = asyncio.get_running_loop().create_future()
         self._pending_calls[call_id] = future
         try:
-            await self.send(body, call_id=call_id)
             async with asyncio.timeout(timeout_s):
+                await self.send(body, call_id=call_id)
                 response = await future
         finally:
             self._pending_calls.pop(call_id, None)
--- a/pimentowalk/wire/tests/test_wire.py
+++ b/pimentowalk/wire/tests/test_wire.py
@@ -1,6 +1,7 @@
 """Test the frame format and the peer connections."""
 
 import asyncio
+import errno
 import logging
 import pathlib
 
@@ -17,6 +18,8 @@
 from tools.tests import waiting
 
 HELLO = messages.Hello('node-a', 'entry', 1, 'zone-1')
+# Frames of half a megabyte, more than the buffers of both sockets hold.
+UNREAD_FRAMES = 64
 ALL_BODIES = [cls for _, cls in messages.FRAMES.entries()]
 bodies = strategies.sampled_from(ALL_BODIES).flatmap(strategies.from_type)
 strategies.register_type_strategy(
@@ -157,3 +160,47 @@
     await waiting.until(lambda: 'connection not accepted' in caplog.text)
     writer.close()
     await server.stop()
+
+
+@pytest.mark.parametrize(
+    'code', [errno.ECONNRESET, errno.EHOSTUNREACH, errno.ETIMEDOUT]
+)
+async def test_error_of_the_network_is_reported_as_a_lost_peer(
+    echo, monkeypatch, code
+):
+    """Callers handle PeerLost; an OSError ended the task that sent."""
+    peer, running = await dial_echo(echo)
+
+    async def fail():
+        raise OSError(code, 'broken')
+
+    monkeypatch.setattr(peer._writer, 'drain', fail)
+    with pytest.raises(errors.PeerLost):
+        await peer.call(messages.Empty(), 10)
+    peer.close()
+    await running
+
+
+async def test_call_to_a_peer_that_does_not_read_times_out():
+    """A full write buffer held the caller beyond its timeout."""
+    may_read = asyncio.Event()
+
+    def accept(peer):
+        peer.on_frame = lambda peer, envelope: may_read.wait()
+
+    server = connection.PeerServer('127.0.0.1', 0, HELLO, accept)
+    await server.start()
+    peer = await connection.dial('127.0.0.1', server.port, HELLO)
+    running = asyncio.ensure_future(peer.run())
+    content = messages.Failure('internal', 'x' * (codec.MAX_FRAME_BYTES // 2))
+    for _ in range(UNREAD_FRAMES):
+        peer.post(content)
+    call = asyncio.ensure_future(peer.call(messages.Empty(), 0.05))
+    await asyncio.wait([call], timeout=2)
+    ended = call.done()
+    may_read.set()
+    peer.abort()
+    await asyncio.gather(call, running, return_exceptions=True)
+    await server.stop()
+    assert ended
+    assert isinstance(call.exception(), TimeoutError)
