Send each call once, and repeat reports in this code

A PUT or DELETE of a route that may not be repeated could run twice at a plain service: if the connection was lost before the response, the service got the same call a second time within one try, which no retry budget and no log showed.

aiohttp repeats idempotent methods once after a lost connection. This was taken to concern pooled connections only; 3.14 does it for connections of their own too. The same repetition was all that kept a single reset of a report from counting as proof that its server is down, so that proof depended on the version of the library.

A client middleware now raises an error that aiohttp does not repeat, at gateways and agents. Reports are repeated once after a lost connection, within their timeout of 0.2 s, so that a silent server is detected no later. Orders are never repeated. Middlewares need aiohttp 3.12. A reset within the body of a report still fails it.

Failed before the change: test_call_is_sent_once_if_the_connection_is_lost for GET, HEAD, PUT and DELETE, and test_aborted_call_is_unknown_and_not_retried for GET, PUT and DELETE, each with 2 requests instead of 1. The tests of the resets of reports passed before, by the repetition of the library.

--- a/pimentowalk/agent/service_calls.py
+++ b/pimentowalk/agent/service_calls.py
@@ -11,6 +11,7 @@
 from pimentowalk.agent import queued
 from pimentowalk.agent import rules
 from pimentowalk.agent import sequences
+from pimentowalk.core import http_client
 from pimentowalk.core import logs
 from pimentowalk.core import timers as timer_services
 from pimentowalk.wire import messages
@@ -90,14 +91,14 @@
 
     async def start(self):
         """Open the HTTP session."""
-        # Each call has a connection of its own. For some methods aiohttp
-        # retries a request whose pooled connection was closed, and a copy of
-        # an earlier reply that arrives late on a pooled connection would be
-        # taken as the reply to the next call.
+        # Each call has a connection of its own: a copy of an earlier reply
+        # that arrives late on a pooled connection would be taken as the reply
+        # to the next call.
         self._session = aiohttp.ClientSession(
             auto_decompress=False,
             skip_auto_headers=AUTO_HEADERS,
             connector=aiohttp.TCPConnector(force_close=True),
+            middlewares=(http_client.send_once,),
         )
 
     async def stop(self):
--- a/pimentowalk/agent/tests/test_service_calls.py
+++ b/pimentowalk/agent/tests/test_service_calls.py
@@ -4,6 +4,7 @@
 import math
 
 import attrs
+import pytest
 
 from pimentowalk.agent import service_calls
 from pimentowalk.agent.tests import fakes
@@ -23,10 +24,11 @@
     )
 
 
-async def test_aborted_call_is_unknown_and_not_retried(plain_setup):
-    """A non-idempotent call whose connection broke may have run."""
+@pytest.mark.parametrize('method', ['POST', 'GET', 'PUT', 'DELETE'])
+async def test_aborted_call_is_unknown_and_not_retried(plain_setup, method):
+    """A call whose connection broke may have run, whatever its method."""
     plain_setup.service.abort_replies = True
-    reply = await plain_setup.entry.call(fakes.service_call())
+    reply = await plain_setup.entry.call(fakes.service_call(method=method))
     assert (reply.state, reply.code) == ('failed', 'outcome_unknown')
     assert not reply.engine_crashed
     assert len(plain_setup.service.calls) == 1
--- a/pimentowalk/platform/engines.py
+++ b/pimentowalk/platform/engines.py
@@ -11,6 +11,7 @@
 import yarl
 
 from pimentowalk.core import errors
+from pimentowalk.core import http_client
 from pimentowalk.core import logs
 from pimentowalk.dispatch import calls
 from pimentowalk.dispatch import transport
@@ -25,6 +26,9 @@
 CONTROL_CALL_TIMEOUT_S = 0.8
 # A healthy server returns its report within a few milliseconds.
 REPORT_TIMEOUT_S = 0.2
+# A single lost connection does not prove that a server is down. Both requests
+# share the timeout, so that a silent server is detected no later.
+REPORT_ATTEMPTS = 2
 MAX_LINE_BYTES = 32768
 READ_BUFFER_BYTES = 1 << 16
 REPORT_PATH = '/v1/report'
@@ -142,6 +146,7 @@
         """Create the client session in the running event loop."""
         self._session = aiohttp.ClientSession(
             connector=StrictConnector(self._limits.head_bytes),
+            middlewares=(http_client.send_once,),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(
@@ -297,7 +302,11 @@
     async def report(self, backend):
         """Fetch the raw report of a server; raise `calls.TryFailed`."""
         status, data = await self._control_call(
-            backend, 'GET', REPORT_PATH, timeout_s=REPORT_TIMEOUT_S
+            backend,
+            'GET',
+            REPORT_PATH,
+            timeout_s=REPORT_TIMEOUT_S,
+            attempts=REPORT_ATTEMPTS,
         )
         if status != 200 or not isinstance(data, dict):
             raise calls.Broken(
@@ -362,20 +371,20 @@
         body=None,
         *,
         timeout_s=CONTROL_CALL_TIMEOUT_S,
+        attempts=1,
     ):
         peer = backend.address
-        headers = {names.EXPECT_INSTANCE: backend.server_id}
         try:
-            async with (
-                asyncio.timeout(timeout_s),
-                self._session.request(
-                    method, f'http://{peer}{path}', headers=headers, json=body
-                ) as response,
-            ):
-                self._report_notice(backend, response)
-                text = await transport.read_body(
-                    BackendResponse(response, None, peer), self._limits, peer
-                )
+            async with asyncio.timeout(timeout_s):
+                for attempt in range(1, attempts + 1):
+                    try:
+                        status, text = await self._exchange(
+                            backend, method, path, body
+                        )
+                        break
+                    except http_client.LostConnection:
+                        if attempt == attempts:
+                            raise
         except TimeoutError:
             raise calls.NoAnswer(
                 f'no answer to {path}', peer=peer, culprit=peer
@@ -385,10 +394,25 @@
                 f'{path}: {error!r}', peer=peer, culprit=peer
             ) from None
         try:
-            return response.status, json.loads(text) if text else None
+            return status, json.loads(text) if text else None
         except (ValueError, RecursionError):
             raise calls.Broken(f'{path}: not JSON', peer=peer) from None
 
+    async def _exchange(self, backend, method, path, body):
+        """Send a control call; return the status and body of the response."""
+        peer = backend.address
+        async with self._session.request(
+            method,
+            f'http://{peer}{path}',
+            headers={names.EXPECT_INSTANCE: backend.server_id},
+            json=body,
+        ) as response:
+            self._report_notice(backend, response)
+            text = await transport.read_body(
+                BackendResponse(response, None, peer), self._limits, peer
+            )
+            return response.status, text
+
 
 def _format_hops(hops):
     return ','.join(
--- a/pimentowalk/platform/tests/test_engines.py
+++ b/pimentowalk/platform/tests/test_engines.py
@@ -1,9 +1,11 @@
 """Test which responses of a backend server are accepted."""
 
 import asyncio
+import contextlib
 import logging
 import socket
 import struct
+import time
 
 from aiohttp import web
 import pytest
@@ -450,3 +452,86 @@
     with pytest.raises(calls.Broken):
         await _exchange(client, content)
     assert notices == []
+
+
+class ResettingServer(RawServer):
+    """Reset the first connections; answer, or stay silent, on the others."""
+
+    def __init__(self, resets, *, answers=True):
+        super().__init__(b'', resets=True)
+        self._resets_left = resets
+        self._answers = answers
+        self.requests = 0
+
+    async def _serve(self, reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        self.requests += 1
+        if self._resets_left:
+            self._resets_left -= 1
+            writer.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO
+            )
+        elif self._answers:
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}')
+        else:
+            await reader.read()
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def _resetting_server(resets, **options):
+    server = ResettingServer(resets, **options)
+    await server.start()
+    try:
+        yield (
+            server,
+            backends.Backend('s', 1, 1, 'svc', '127.0.0.1', server.port),
+        )
+    finally:
+        await server.stop()
+
+
+async def test_report_is_repeated_after_one_reset(client):
+    """A single reset connection counted as proof that the server is down."""
+    async with _resetting_server(1) as (server, backend):
+        assert await client.report(backend) == {}
+        assert server.requests == 2
+
+
+async def test_second_reset_of_a_report_proves_that_a_server_is_down(client):
+    """A server that resets every connection must not be asked for ever."""
+    async with _resetting_server(10) as (server, backend):
+        with pytest.raises(calls.Unreachable) as caught:
+            await client.report(backend)
+        assert calls.proves_server_down(caught.value)
+        assert server.requests == 2
+
+
+async def test_repeated_report_takes_no_longer_than_one(client):
+    """A second timeout would delay the detection of a silent server."""
+    async with _resetting_server(1, answers=False) as (server, backend):
+        started_s = time.monotonic()
+        with pytest.raises(calls.NoAnswer):
+            await client.report(backend)
+        elapsed_s = time.monotonic() - started_s
+        assert server.requests == 2
+        assert elapsed_s < 1.5 * engines.REPORT_TIMEOUT_S
+
+
+async def test_order_is_not_repeated_after_a_reset(client):
+    """The server may have executed the order whose answer was lost."""
+    async with _resetting_server(10) as (server, backend):
+        with pytest.raises(calls.Unreachable):
+            await client.reroute(backend, 'r1', ())
+        assert server.requests == 1
+
+
+@pytest.mark.parametrize('method', ['GET', 'HEAD', 'PUT', 'DELETE', 'POST'])
+async def test_call_is_sent_once_if_the_connection_is_lost(client, method):
+    """The HTTP library sent some calls again that may have been executed."""
+    call = _call()
+    call.method = method
+    async with _resetting_server(10) as (server, backend):
+        with pytest.raises(calls.Broken):
+            await client.send(call, calls.Target(backend), 1000, 0)
+        assert server.requests == 1
