Log the server with an exception in its check

When the check of a server failed on a fault of the program, operators found at most "Task exception was never retrieved" in the log, without the server.

Nothing awaits the tasks of ServerChecks.check and of the check of a server whose announcements have stopped. Both now log an exception with the id and the address of the server; a silent server stays listed and is checked again.

test_failed_check_of_a_silent_server_is_logged and test_failed_background_check_is_logged failed before the change (KeyError out of the task, no log line). With it 116 tests of pimentowalk/dispatch passed.

--- a/pimentowalk/dispatch/checks.py
+++ b/pimentowalk/dispatch/checks.py
@@ -1,9 +1,13 @@
 """Check backend servers on demand when requests to them fail."""
 
 import asyncio
+import logging
 
+from pimentowalk.core import logs
 from pimentowalk.dispatch import calls
 
+LOG = logging.getLogger(__name__)
+
 # Runs that ask within this time share one report, since each report costs
 # the server work.
 REPORT_TTL_S = 0.12
@@ -125,7 +129,9 @@
         )
         if self._timers.now_s() - started_s < MIN_CHECK_INTERVAL_S:
             return
-        task = asyncio.ensure_future(self._check(backend))
+        task = asyncio.ensure_future(
+            log_failed_check(self._check(backend), backend)
+        )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -158,6 +164,19 @@
             return
 
 
+async def log_failed_check(check, backend):
+    """Await the check of a server; log an exception with the server."""
+    try:
+        await check
+    except Exception:
+        LOG.exception(
+            'the check of a server failed',
+            extra=logs.fields(
+                step='check', peer=backend.address, server=backend.server_id
+            ),
+        )
+
+
 def _consume_exception(task):
     """Retrieve the exception of a fetch that no run awaits any more."""
     if not task.cancelled():
--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -173,7 +173,11 @@
     def _verify(self, backend):
         """Check a server whose announcements have stopped, once at a time."""
         if backend.server_id not in self._verifying:
-            task = asyncio.ensure_future(self._verify_silent(backend))
+            task = asyncio.ensure_future(
+                dispatch_checks.log_failed_check(
+                    self._verify_silent(backend), backend
+                )
+            )
             self._verifying[backend.server_id] = task
             task.add_done_callback(
                 lambda _: self._verifying.pop(backend.server_id)
--- a/pimentowalk/dispatch/tests/test_silent_servers.py
+++ b/pimentowalk/dispatch/tests/test_silent_servers.py
@@ -105,3 +105,30 @@
     tested, table, _ = new_dispatcher(answers)
     await expire(tested)
     assert [b.server_id for b in table.usable('svc')] == ['i-2']
+
+
+def _logged_failures(caplog):
+    """Return the logged exceptions with the server that they concern."""
+    return [
+        (record.server, record.peer, record.exc_info[0])
+        for record in caplog.records
+        if record.exc_info and hasattr(record, 'server')
+    ]
+
+
+async def test_failed_check_of_a_silent_server_is_logged(caplog):
+    """The log had an exception, but not the server that was checked."""
+    tested, table, _ = new_dispatcher([KeyError('a fault of the program')])
+    await expire(tested)
+    assert _logged_failures(caplog) == [('i-1', '10.0.0.1:80', KeyError)]
+    assert table.get('i-1') is not None
+    await expire(tested)
+    assert {b.server_id for b in table.usable('svc')} == {'i-1', 'i-2'}
+
+
+async def test_failed_background_check_is_logged(caplog):
+    """The log had an exception, but not the server that was checked."""
+    tested, _, _ = new_dispatcher([KeyError('a fault of the program')])
+    tested.checks.check(SERVER)
+    await asyncio.gather(*tested.checks._tasks)
+    assert _logged_failures(caplog) == [('i-1', '10.0.0.1:80', KeyError)]
