--- a/pimentowalk/dispatch/tests/test_asking.py
+++ b/pimentowalk/dispatch/tests/test_asking.py
@@ -113,3 +113,68 @@
     progress_checks.cancel()
     run._try_task.cancel()
     assert used == paths
+
+
+async def test_kept_server_may_be_part_of_the_next_path():
+    """A stream that stays at a silent server may be rerouted over it later.
+
+    If the server stayed excluded, no path would be left when another one
+    stalls.
+    """
+    head, kept, stalled, successor = servers = [
+        fakes.server(number) for number in (1, 2, 3, 4)
+    ]
+    paths = [
+        (hops.Hop(head, 0, 3), hops.Hop(kept, 3, 6), hops.Hop(last, 6, 8))
+        for last in (stalled, successor)
+    ]
+    culprits = [kept]
+    waits = []
+    rerouted = []
+
+    def choose(_, query):
+        return next(
+            (
+                path
+                for path in paths
+                if not any(
+                    hop.backend.server_id in query.avoid for hop in path
+                )
+            ),
+            None,
+        )
+
+    async def report(backend):
+        return transport.ServerReport({'r1': culprits[-1].address})
+
+    async def reroute(backend, request_id, path):
+        rerouted.append(path)
+
+    dispatcher = fakes.dispatcher(*servers)
+    dispatcher.checks.report = report
+    dispatcher.checks.check_blamed = lambda backend: None
+    dispatcher.transport = types.SimpleNamespace(reroute=reroute)
+    dispatcher.in_flight.begin = dispatcher.in_flight.end = lambda *_: None
+    dispatcher.paths = types.SimpleNamespace(choose=choose)
+    dispatcher.log_kept_try = lambda *_: waits.append(kept)
+    call = fakes.call(dispatcher.timers.now_s(), is_repeatable=False)
+    call.request_id = 'r1'
+    service = types.SimpleNamespace(
+        name='svc', engine=types.SimpleNamespace(total_layers=8)
+    )
+    run = stream.StreamRun(dispatcher, call, service, fakes.responder())
+    run._target = calls.Target(head, paths[0])
+    run._try_task = asyncio.ensure_future(asyncio.sleep(60))
+    run.progress_s = dispatcher.timers.now_s()
+    progress_checks = dispatcher.timers.every(
+        0.01, lambda: run.check_progress(dispatcher.timers.now_s())
+    )
+    try:
+        await waiting.until(lambda: waits)
+        assert rerouted == []
+        culprits.append(stalled)
+        await waiting.until(lambda: rerouted)
+    finally:
+        progress_checks.cancel()
+        run._try_task.cancel()
+    assert rerouted == paths[1:]
