Replace files whose sync fails on a full disk

A control instance ended with `cannot keep the log` when its disk was full and the file system reported it only in a sync, although a failed write for the same reason is retried.

After a failed sync the content on disk is unknown, and a second sync may report success without writing, so that it cannot be repeated. All that was written since the last sync is known, however. Any other error ends the process as before, and so do records that read back wrong, and a failed sync of the folder after a removal.

The simulated files lose all writes of a file whose sync failed, also if a later sync reports success.

--- a/pimentowalk/control/files.py
+++ b/pimentowalk/control/files.py
@@ -43,8 +43,9 @@
 
     Raises WriteStopped if the thread is stopped meanwhile.
 
-    Do not use it for a sync: after a failed sync the content of the disk is
-    unknown.
+    Do not use it for the sync of a file alone: after a failed sync the content
+    on disk is unknown, and a second sync may report success without writing.
+    `replace_durably` writes a new file instead.
     """
     is_logged = False
     while True:
@@ -158,13 +159,24 @@
 
 
 def replace_durably(files, name, data):
-    """Replace a file atomically: a crash leaves the old or new content."""
+    """Replace a file atomically: a crash leaves the old or new content.
+
+    If the disk is full, each retry writes another new file.
+    """
+    retry_while_disk_full(_replace_once, files, name, data)
+
+
+def _replace_once(files, name, data):
     temporary = name + TEMPORARY_SUFFIX
     file = files.open(temporary)
     try:
         truncate(file, 0)
         write_all(file, 0, data)
         file.sync()
+    except OSError as error:
+        if error.errno in DISK_FULL_ERRORS:
+            files.remove(temporary)
+        raise
     finally:
         file.close()
     files.replace(temporary, name)
--- a/pimentowalk/control/segments.py
+++ b/pimentowalk/control/segments.py
@@ -1,5 +1,6 @@
 """Log records in append-only segment files, with checksums."""
 
+import errno
 import struct
 
 import attrs
@@ -122,6 +123,7 @@
         """
         self._marker = self._files.open(MARKER_FILE)
         self.known_synced_index = self._read_marker()
+        self._remove_unfinished()
         records = []
         names = [
             name
@@ -132,9 +134,15 @@
             is_last = position == len(names) - 1
             records.extend(self._load_segment(name, is_last))
         if self._segments:
-            self._segments[-1].file.sync()
+            self._sync(self._segments[-1])
         return records
 
+    def _remove_unfinished(self):
+        suffix = SEGMENT_SUFFIX + control_files.TEMPORARY_SUFFIX
+        for name in self._files.names():
+            if name.endswith(suffix):
+                self._files.remove(name)
+
     def _read_marker(self):
         data = self._files.read(MARKER_FILE) or b''
         if len(data) != MARKER_LAYOUT.size:
@@ -199,7 +207,7 @@
                 f'before the synced index {known_synced}'
             )
         control_files.truncate(segment.file, segment.size)
-        segment.file.sync()
+        self._sync(segment)
 
     def write(self, records, synced_index):
         """Write and sync records that follow the last one."""
@@ -230,18 +238,55 @@
             data = b''.join(chunk)
             offset = segment.size - len(data)
             control_files.write_all(segment.file, offset, data)
+            self._sync(segment, data)
+
+    def _sync(self, segment, unsynced=b''):
+        """Sync a segment that ends with `unsynced` bytes.
+
+        If the disk is full, the segment is written to a new file, since the
+        content of the old one on disk is unknown.
+        """
+        try:
             segment.file.sync()
+        except OSError as error:
+            if error.errno not in control_files.DISK_FULL_ERRORS:
+                raise
+            synced = self._read_synced(segment, segment.size - len(unsynced))
+            segment.file = self._replace_file(
+                segment.name, segment.file, synced + unsynced
+            )
+
+    def _read_synced(self, segment, size):
+        """Return the first bytes of a segment; raise OSError if damaged."""
+        data = (self._files.read(segment.name) or b'')[:size]
+        copy = Segment(segment.first_index, segment.name, None)
+        try:
+            is_valid = self._is_header_valid(data, copy.name, copy.first_index)
+            if is_valid:
+                self._read_records(copy, data)
+        except errors.DamagedData:
+            is_valid = False
+        if not is_valid or copy.size != size:
+            raise OSError(
+                errno.EIO, f'{segment.name} changed after a failed sync'
+            )
+        return data
+
+    def _replace_file(self, name, file, data):
+        """Replace an open file by a new one; return the new open file."""
+        control_files.replace_durably(self._files, name, data)
+        file.close()
+        return self._files.open(name)
 
     def _create_segment(self, first_index):
         name = f'{first_index:020d}{SEGMENT_SUFFIX}'
-        file = self._files.open(name)
         header = SEGMENT_HEADER_LAYOUT.pack(
             SEGMENT_MAGIC, FORMAT_VERSION, first_index
         )
-        control_files.write_all(file, 0, header)
-        file.sync()
-        self._files.sync_folder()
-        self._segments.append(Segment(first_index, name, file))
+        control_files.replace_durably(self._files, name, header)
+        self._segments.append(
+            Segment(first_index, name, self._files.open(name))
+        )
 
     def _write_marker(self, index, *, sync=False):
         # Not synced after each write, because that would double the cost of
@@ -249,9 +294,17 @@
         data = MARKER_LAYOUT.pack(index, _marker_checksum(index))
         control_files.write_all(self._marker, 0, data)
         if sync:
-            self._marker.sync()
+            self._sync_marker(data)
         self.known_synced_index = index
 
+    def _sync_marker(self, data):
+        try:
+            self._marker.sync()
+        except OSError as error:
+            if error.errno not in control_files.DISK_FULL_ERRORS:
+                raise
+            self._marker = self._replace_file(MARKER_FILE, self._marker, data)
+
     def truncate_from(self, index):
         """Remove the record at an index and all after it."""
         self._write_marker(min(self.known_synced_index, index - 1), sync=True)
@@ -263,7 +316,7 @@
             segment = self._segments[-1]
             del segment.record_ends[index - segment.first_index :]
             control_files.truncate(segment.file, segment.size)
-            segment.file.sync()
+            self._sync(segment)
 
     def remove_through(self, index):
         """Remove the segments that have only records up to an index."""
@@ -284,6 +337,8 @@
         self._remove_file(segment.name)
 
     def _remove_file(self, name):
+        # A failed sync of the folder is fatal: a later removal could become
+        # durable without this one, which would leave a gap in the log.
         self._files.remove(name)
         self._files.sync_folder()
 
--- a/pimentowalk/control/snapshot.py
+++ b/pimentowalk/control/snapshot.py
@@ -92,4 +92,5 @@
     for other in files.names():
         if other.endswith(SNAPSHOT_SUFFIX) and other < name:
             files.remove(other)
-    files.sync_folder()
+    # An older snapshot whose removal is lost is not used.
+    control_files.retry_while_disk_full(files.sync_folder)
--- a/pimentowalk/control/tests/faulty_files.py
+++ b/pimentowalk/control/tests/faulty_files.py
@@ -13,13 +13,21 @@
 CREATE = 'create'
 RENAME = 'rename'
 ALL = frozenset([WRITE, TRUNCATE, CREATE, RENAME])
+# A file system that allocates late reports a full disk only in a sync.
+SYNC = 'sync'
+SYNC_FOLDER = 'sync folder'
 
 
 class FaultyFile:
-    """One file: the content on disk, and the content with later writes."""
+    """One file: the content on disk, and the content with later writes.
+
+    After a failed sync, no later sync of the file writes anything, although
+    it reports success: the system has discarded which pages are unwritten.
+    """
 
     def __init__(self, files):
         self._files = files
+        self._has_lost_writes = False
         self.durable = b''
         self.current = b''
 
@@ -41,15 +49,22 @@
         self.current = self.current[:size]
 
     def sync(self):
-        """Make the content durable."""
+        """Make the content durable, unless an earlier sync has failed."""
         self._files.count_operation()
-        self.durable = self.current
+        try:
+            self._files.check_room(SYNC)
+        except OSError:
+            self._has_lost_writes = True
+            raise
+        if not self._has_lost_writes:
+            self.durable = self.current
 
     def close(self):
         """Do nothing."""
 
     def crash(self, random):
         """Keep a random choice of the unsynced sectors."""
+        self._has_lost_writes = False
         size = random.choice([len(self.durable), len(self.current)])
         old = self.durable.ljust(size, b'\0')
         new = self.current.ljust(size, b'\0')
@@ -127,10 +142,16 @@
         _apply_entry_changes(self._current, entry_changes)
 
     def sync_folder(self):
-        """Make creations, renames and removals durable."""
+        """Make creations, renames and removals durable.
+
+        Those of a failed sync are lost, as in `FaultyFile`.
+        """
         self.count_operation()
-        self._durable = dict(self._current)
+        changes = list(self._unsynced_entry_changes)
         self._unsynced_entry_changes.clear()
+        self.check_room(SYNC_FOLDER)
+        for entry_changes in changes:
+            _apply_entry_changes(self._durable, entry_changes)
 
     def crash(self, random):
         """Simulate a power loss: keep only some of the unsynced changes."""
--- a/pimentowalk/control/tests/test_full_disk.py
+++ b/pimentowalk/control/tests/test_full_disk.py
@@ -10,6 +10,7 @@
 
 from pimentowalk.control import files
 from pimentowalk.control import log as control_log
+from pimentowalk.control import segments
 from pimentowalk.control import snapshot
 from pimentowalk.control.tests import faulty_files
 from pimentowalk.core import errors
@@ -84,12 +85,13 @@
     assert [r.content for r in reopened.retained_records()] == [b'one']
 
 
-async def open_log(files_on_disk, fatal_errors):
+async def open_log(files_on_disk, fatal_errors, segment_bytes=1 << 20):
     """Return a log in the given files whose fatal errors are collected."""
     log = control_log.DurableLog(
         'x',
         files=files_on_disk,
         on_fatal=fatal_errors.append,
+        segment_bytes=segment_bytes,
         run_blocking=faulty_files.run_inline,
     )
     await log.open()
@@ -141,6 +143,142 @@
     assert fatal_errors == []
 
 
+def lose_power(files_on_disk):
+    """Lose all that was not synced."""
+    random_source = types.SimpleNamespace(
+        choice=lambda options: options[0], randint=lambda low, high: low
+    )
+    files_on_disk.crash(random_source)
+
+
+def contents(log):
+    """Return the contents of the records of a log."""
+    return [record.content for record in log.retained_records()]
+
+
+@pytest.mark.parametrize('code', [errno.ENOSPC, errno.EDQUOT])
+@pytest.mark.parametrize(
+    'refused',
+    [
+        [faulty_files.SYNC],
+        [faulty_files.SYNC_FOLDER],
+        [faulty_files.SYNC, faulty_files.SYNC_FOLDER],
+        [faulty_files.SYNC, *faulty_files.ALL],
+    ],
+)
+@pytest.mark.parametrize('segment_bytes', [1, 1 << 20])
+async def test_record_is_durable_after_a_sync_on_a_full_disk(
+    monkeypatch, segment_bytes, refused, code
+):
+    """The process ended; a second sync of the file would write nothing."""
+    files_on_disk = faulty_files.FaultyFiles()
+    fatal_errors = []
+    log = await open_log(files_on_disk, fatal_errors, segment_bytes)
+    log.append([messages.LogRecord(1, 1, 'command', b'one')])
+    await log.sync()
+    log.append([messages.LogRecord(n, 1, 'command', b'more') for n in (2, 3)])
+    files_on_disk.refused = refused
+    files_on_disk.full_error = code
+    make_room_after_retries(monkeypatch, files_on_disk, 3)
+    await log.sync()
+    files_on_disk.refused = frozenset()
+    assert (fatal_errors, log.synced_index) == ([], 3)
+    log.append([messages.LogRecord(4, 1, 'command', b'last')])
+    await log.sync()
+    lose_power(files_on_disk)
+    reopened = await open_log(files_on_disk, fatal_errors, segment_bytes)
+    assert contents(reopened) == [b'one', b'more', b'more', b'last']
+
+
+@pytest.mark.parametrize(
+    ('operation', 'expected'),
+    [
+        (lambda log: log.truncate_from(2), ([b'one'], 0)),
+        (lambda log: log.save_vote(7, 'a'), ([b'one', b'one', b'one'], 7)),
+        (lambda log: log.reset(0, 0), ([], 0)),
+    ],
+)
+async def test_changed_file_is_durable_after_a_sync_on_a_full_disk(
+    monkeypatch, operation, expected
+):
+    """A record that was removed would come back after a power loss."""
+    files_on_disk = faulty_files.FaultyFiles()
+    fatal_errors = []
+    log = await open_log(files_on_disk, fatal_errors)
+    log.append(
+        [messages.LogRecord(n, 1, 'command', b'one') for n in (1, 2, 3)]
+    )
+    await log.sync()
+    files_on_disk.refused = [faulty_files.SYNC]
+    make_room_after_retries(monkeypatch, files_on_disk, 3)
+    await operation(log)
+    lose_power(files_on_disk)
+    reopened = await open_log(files_on_disk, fatal_errors)
+    assert fatal_errors == []
+    assert (contents(reopened), reopened.vote.term) == expected
+
+
+async def test_log_opens_while_syncs_fail_on_a_full_disk(monkeypatch):
+    """A process that restarted on a full disk ended again and again."""
+    files_on_disk = faulty_files.FaultyFiles()
+    fatal_errors = []
+    log = await open_log(files_on_disk, fatal_errors)
+    log.append([messages.LogRecord(1, 1, 'command', b'one')])
+    await log.sync()
+    segment = files_on_disk.open(log._store._segments[-1].name)
+    segment.write_at(len(segment.current), b'PREC torn')
+    files_on_disk.refused = [faulty_files.SYNC]
+    make_room_after_retries(monkeypatch, files_on_disk, 3)
+    for _ in range(2):
+        reopened = await open_log(files_on_disk, fatal_errors)
+        assert fatal_errors == []
+        assert contents(reopened) == [b'one']
+        lose_power(files_on_disk)
+
+
+async def test_record_that_changed_after_a_failed_sync_is_not_kept(
+    monkeypatch,
+):
+    """A record that was read back wrong would be acknowledged."""
+    files_on_disk = faulty_files.FaultyFiles()
+    fatal_errors = []
+    log = await open_log(files_on_disk, fatal_errors)
+    log.append([messages.LogRecord(1, 1, 'command', b'one')])
+    await log.sync()
+    segment = files_on_disk.open(log._store._segments[-1].name)
+    segment.current = segment.current[:-1] + b'?'
+    log.append([messages.LogRecord(2, 1, 'command', b'two')])
+    files_on_disk.refused = [faulty_files.SYNC]
+    make_room_after_retries(monkeypatch, files_on_disk, 1)
+    with pytest.raises(errors.DamagedData):
+        await log.sync()
+    assert len(fatal_errors) == 1
+    assert log.synced_index == 1
+
+
+async def test_other_errors_of_a_sync_end_the_process(monkeypatch):
+    """The disk may be broken, and the content is unknown."""
+    files_on_disk = faulty_files.FaultyFiles()
+    fatal_errors = []
+    log = await open_log(files_on_disk, fatal_errors)
+    log.append([messages.LogRecord(1, 1, 'command', b'one')])
+    await log.sync()
+    log.append([messages.LogRecord(2, 1, 'command', b'two')])
+    files_on_disk.refused = [faulty_files.SYNC]
+    files_on_disk.full_error = errno.EIO
+    with pytest.raises(errors.DamagedData):
+        await log.sync()
+    assert len(fatal_errors) == 1
+
+
+def test_file_of_an_interrupted_replacement_is_removed(tmp_path):
+    """Each crash while a segment was replaced used up room for good."""
+    folder = files.Files(tmp_path)
+    folder.open('00000000000000000001.log.tmp').close()
+    segments.SegmentStore(folder, 1 << 20).load()
+    assert folder.names() == [segments.MARKER_FILE]
+
+
 async def test_log_opens_after_a_torn_write_on_a_full_disk(monkeypatch):
     """A process that restarted on a full disk ended again and again."""
     files_on_disk = faulty_files.FaultyFiles()
--- a/pimentowalk/control/tests/test_full_disks.py
+++ b/pimentowalk/control/tests/test_full_disks.py
@@ -25,7 +25,12 @@
 ATTEMPT_DELAY_S = 0.05
 SEEDS = range(12)
 RESTART_SHARE = 0.3
-REFUSALS = (frozenset([faulty_files.WRITE]), faulty_files.ALL)
+REFUSALS = (
+    frozenset([faulty_files.WRITE]),
+    faulty_files.ALL,
+    frozenset([faulty_files.SYNC]),
+    faulty_files.ALL | {faulty_files.SYNC},
+)
 
 
 @pytest.fixture(autouse=True)
