Do not send a call whose time ended during the start of a node

A gateway that starts holds calls for up to 1.5 s, until it has the configuration and knows the backend servers. A call whose route allowed less time was then sent to a server with a negative timeout, and could run although its caller had been promised an end at the timeout. Its caller got 504. Calls were also held beyond the deadline that their caller had given, and got no answer before they left.

Cause: the wait for the start ignored the deadline of the caller, and no try looked at the time left before it began.

Now the wait ends at that deadline, and an expired call is answered without another try.

Both new tests failed before: one send instead of none, and an answer after 1.0 s for a deadline of 0.2 s. With the change they pass, as do the other tests of platform and dispatch.

--- a/pimentowalk/dispatch/call_run.py
+++ b/pimentowalk/dispatch/call_run.py
@@ -48,7 +48,7 @@
             await self._select_target()
             if self._target is None:
                 await self._wait_for_target()
-            if self._target is None:
+            if self._target is None or self._has_expired():
                 break
             self._dispatcher.reject_if_barred(self._call)
             self._reject_if_late()
@@ -66,6 +66,10 @@
                     break
         raise self._final_error(failure)
 
+    def _has_expired(self):
+        """Return whether a response would be of no use any more."""
+        return self._dispatcher.timers.now_s() >= self._call.expires_at_s
+
     def _reject_if_late(self):
         """Raise PimentowalkError if the stop would cut the response.
 
--- a/pimentowalk/platform/front.py
+++ b/pimentowalk/platform/front.py
@@ -204,7 +204,7 @@
         return uniform(*RETRY_AFTER_BY_CODE_S.get(error.code, RETRY_AFTER_S))
 
     async def _decode_call(self, request, request_id, received_s, activity):
-        await self._wait_for_start()
+        await self._wait_for_start(request, received_s)
         document = self._node.document
         if document is None:
             raise errors.NotRun('no configuration yet', step='admit')
@@ -237,11 +237,16 @@
                 step='read',
             ) from None
 
-    async def _wait_for_start(self):
-        """Wait until the node has a configuration and a view of servers."""
-        deadline_s = self._timers.now_s() + START_TIMEOUT_S
+    async def _wait_for_start(self, request, received_s):
+        """Wait until the node has a configuration and a view of servers.
+
+        The wait ends at the deadline of the caller, if that is sooner.
+        """
+        until_s = received_s + START_TIMEOUT_S
+        if remaining_s := _remaining_s(request.headers):
+            until_s = min(until_s, received_s + remaining_s)
         while not (self._freshness.was_ever_valid and self._node.has_view):
-            if self._timers.now_s() >= deadline_s:
+            if self._timers.now_s() >= until_s:
                 return
             await self._timers.sleep(START_POLL_INTERVAL_S)
 
@@ -272,10 +277,7 @@
     ):
         headers = request.headers
         target = request.raw_path
-        remaining_ms = _parse_number(headers.get(names.DEADLINE_MS), 0)
-        deadline_s = received_s + (
-            remaining_ms / 1000 if remaining_ms else route.timeout_s
-        )
+        deadline_s = received_s + (_remaining_s(headers) or route.timeout_s)
         prompt_tokens, max_tokens = _parse_token_counts(
             headers.get(names.TOKEN_COUNT)
         )
@@ -337,6 +339,11 @@
     return tuple(identifiers.hash64('part', part) for part in shared if part)
 
 
+def _remaining_s(headers):
+    """Return the time until the deadline of the caller, 0 if unknown."""
+    return _parse_number(headers.get(names.DEADLINE_MS), 0) / 1000
+
+
 def _parse_number(text, default):
     try:
         value = float(text)
--- a/pimentowalk/platform/tests/changing.py
+++ b/pimentowalk/platform/tests/changing.py
@@ -179,12 +179,12 @@
             metrics=self.metrics,
             zone='z1',
         )
-        freshness = types.SimpleNamespace(
+        self.freshness = types.SimpleNamespace(
             is_valid=True, was_ever_valid=True, age_s=0.0
         )
         self.front = front.Front(
             self.node,
-            freshness,
+            self.freshness,
             self.dispatcher,
             self.timers,
             drain.Drain(self.timers),
@@ -268,7 +268,7 @@
         await self.steps.reach('body')
         yield b'rest'
 
-    async def request(self, method, path, request_id):
+    async def request(self, method, path, request_id, deadline_ms=5000):
         """Send a request in two parts; return the complete answer."""
         async with self._session.request(
             method,
@@ -277,7 +277,7 @@
                 'Host': 'a.example',
                 names.REQUEST_ID: request_id,
                 names.KEY: 'k1',
-                names.DEADLINE_MS: '5000',
+                names.DEADLINE_MS: str(deadline_ms),
                 names.TOKEN_COUNT: '100,24',
             },
             data=self._body(),
--- a/pimentowalk/platform/tests/test_failed_requests.py
+++ b/pimentowalk/platform/tests/test_failed_requests.py
@@ -99,3 +99,38 @@
         assert await reader.readline() == b'HTTP/1.1 504 Gateway Timeout\r\n'
     writer.close()
     assert scene.runs('r1') == 0
+
+
+async def _wait_for_start(scene, call, start_s):
+    """Return the answer to a call that came `start_s` before the start."""
+    scene.freshness.was_ever_valid = False
+    answer = asyncio.ensure_future(call)
+    await waiting.until(lambda: scene.metrics.counters['requests'])
+    await asyncio.sleep(start_s)
+    scene.freshness.was_ever_valid = True
+    return await answer
+
+
+async def test_call_that_expired_during_the_start_is_not_sent(scene):
+    """A call was sent after the timeout of its route and might still run.
+
+    It had waited for the configuration of a node that was starting.
+    """
+    timeout_s = samples.BOOK_ROUTE['timeout-ms'] / 1000
+    call = scene.request('POST', '/book/2f', 'r1')
+    answer = await _wait_for_start(scene, call, timeout_s + 0.1)
+    assert answer.status == 504
+    assert scene.client.sends == 0
+
+
+async def test_start_is_not_awaited_beyond_the_deadline(scene):
+    """A caller that has left by its deadline got no answer during a start."""
+    call = scene.request('POST', '/book/2f', 'r1', deadline_ms=200)
+    started_s = scene.timers.now_s()
+    waiter = asyncio.ensure_future(_wait_for_start(scene, call, 1.0))
+    scene.freshness.is_valid = False
+    await waiting.until(lambda: scene.metrics.counters['errors_not_run'])
+    assert scene.timers.now_s() - started_s < 0.4
+    answer = await waiter
+    assert answer.status == 503
+    assert scene.client.sends == 0
