Revert "Refuse repeatable requests in a drain only if a cut is likely"

A planned stop is to cut no request in progress, and a cut reaches the caller seconds later than a refusal.

--- a/pimentowalk/dispatch/durations.py
+++ b/pimentowalk/dispatch/durations.py
@@ -17,11 +17,7 @@
 # of an assistant are shorter.
 DEFAULT_DURATION_S = 2.0
 DEFAULT_TOKENS = 256
-# Percentile of the durations that bounds a response which cannot be repeated.
 PERCENT = 95.0
-# A caller whose response is cut can resume or repeat it elsewhere, with the
-# same retry that it would spend on a refusal. Only likely cuts are avoided.
-REPEATABLE_PERCENT = 75.0
 MAX_MS = 3_600_000
 SIGNIFICANT_DIGITS = 2
 
@@ -43,7 +39,6 @@
     )
     new_samples: int = 0
     most_s: float = 0.0
-    repeatable_s: float = 0.0
     median_s: float = 0.0
     median_tokens: float = 0.0
 
@@ -57,8 +52,6 @@
             duration_ms = int(sample.duration_s * 1000)
             durations.record_value(min(max(duration_ms, 1), MAX_MS))
         self.most_s = durations.get_value_at_percentile(PERCENT) / 1000
-        repeatable_ms = durations.get_value_at_percentile(REPEATABLE_PERCENT)
-        self.repeatable_s = repeatable_ms / 1000
         self.median_s = statistics.median(s.duration_s for s in self.samples)
         self.median_tokens = statistics.median(s.tokens for s in self.samples)
 
@@ -82,19 +75,15 @@
         route.samples.append(Sample(duration_s, tokens))
         route.new_samples += 1
 
-    def usual_s(self, route_name, tokens, *, is_repeatable=False):
-        """Return a time within which most responses of a size complete.
-
-        The time is shorter if the caller can repeat the request.
-        """
+    def usual_s(self, route_name, tokens):
+        """Return a time within which most responses of a size complete."""
         route = self._routes.get(route_name)
         if route is None or len(route.samples) < MIN_SAMPLES:
             return DEFAULT_DURATION_S * max(tokens / DEFAULT_TOKENS, 1.0)
         route.update()
         # A few long answers take many times longer than the rest.
         sized_s = route.median_s * tokens / max(route.median_tokens, 1)
-        most_s = route.repeatable_s if is_repeatable else route.most_s
-        return max(most_s, sized_s)
+        return max(route.most_s, sized_s)
 
     def keep_only(self, route_names):
         """Forget all other routes."""
--- a/pimentowalk/dispatch/tests/test_durations.py
+++ b/pimentowalk/dispatch/tests/test_durations.py
@@ -36,18 +36,6 @@
     assert tracker.usual_s('draft', 2000) == pytest.approx(15.0, rel=0.02)
 
 
-def test_repeatable_response_is_refused_only_if_it_is_likely_to_be_cut():
-    """All streams were refused for a whole drain, since 1 in 20 took long."""
-    tracker = durations.DurationTracker()
-    for number in range(durations.MAX_SAMPLES):
-        tracker.record_s('draft', 9.0 if number % 10 == 0 else 2.0, 200)
-    assert tracker.usual_s('draft', 200) == pytest.approx(9.0, rel=0.02)
-    usual_s = tracker.usual_s('draft', 200, is_repeatable=True)
-    assert usual_s == pytest.approx(2.0, rel=0.02)
-    long_s = tracker.usual_s('draft', 1000, is_repeatable=True)
-    assert long_s == pytest.approx(10.0, rel=0.02)
-
-
 def test_quantiles_are_computed_once_for_many_requests(monkeypatch):
     """Each request took half a millisecond longer to be decoded."""
     tracker = durations.DurationTracker()
--- a/pimentowalk/platform/front.py
+++ b/pimentowalk/platform/front.py
@@ -222,9 +222,7 @@
         call.activity = activity
         activity.expires_at_s = call.expires_at_s
         activity.usual_s = self._dispatcher.durations.usual_s(
-            route.name,
-            call.expected_answer_tokens,
-            is_repeatable=route.is_repeatable,
+            route.name, call.expected_answer_tokens
         )
         return call
 
--- a/pimentowalk/platform/tests/test_stop.py
+++ b/pimentowalk/platform/tests/test_stop.py
@@ -9,7 +9,6 @@
 import pytest
 import pytest_asyncio
 
-from pimentowalk.dispatch import durations
 from pimentowalk.dispatch import stream
 from pimentowalk.entry import drain as entry_drain
 from pimentowalk.platform import daemon
@@ -239,29 +238,6 @@
     await stopping
 
 
-@pytest.mark.parametrize(
-    ('method', 'path', 'expected'),
-    [('POST', '/draft/2f', 200), ('POST', '/book/2f', 503)],
-)
-async def test_only_likely_cuts_of_repeatable_requests_are_avoided(
-    cluster, stop, method, path, expected
-):
-    """Refused streams used up the only retry of their callers."""
-    await cluster.wait_for_layers()
-    gateway = cluster.gateways[0]
-    for route in gateway.node.document.routes:
-        for number in range(durations.MAX_SAMPLES):
-            duration_s = 5.0 if number % 10 == 0 else 0.1
-            gateway.dispatcher.durations.record_s(route.name, duration_s, 256)
-    stopping = stop(1.5)
-    await waiting.until(lambda: gateway.drain.draining)
-    status, _, _ = await cluster.platform.call(
-        gateway, method, path, request_id='r1'
-    )
-    assert status == expected
-    await stopping
-
-
 async def test_stream_that_waits_for_capacity_is_refused_at_the_stop(
     cluster, stop, short_delay, monkeypatch
 ):
