Let a kill of the soak end a gateway that is being started

Cause: kill() did nothing while another fault was starting the gateway, so that its new process went on, and its files could be removed while it ran.

Change: kill() waits for a start in progress.

--- a/tools/soak/processes.py
+++ b/tools/soak/processes.py
@@ -159,10 +159,11 @@
             self.process.send_signal(number)
 
     async def kill(self):
-        """End the process at once."""
+        """End the process at once, also one that is being started."""
         self.kills += 1
         self.is_paused = False
-        process = self._tell_to_end(signal.SIGKILL)
+        async with self._start_lock:
+            process = self._tell_to_end(signal.SIGKILL)
         if process is not None:
             await process.wait()
 
--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -230,3 +230,21 @@
     await gateway.watcher
     assert gateway.ended == [3]
     assert gateway.starts == 1
+
+
+@pytest.mark.processes
+async def test_kill_during_a_start_ends_the_new_process(monkeypatch, tmp_path):
+    """A fault killed nothing, and removed the files of a process that ran."""
+    program = STOPPING_PROGRAM.format(delay_s=0.0)
+    monkeypatch.setattr(processes, 'PROGRAM', ('-c', program))
+    gateway = processes.GatewayProcess(
+        '127.0.0.1', '0', processes.free_ports(4), tmp_path, False, []
+    )
+    starting = asyncio.ensure_future(gateway.start())
+    await asyncio.sleep(0)
+    await gateway.kill()
+    await starting
+    try:
+        assert not gateway.runs
+    finally:
+        await gateway.kill()
