Let streams wait for room by service

What callers would see: while the servers of one model are full, streams of another one, whose servers are idle, wait behind its streams for up to 1 s, and in an overload are refused.

Cause: one queue held the streams of all services, and only the first of each priority is tried.

Change: a queue a service. Found by the review, whose test test_full_slots_of_a_service_do_not_hold_up_another_service failed before with a timeout.

--- a/pimentowalk/admission/room.py
+++ b/pimentowalk/admission/room.py
@@ -143,3 +143,31 @@
                 if not stream.granted.done():
                     stream.granted.set_result(target)
                 return
+
+
+class AdmissionQueues:
+    """The queue of each service.
+
+    A service whose servers are full must not hold up the streams of others.
+    """
+
+    def __init__(self, timers):
+        self._timers = timers
+        self._queues = {}
+
+    def __len__(self):
+        return sum(len(queue) for queue in self._queues.values())
+
+    def of_service(self, name):
+        """Return the queue of a service."""
+        if name not in self._queues:
+            self._queues[name] = AdmissionQueue(self._timers)
+        return self._queues[name]
+
+    def keep_only(self, names):
+        """Forget the queues of all other services in which no stream waits."""
+        self._queues = {
+            name: queue
+            for name, queue in self._queues.items()
+            if name in names or len(queue)
+        }
--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -85,7 +85,7 @@
             self.pauses.is_paused,
         )
         self.durations = response_durations.DurationTracker()
-        self.admission = admission_room.AdmissionQueue(timers)
+        self.admission = admission_room.AdmissionQueues(timers)
         self.runs = set()
         self._verifying = {}
         self._loads = load_exchange.LoadExchange(
@@ -109,6 +109,7 @@
             {s.name: s.engine for s in document.services.values() if s.engine}
         )
         self.durations.keep_only(route.name for route in document.routes)
+        self.admission.keep_only(document.services)
 
     def _remove_departed(self):
         known = {r.backend.server_id for r in self.node.backends.records()}
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -123,7 +123,7 @@
                 return server
         if not is_started:
             # The requests in flight at a server include those that began at
-            # another one, unless it runs all layers itself.
+            # another one, which is rare if it runs all layers itself.
             runs_alone = len(target.hops) == 1
             if runs_alone and self._slot_share > MAX_SLOT_SHARE:
                 return target.backend
@@ -134,7 +134,7 @@
     async def _select_target(self):
         """Choose a path, after the streams that already wait for capacity."""
         dispatcher = self._dispatcher
-        admission = dispatcher.admission
+        admission = self._admission()
         call = self._call
         is_started = self._responder.started
         priority = STARTED_PRIORITY if is_started else call.priority
@@ -168,14 +168,17 @@
         self._admission_wait_s += timers.now_s() - since_s
         dispatcher.metrics.record_s('room_wait', self._admission_wait_s)
 
+    def _admission(self):
+        return self._dispatcher.admission.of_service(self._service.name)
+
     def _record_admission(self):
         """Tell the queue whether a new stream was admitted or refused."""
         if self._responder.started:
             return
         if self._target is not None:
-            self._dispatcher.admission.record_admission()
+            self._admission().record_admission()
         elif self._lacks_capacity:
-            self._dispatcher.admission.record_refusal()
+            self._admission().record_refusal()
 
     def _retry_budget_share(self):
         return 1.0 if self._responder.started else NEW_STREAM_BUDGET_SHARE
--- a/pimentowalk/dispatch/tests/fakes.py
+++ b/pimentowalk/dispatch/tests/fakes.py
@@ -40,7 +40,7 @@
         limits=transport.ResponseLimits(),
         node=types.SimpleNamespace(backends=table, live_nodes=1),
         metrics=core_metrics.Metrics('test'),
-        admission=admission_room.AdmissionQueue(timers),
+        admission=admission_room.AdmissionQueues(timers),
         budget=types.SimpleNamespace(take=lambda *_, **__: True),
         outcomes=types.SimpleNamespace(record=lambda *_, **__: None),
         checks=types.SimpleNamespace(check=lambda _: None),
--- a/pimentowalk/dispatch/tests/test_admission.py
+++ b/pimentowalk/dispatch/tests/test_admission.py
@@ -232,3 +232,25 @@
     with pytest.raises(errors.PimentowalkError) as raised:
         await new_run(dispatcher).run()
     assert raised.value.code == 'no_chain'
+
+
+async def test_full_slots_of_a_service_do_not_hold_up_another_service(
+    dispatcher,
+):
+    """Streams of an idle service waited behind one for a full service."""
+    other = attrs.evolve(
+        SERVER, server_id='i-9', service='other', host='10.0.0.9'
+    )
+    dispatcher.node.backends.apply(other)
+    dispatcher.in_flight.set_engines({'svc': ENGINE, 'other': ENGINE})
+    for _ in range(SERVER.slots):
+        reserve(dispatcher, 1)
+    waiting = asyncio.ensure_future(new_run(dispatcher).run())
+    await asyncio.sleep(2 * admission_room.POLL_S)
+    run = new_run(dispatcher)
+    run._service = types.SimpleNamespace(name='other', engine=ENGINE)
+    try:
+        await asyncio.wait_for(run.run(), 0.2)
+    finally:
+        waiting.cancel()
+    assert run.try_count == 1
