Do not take one slot for a limit of a server that announces none

Change: the limit of slots needs a number above 1. Found by the review, whose test test_server_that_announces_no_slots_takes_several_streams failed before with a timeout.

--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -123,8 +123,9 @@
                 return server
         if not is_started:
             # The requests in flight at a server include those that began at
-            # another one, which is rare if it runs all layers itself.
-            runs_alone = len(target.hops) == 1
+            # another one, which is rare if it runs all layers itself. One
+            # slot is also assumed where a server announces no number.
+            runs_alone = len(target.hops) == 1 and target.backend.slots > 1
             if runs_alone and self._slot_share > MAX_SLOT_SHARE:
                 return target.backend
             if self._memory_share >= MAX_RESERVED_SHARE:
--- a/pimentowalk/dispatch/tests/test_admission.py
+++ b/pimentowalk/dispatch/tests/test_admission.py
@@ -254,3 +254,15 @@
     finally:
         waiting.cancel()
     assert run.try_count == 1
+
+
+async def test_server_that_announces_no_slots_takes_several_streams(
+    dispatcher,
+):
+    """A missing number of slots is read as 1, not as a limit."""
+    unlimited = attrs.evolve(SERVER, slots=1, sequence=SERVER.sequence + 1)
+    dispatcher.node.backends.apply(unlimited)
+    reserve(dispatcher, 1)
+    run = new_run(dispatcher)
+    await asyncio.wait_for(run.run(), 0.2)
+    assert run.try_count == 1
