Answer a caller of a node that starts before its deadline

What callers saw: since the wait for the start ended at the deadline of the caller, up to 20 ms later by its poll, so that the answer came when it had left.

Change: the wait ends 0.1 s before the deadline. Found by the review; test_caller_gets_the_answer_before_its_deadline failed before with a timeout.

--- a/pimentowalk/platform/front.py
+++ b/pimentowalk/platform/front.py
@@ -30,6 +30,9 @@
 # this time in most cases, and a refused caller retries at most once.
 START_TIMEOUT_S = 1.5
 START_POLL_INTERVAL_S = 0.02
+# Time in which the answer of a node that starts reaches a caller before its
+# deadline.
+START_ANSWER_MARGIN_S = 0.1
 # A node without contact to the leader for longer does not answer 401 or 404,
 # since a newer configuration may contain the key or the route.
 MAX_LEADER_SILENCE_S = 1.2
@@ -240,11 +243,13 @@
     async def _wait_for_start(self, request, received_s):
         """Wait until the node has a configuration and a view of servers.
 
-        The wait ends at the deadline of the caller, if that is sooner.
+        The wait ends shortly before the deadline of the caller, if that is
+        sooner.
         """
         until_s = received_s + START_TIMEOUT_S
         if remaining_s := _remaining_s(request.headers):
-            until_s = min(until_s, received_s + remaining_s)
+            answered_s = received_s + remaining_s - START_ANSWER_MARGIN_S
+            until_s = min(until_s, answered_s)
         while not (self._freshness.was_ever_valid and self._node.has_view):
             if self._timers.now_s() >= until_s:
                 return
--- a/pimentowalk/platform/tests/test_failed_requests.py
+++ b/pimentowalk/platform/tests/test_failed_requests.py
@@ -134,3 +134,11 @@
     answer = await waiter
     assert answer.status == 503
     assert scene.client.sends == 0
+
+
+async def test_caller_gets_the_answer_before_its_deadline(scene):
+    """The answer of a node that starts was sent when its caller had left."""
+    scene.freshness.was_ever_valid = scene.freshness.is_valid = False
+    async with asyncio.timeout(0.2):
+        answer = await scene.request('POST', '/book/2f', 'r1', deadline_ms=200)
+    assert answer.status == 503
