Show that a record of a failed sync may be lost after a restart, known to fail

The review's test: the restarted process reads the record from the cache of the system, and its own sync, which writes nothing, makes it count as synced.

--- a/pimentowalk/control/tests/test_full_disk.py
+++ b/pimentowalk/control/tests/test_full_disk.py
@@ -353,3 +353,32 @@
     assert snapshot.load(folder) == finished
     assert len(folder.names()) == 2
     assert 'servers.tmp' in folder.names()
+
+
+@pytest.mark.parametrize('code', [errno.EIO, errno.ENOSPC])
+async def test_record_of_a_failed_sync_is_durable_after_a_restart(
+    monkeypatch, code
+):
+    """A restarted process read the record from the cache of the system, and
+    counted it as synced although its sync wrote nothing.
+    """
+    files_on_disk = faulty_files.FaultyFiles()
+    fatal_errors = []
+    log = await open_log(files_on_disk, fatal_errors)
+    log.append([messages.LogRecord(1, 1, 'command', b'one')])
+    await log.sync()
+    log.append([messages.LogRecord(2, 1, 'command', b'two')])
+    files_on_disk.refused = [faulty_files.SYNC]
+    files_on_disk.full_error = code
+
+    def stop():
+        raise files.WriteStopped('stopped', step='write')
+
+    monkeypatch.setattr(files, '_wait_before_retry', stop)
+    with pytest.raises(errors.PimentowalkError):
+        await log.sync()
+    files_on_disk.refused = frozenset()
+    restarted = await open_log(files_on_disk, [])
+    synced = contents(restarted)[: restarted.synced_index]
+    lose_power(files_on_disk)
+    assert contents(await open_log(files_on_disk, [])) == synced
