--- a/bench/overload.py
+++ b/bench/overload.py
@@ -18,7 +18,6 @@
 from bench import common
 from bench import pausing_servers
 from bench import virtual_time
-from pimentowalk.core import errors
 from pimentowalk.dispatch import transport
 
 SEED = 20261205
@@ -27,7 +26,6 @@
 WARM_UP_S = 3.0
 MEASURED_S = 10.0
 PERCENTILE = 99
-IN_TIME, LATE, REFUSED, FAILED = 'in_time', 'late', 'refused', 'failed'
 
 
 @attrs.frozen
@@ -53,7 +51,7 @@
 
     def goodput(self, case):
         """Return the answers in time relative to the capacity."""
-        rate_per_s = self.outcomes[IN_TIME] / MEASURED_S
+        rate_per_s = self.outcomes[pausing_servers.IN_TIME] / MEASURED_S
         return rate_per_s / case.capacity_per_s
 
     def refusal_p99_s(self):
@@ -96,20 +94,13 @@
     kind = fleet.kind
     node = rng.choice(fleet.dispatchers)
     draw = rng.randint if kind.is_stream else rng.uniform
-    caller = pausing_servers.Caller(fleet.timers.now_s)
-    is_refused = False
-    try:
-        await node.handle(fleet.call(request_id, draw(*kind.work)), caller)
-    except errors.PimentowalkError as error:
-        is_refused = error.code in pausing_servers.REFUSED_CODES
-        outcome = REFUSED if is_refused else FAILED
-    else:
-        is_in_time = caller.is_in_time(kind.route.objective_s)
-        outcome = IN_TIME if is_in_time else LATE
+    outcome, caller = await pausing_servers.send(
+        fleet, node, request_id, draw(*kind.work)
+    )
     if caller.sent_s < begin_s:
         return
     result.outcomes[outcome] += 1
-    if is_refused:
+    if outcome == pausing_servers.REFUSED:
         result.refused_after_s.append(fleet.timers.now_s() - caller.sent_s)
 
 
@@ -133,9 +124,9 @@
             load=load,
             seeds=seeds,
             goodput=round(statistics.fmean(goodputs), 3),
-            late=outcomes[LATE],
-            refused=outcomes[REFUSED],
-            failed=outcomes[FAILED],
+            late=outcomes[pausing_servers.LATE],
+            refused=outcomes[pausing_servers.REFUSED],
+            failed=outcomes[pausing_servers.FAILED],
             requests=outcomes.total(),
             refusal_p99_s=round(max(x.refusal_p99_s() for x in results), 3),
         )
--- a/bench/pauses.py
+++ b/bench/pauses.py
@@ -18,7 +18,6 @@
 from bench import common
 from bench import pausing_servers
 from bench import virtual_time
-from pimentowalk.core import errors
 from pimentowalk.dispatch import transport
 
 SEED = 20261205
@@ -39,7 +38,6 @@
 # fullest one above its slots.
 MIN_LOAD_PERIOD_S = 3.0
 BUDGET, WAVE, CONCENTRATION = 'budget', 'wave', 'concentration'
-IN_TIME, LATE, REFUSED, FAILED = 'in_time', 'late', 'refused', 'failed'
 
 
 @attrs.frozen
@@ -114,7 +112,9 @@
     @property
     def in_time_share(self):
         """Return the share of requests that were served in time."""
-        return self.outcomes[IN_TIME] / max(1, self.outcomes.total())
+        return self.outcomes[pausing_servers.IN_TIME] / max(
+            1, self.outcomes.total()
+        )
 
 
 def returning_bound(kind, backlog):
@@ -182,16 +182,9 @@
 
     async def send_one(request_id):
         node = rng.choice(fleet.dispatchers)
-        call = fleet.call(request_id, draw(low, high))
-        caller = pausing_servers.Caller(fleet.timers.now_s)
-        try:
-            await node.handle(call, caller)
-        except errors.PimentowalkError as error:
-            is_refused = error.code in pausing_servers.REFUSED_CODES
-            outcome = REFUSED if is_refused else FAILED
-        else:
-            is_in_time = caller.is_in_time(case.kind.route.objective_s)
-            outcome = IN_TIME if is_in_time else LATE
+        outcome, caller = await pausing_servers.send(
+            fleet, node, request_id, draw(low, high)
+        )
         if caller.sent_s >= begin_s:
             outcomes[outcome] += 1
 
@@ -310,11 +303,13 @@
             pause_s=case.pause_s,
             seeds=len(repeats),
             respected=case.is_respected,
-            in_time=round(outcomes[IN_TIME] / outcomes.total(), 4),
+            in_time=round(
+                outcomes[pausing_servers.IN_TIME] / outcomes.total(), 4
+            ),
             requests=outcomes.total(),
-            late=outcomes[LATE],
-            refused=outcomes[REFUSED],
-            failed=outcomes[FAILED],
+            late=outcomes[pausing_servers.LATE],
+            refused=outcomes[pausing_servers.REFUSED],
+            failed=outcomes[pausing_servers.FAILED],
             shed=sum(x.shed for x in results),
             full=sum(x.full for x in results),
             in_pause=max(x.in_pause for x in results),
--- a/bench/pausing_servers.py
+++ b/bench/pausing_servers.py
@@ -8,6 +8,7 @@
 from bench import virtual_time
 from pimentowalk.admission import crashes
 from pimentowalk.admission import window_budget
+from pimentowalk.core import errors
 from pimentowalk.core import metrics
 from pimentowalk.dispatch import calls
 from pimentowalk.dispatch import dispatcher
@@ -35,6 +36,7 @@
 MAX_GAP_S = 0.25
 # Errors whose requests have not run.
 REFUSED_CODES = ('not_run', 'overloaded', 'no_chain')
+IN_TIME, LATE, REFUSED, FAILED = 'in_time', 'late', 'refused', 'failed'
 
 
 @attrs.frozen
@@ -444,3 +446,14 @@
             and self.first_s - self.sent_s <= objective_s
             and self.longest_gap_s <= MAX_GAP_S
         )
+
+
+async def send(fleet, node, request_id, work):
+    """Send a request by a node; return its outcome and its `Caller`."""
+    caller = Caller(fleet.timers.now_s)
+    try:
+        await node.handle(fleet.call(request_id, work), caller)
+    except errors.PimentowalkError as error:
+        return REFUSED if error.code in REFUSED_CODES else FAILED, caller
+    is_in_time = caller.is_in_time(fleet.kind.route.objective_s)
+    return IN_TIME if is_in_time else LATE, caller
