--- a/pimentowalk/admission/room.py
+++ b/pimentowalk/admission/room.py
@@ -1,19 +1,13 @@
 """Queue of streams that wait until a path has room for them."""
 
 import asyncio
-import collections
 import itertools
-import math
 
 import attrs
 
 # At most one waiting stream is admitted per period. Other nodes learn of it
 # with a delay, so that admitting many at once would overfill the servers.
 POLL_S = 0.02
-# The rate at which streams are admitted is measured over this time.
-RATE_WINDOW_S = 1.0
-# A stream that has waited in vain shows an overload for this long.
-OVERLOAD_S = 1.0
 
 
 @attrs.define(eq=False)
@@ -46,8 +40,6 @@
         self._timers = timers
         self._waiting = []
         self._poll_task = None
-        self._admitted_s = collections.deque()
-        self._vain_wait_s = -math.inf
 
     def __len__(self):
         return len(self._waiting)
@@ -59,42 +51,6 @@
             x.rank(now_s) < (False, priority + 1, 0) for x in self._waiting
         )
 
-    @property
-    def is_overloaded(self):
-        """Return whether a new stream has waited in vain of late."""
-        return self._timers.now_s() <= self._vain_wait_s + OVERLOAD_S
-
-    def record_admission(self):
-        """Count a new stream that a path had room for."""
-        self._admitted_s.append(self._timers.now_s())
-        self._forget_admissions()
-
-    def record_refusal(self):
-        """Note that a new stream was refused since no path had room."""
-        self._vain_wait_s = self._timers.now_s()
-
-    def _forget_admissions(self):
-        since_s = self._timers.now_s() - RATE_WINDOW_S
-        while self._admitted_s and self._admitted_s[0] < since_s:
-            self._admitted_s.popleft()
-
-    def is_futile(self, priority, due_s):
-        """Return whether a new stream could not be admitted by `due_s`.
-
-        Only in an overload: how a short queue will move is not known from
-        the past.
-        """
-        if not self.is_overloaded:
-            return False
-        self._forget_admissions()
-        now_s = self._timers.now_s()
-        ahead = sum(
-            x.rank(now_s) < (False, priority + 1, 0) for x in self._waiting
-        )
-        return ahead + 1 > len(self._admitted_s) * (
-            (due_s - now_s) / RATE_WINDOW_S
-        )
-
     async def wait(self, find, priority, *, due_s, until_s):
         """Return the target for a stream, or None after `until_s`."""
         timeout_s = until_s - self._timers.now_s()
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -134,17 +134,15 @@
 
     async def _select_target(self):
         """Choose a path, after the streams that already wait for capacity."""
-        dispatcher = self._dispatcher
-        admission = self._admission()
+        admission = self._dispatcher.admission.of_service(self._service.name)
         call = self._call
         is_started = self._responder.started
         priority = STARTED_PRIORITY if is_started else call.priority
         if is_started or not admission.must_wait(priority):
             self._target = self._choose()
             if not self._lacks_capacity:
-                self._record_admission()
                 return
-        timers = dispatcher.timers
+        timers = self._dispatcher.timers
         since_s = timers.now_s()
         if is_started:
             due_s = until_s = self._wait_end_s()
@@ -153,33 +151,12 @@
                 call.received_s + call.route.objective_s * ADMISSION_DUE_SHARE
             )
             until_s = call.received_s + ADMISSION_WAIT_S
-            if admission.is_futile(priority, due_s):
-                dispatcher.metrics.count('futile_waits')
-                self._target = None
-                self._lacks_capacity = True
-                self._record_admission()
-                return
-            if admission.is_overloaded:
-                until_s = due_s
         self._target = await admission.wait(
             self._choose, priority, due_s=due_s, until_s=until_s
         )
         self._lacks_capacity = self._target is None
-        self._record_admission()
         self._admission_wait_s += timers.now_s() - since_s
-        dispatcher.metrics.record_s('room_wait', self._admission_wait_s)
-
-    def _admission(self):
-        return self._dispatcher.admission.of_service(self._service.name)
-
-    def _record_admission(self):
-        """Tell the queue whether a new stream was admitted or refused."""
-        if self._responder.started:
-            return
-        if self._target is not None:
-            self._admission().record_admission()
-        elif self._lacks_capacity:
-            self._admission().record_refusal()
+        self._dispatcher.metrics.record_s('room_wait', self._admission_wait_s)
 
     def _retry_budget_share(self):
         return 1.0 if self._responder.started else NEW_STREAM_BUDGET_SHARE
