--- a/review/support/world.py
+++ b/review/support/world.py
@@ -363,13 +363,21 @@
         }
         self.running += 1
         try:
-            if self.world.is_stream(request.raw_path):
-                return await self._stream(request, headers)
-            await asyncio.sleep(0.02)
-            return web.json_response({'done': request_id}, headers=headers)
+            return await self.answer(request, headers)
         finally:
             self.running -= 1
 
+    async def answer(self, request, headers):
+        """Run a request and return its answer."""
+        if self.world.is_stream(request.raw_path):
+            return await self._stream(request, headers)
+        self._transports.add(request.transport)
+        try:
+            await asyncio.sleep(0.02)
+            return web.json_response({'done': True}, headers=headers)
+        finally:
+            self._transports.discard(request.transport)
+
     async def _stream(self, request, headers):
         """Send the events after `Last-Event-Id`."""
         first = int(request.headers.get('Last-Event-Id', 0)) + 1
