--- a/review/3/case.py
+++ b/review/3/case.py
@@ -48,7 +48,7 @@
 
 async def case():
     """Return whether the rule held."""
-    deployment = world.World(__file__, disks=3, others=2)
+    deployment = world.World(__file__, disks=3, others=3)
     replicas = deployment.add_replicas('huvo11a', 3, is_model=True)
     killed = deployment.gateways[0]
     others = deployment.gateways[1:]
