--- a/review/support/world.py
+++ b/review/support/world.py
@@ -678,13 +678,17 @@
         print('the build command of deploy/system.toml was not run')
         sys.exit(2)
 
+    # The processes that the case started end also if it is told to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
     async def bounded():
         async with asyncio.timeout(timeout_s):
             return await case()
 
     try:
         held = asyncio.run(bounded())
-    except (CannotRun, TimeoutError, OSError) as error:
+    except Exception as error:
+        # Only a broken rule may end the case with 1.
         print(f'could not run: {error!r}')
         sys.exit(2)
     print('the rule held' if held else 'the rule was broken')
