Run streams of services without an engine as streams

Cause: the dispatcher chose the kind of run by the service. Without an engine a stream ran as a plain call, which does not send Last-Event-Id, while the front had removed the header.

Now the kind of the route decides. A stream at a service without an engine forwards events as they arrive, resumes at another server and drops events that the caller has. The header is forwarded as it was sent on other routes, where it was dropped as well.

--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -15,12 +15,14 @@
 from pimentowalk.dispatch import load_exchange
 from pimentowalk.dispatch import pauses as server_pauses
 from pimentowalk.dispatch import plain
+from pimentowalk.dispatch import plain_stream
 from pimentowalk.dispatch import silence
 from pimentowalk.dispatch import stream
 from pimentowalk.dispatch import transport as dispatch_transport
 from pimentowalk.routing import hops as routing_hops
 from pimentowalk.routing import outcomes as routing_outcomes
 from pimentowalk.topology import backends
+from pimentowalk.topology import documents
 from pimentowalk.wire import node_messages
 
 LOG = logging.getLogger(__name__)
@@ -263,8 +265,7 @@
         self.reject_if_barred(call)
         service = self.choose_service(call)
         self.budget.count_request(service.name)
-        run_class = stream.StreamRun if service.engine else plain.PlainRun
-        run = run_class(self, call, service, responder)
+        run = _run_class(call.route, service)(self, call, service, responder)
         self.runs.add(run)
         try:
             await run.run()
@@ -334,3 +335,12 @@
                 hops=len(target.hops),
             ),
         )
+
+
+def _run_class(route, service):
+    """Return the class of the runs of a route at a service."""
+    if service.engine:
+        return stream.StreamRun
+    if route.kind == documents.STREAMING:
+        return plain_stream.PlainStreamRun
+    return plain.PlainRun
--- a/pimentowalk/dispatch/plain.py
+++ b/pimentowalk/dispatch/plain.py
@@ -35,19 +35,25 @@
     return best[1] if best else None
 
 
+def choose_usable(dispatcher, service_name, excluded):
+    """Return the usable server of a service with the least load, or None."""
+    servers = dispatcher.usable(service_name)
+    return choose_server(
+        servers,
+        dispatcher.in_flight,
+        dispatcher.outcomes,
+        zone=dispatcher.zone,
+        excluded=excluded | dispatcher.paused_ids(servers),
+        rng=dispatcher.rng,
+    )
+
+
 class PlainRun(call_run.CallRun):
     """One call of a service without an engine, with its tries."""
 
     def _choose(self):
-        dispatcher = self._dispatcher
-        servers = dispatcher.usable(self._service.name)
-        backend = choose_server(
-            servers,
-            dispatcher.in_flight,
-            dispatcher.outcomes,
-            zone=dispatcher.zone,
-            excluded=self._excluded | dispatcher.paused_ids(servers),
-            rng=dispatcher.rng,
+        backend = choose_usable(
+            self._dispatcher, self._service.name, self._excluded
         )
         return calls.Target(backend) if backend else None
 
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -41,6 +41,9 @@
 class StreamRun(watched_run.WatchedRun):
     """One streamed call with its tries."""
 
+    # Code and message of the error if no server can take the call.
+    _unavailable = 'no_chain', 'no path holds all layers'
+
     def __init__(self, dispatcher, call, service, responder):
         super().__init__(dispatcher, call, service, responder)
         self._refusals = 0
@@ -72,7 +75,7 @@
     def log_fields(self):
         """Return the log fields of a completed stream."""
         hops = self._target.hops
-        zones = [hop.backend.zone for hop in hops]
+        zones = [server.zone for server in self._target.servers]
         pairs = zip(zones, zones[1:], strict=False)
         return super().log_fields() | {
             'first_event_ms': int(self._time_to_first_event_s() * 1000),
@@ -232,8 +235,9 @@
             call, self._target, self._remaining_ms(), self._events.last_id
         )
         try:
-            if response.status >= FIRST_NON_SUCCESS_STATUS:
-                await self._pass_error(response)
+            is_success = response.status < FIRST_NON_SUCCESS_STATUS
+            if not (is_success and self._has_events(response)):
+                await self._pass_whole(response)
                 return
             self._events.discard_partial()
             self._partial_since_s = None
@@ -252,6 +256,10 @@
         finally:
             response.close()
 
+    def _has_events(self, response):
+        """Return whether a successful response is a series of events."""
+        return True
+
     async def _pass_events(self, response, data):
         """Forward whole events; raise Broken for bytes that complete none.
 
@@ -294,7 +302,7 @@
         if not self._responder.started:
             await self._responder.start(response)
 
-    async def _pass_error(self, response):
+    async def _pass_whole(self, response):
         address = self._target.backend.address
         self._has_output = True
         self._executions += 1
@@ -357,7 +365,7 @@
             self._may_have_executed = True
 
     def _pause_s(self):
-        """Return when a server may begin a path, 0 if one may now."""
+        """Return when a server may begin the stream, 0 if one may now."""
         return self._dispatcher.pauses.remaining_s(
             server
             for server in self._dispatcher.usable(self._service.name)
@@ -380,7 +388,7 @@
             )
         if self._executions or self._may_have_executed:
             return errors.OutcomeUnknown(failure.message, step=step, peer=peer)
-        code, message = 'no_chain', 'no path holds all layers'
+        code, message = self._unavailable
         if self._lacks_capacity:
             code, message = 'overloaded', 'no path has capacity'
             if self._full_server is not None:
--- a/pimentowalk/dispatch/transport.py
+++ b/pimentowalk/dispatch/transport.py
@@ -68,10 +68,12 @@
     """The response of a backend server, whose body is read in chunks.
 
     `status` is the HTTP status; `load` is (running, waiting, slots) or None.
+    `is_event_stream` tells whether the body is a series of events.
     """
 
     status = 0
     load = None
+    is_event_stream = False
 
     @abc.abstractmethod
     async def read(self):
--- a/pimentowalk/dispatch/watched_run.py
+++ b/pimentowalk/dispatch/watched_run.py
@@ -72,6 +72,10 @@
             ),
         )
 
+    def _has_successor(self):
+        """Return whether another path could take over the call."""
+        return bool(self._choose_hops())
+
     def check_progress(self, now_s):
         """Start a report request or a recovery if the stream has stalled."""
         if self._try_task is None or self._try_task.done():
@@ -216,7 +220,7 @@
         """
         if self._can_fail():
             return is_head or self._can_execute(is_head=is_head)
-        if not (self._can_execute(is_head=is_head) and self._choose_hops()):
+        if not (self._can_execute(is_head=is_head) and self._has_successor()):
             return False
         self._has_retry = self._has_retry or self._take_retry()
         return self._has_retry
--- a/pimentowalk/platform/engines.py
+++ b/pimentowalk/platform/engines.py
@@ -31,6 +31,7 @@
 REPORT_ATTEMPTS = 2
 MAX_LINE_BYTES = 32768
 READ_BUFFER_BYTES = 1 << 16
+EVENT_STREAM = 'text/event-stream'
 REPORT_PATH = '/v1/report'
 ORDER_PATH = '/v1/order'
 MISDIRECTED = 421
@@ -109,6 +110,11 @@
         )
 
 
+def is_event_stream(headers):
+    """Return whether headers announce a body of server-sent events."""
+    return headers.get('Content-Type', '').startswith(EVENT_STREAM)
+
+
 class BackendResponse(transport.Response):
     """A response whose body is read from its connection as it arrives."""
 
@@ -116,6 +122,7 @@
         self.status = response.status
         self.headers = response.headers
         self.load = load
+        self.is_event_stream = is_event_stream(response.headers)
         self._response = response
         self._peer = peer
 
@@ -167,7 +174,7 @@
         backend = target.backend
         peer = backend.address
         headers = [
-            *call.forwarded_headers,
+            *_without_event_id(call.forwarded_headers, last_event_id),
             (names.DEADLINE_MS, str(remaining_ms)),
             (names.EXPECT_INSTANCE, backend.server_id),
         ]
@@ -414,6 +421,14 @@
             return response.status, text
 
 
+def _without_event_id(headers, last_event_id):
+    """Remove the event id of the caller if a later one replaces it."""
+    if not last_event_id:
+        return headers
+    name = names.LAST_EVENT_ID.lower()
+    return [header for header in headers if header[0].lower() != name]
+
+
 def _format_hops(hops):
     return ','.join(
         f'{hop.backend.address}={hop.first_layer}-{hop.end_layer}'
--- a/pimentowalk/platform/front.py
+++ b/pimentowalk/platform/front.py
@@ -37,6 +37,8 @@
 # since a newer configuration may contain the key or the route.
 MAX_LEADER_SILENCE_S = 1.2
 DEFAULT_ANSWER_TOKENS = 256
+# The ids of events are below 2^63.
+MAX_ID_DIGITS = 18
 # Prompts have a few parts; only the first ones are looked at.
 MAX_SHARED_PARTS = 16
 # Only refusals that guarantee that the request did not run have Retry-After.
@@ -76,8 +78,7 @@
             ):
                 self.response.headers.add(name, value)
         self._body = []
-        content_type = answer.headers.get('Content-Type', '')
-        self._is_stream = content_type.startswith('text/event-stream')
+        self._is_stream = answer.is_event_stream
         if self._is_closing():
             self.response.force_close()
         if self._is_stream:
@@ -304,9 +305,7 @@
             expected_answer_tokens=int(
                 length_hint or max_tokens or DEFAULT_ANSWER_TOKENS
             ),
-            last_event_id=int(
-                _parse_number(headers.get(names.LAST_EVENT_ID), 0)
-            ),
+            last_event_id=_parse_event_id(headers.get(names.LAST_EVENT_ID)),
             fingerprint=_fingerprint(target, account, body),
             shared_parts=_parse_shared_parts(headers.get(names.PROMPT_PARTS)),
         )
@@ -357,6 +356,12 @@
     return value if 0 <= value < 1e9 else default
 
 
+def _parse_event_id(text):
+    """Return the id of an event, 0 if it is no number or absent."""
+    is_number = text and text.isascii() and text.isdecimal()
+    return int(text) if is_number and len(text) <= MAX_ID_DIGITS else 0
+
+
 def _parse_token_counts(text):
     """Return (prompt tokens, maximum answer tokens), zeros if unknown."""
     parts = (text or '').split(',')
--- a/pimentowalk/platform/names.py
+++ b/pimentowalk/platform/names.py
@@ -51,7 +51,6 @@
     name.lower()
     for name in (
         DEADLINE_MS,
-        LAST_EVENT_ID,
         TENANT,
         KEY,
         EXPECT_INSTANCE,
--- a/pimentowalk/platform/tests/changing.py
+++ b/pimentowalk/platform/tests/changing.py
@@ -63,6 +63,8 @@
         self.runs = collections.Counter()
         # The status of reports; None delays them beyond any timeout.
         self.report_status = 200
+        # Whether streams are answered with events.
+        self.has_events = True
 
     async def _report(self, request):
         if self.report_status is None:
@@ -81,9 +83,10 @@
             request.transport.abort()
             return web.Response(status=500)
         headers = {names.REQUEST_ID: request_id}
-        if self.service != 'model':
-            return web.Response(body=b'done', headers=headers)
-        return await self._stream(request, headers)
+        self.last_headers = request.headers.copy()
+        if request.path.startswith('/draft/') and self.has_events:
+            return await self._stream(request, headers)
+        return web.Response(body=b'done', headers=headers)
 
     async def _stream(self, request, headers):
         response = web.StreamResponse(
@@ -268,7 +271,9 @@
         await self.steps.reach('body')
         yield b'rest'
 
-    async def request(self, method, path, request_id, deadline_ms=5000):
+    async def request(
+        self, method, path, request_id, deadline_ms=5000, headers=None
+    ):
         """Send a request in two parts; return the complete answer."""
         async with self._session.request(
             method,
@@ -279,6 +284,7 @@
                 names.KEY: 'k1',
                 names.DEADLINE_MS: str(deadline_ms),
                 names.TOKEN_COUNT: '100,24',
+                **(headers or {}),
             },
             data=self._body(),
         ) as response:
