Give requests without a body a fingerprint

Cause: the fingerprint of a request without a body was 0, which stands for none. Its failed runs had no traits, so that no crash was ever reported; the same request with a body was barred.

Now the fingerprint covers the target, the account and the body, or the method if there is no body.

--- a/pimentowalk/dispatch/calls.py
+++ b/pimentowalk/dispatch/calls.py
@@ -18,9 +18,9 @@
     client gives up, `timeout_at_s` when the timeout of the route ends.
     `forwarded_headers` go to the backend server unchanged. `last_event_id`
     is the last event that the client has received. `fingerprint` is a hash of
-    the request, 0 if it has no body, and `shared_parts` are the hashes of the
-    parts of its prompt that other requests may have as well. `activity`
-    is what a planned stop needs to know of the request.
+    the request and its account, and `shared_parts` are the hashes of the parts
+    of its prompt that other requests may have as well. `activity` is what a
+    planned stop needs to know of the request.
     """
 
     request_id: str
@@ -47,8 +47,7 @@
     @property
     def traits(self):
         """Return what identifies the call as the cause of a crash."""
-        own = (self.fingerprint,) if self.fingerprint else ()
-        return own + self.shared_parts
+        return self.fingerprint, *self.shared_parts
 
     @property
     def expires_at_s(self):
--- a/pimentowalk/platform/front.py
+++ b/pimentowalk/platform/front.py
@@ -306,7 +306,7 @@
                 length_hint or max_tokens or DEFAULT_ANSWER_TOKENS
             ),
             last_event_id=_parse_event_id(headers.get(names.LAST_EVENT_ID)),
-            fingerprint=_fingerprint(target, account, body),
+            fingerprint=_fingerprint(request.method, target, account, body),
             shared_parts=_parse_shared_parts(headers.get(names.PROMPT_PARTS)),
         )
 
@@ -326,9 +326,13 @@
     ]
 
 
-def _fingerprint(target, account, body):
+def _fingerprint(method, target, account, body):
+    """Return a hash that a request has whenever it is sent again.
+
+    Requests without a body differ by their methods, such as GET and DELETE.
+    """
     name = account.name if account else ''
-    return identifiers.hash64(target, name, body) if body else 0
+    return identifiers.hash64(target, name, body or method)
 
 
 def _parse_shared_parts(text):
--- a/pimentowalk/platform/tests/standin.py
+++ b/pimentowalk/platform/tests/standin.py
@@ -20,7 +20,8 @@
     Faults are injected by attributes: `refuses` answers 503 without running
     the request, `break_after_events` aborts a stream after that many events,
     `hangs` delays each answer by 60 s, `status` is the status of plain calls.
-    A server crashes when it begins to answer a prompt with `deadly_part`.
+    A server crashes when it begins to answer a prompt with `deadly_part`, or
+    a plain call of `deadly_target`.
     `leaves` adds to each answer that the server leaves, without announcing
     it; `pause_text` asks for a pause in the 503 of a server that refuses.
     `resume_answer` is (status, content type) of answers to resumed streams.
@@ -42,6 +43,7 @@
         self.break_after_events = None
         self.hangs = False
         self.deadly_part = None
+        self.deadly_target = None
         self.crashing = None
         self.resume_answer = None
         self.leaves = False
@@ -151,11 +153,17 @@
             return web.Response(status=503, headers=headers)
         if self.service != 'model':
             self.last_headers = request.headers.copy()
+            if request.raw_path == self.deadly_target:
+                self._crash(request)
             return web.Response(
                 status=self.status, body=b'done', headers=headers
             )
         return await self._stream(request, headers)
 
+    def _crash(self, request):
+        self.crashing = asyncio.ensure_future(self.stop())
+        request.transport.abort()
+
     async def _stream(self, request, headers):
         self.last_headers = request.headers.copy()
         first = int(request.headers.get(names.LAST_EVENT_ID, 0)) + 1
@@ -172,8 +180,7 @@
         await response.prepare(request)
         parts = request.headers.get(names.PROMPT_PARTS, '').split(',')
         if self.deadly_part in [part.partition(':')[0] for part in parts]:
-            self.crashing = asyncio.ensure_future(self.stop())
-            request.transport.abort()
+            self._crash(request)
             return response
         for sent, number in enumerate(range(first, self.events + 1)):
             if sent == self.break_after_events:
--- a/pimentowalk/platform/tests/test_crashing_prompts.py
+++ b/pimentowalk/platform/tests/test_crashing_prompts.py
@@ -1,4 +1,4 @@
-"""Test that gateways reject the parts of prompts that crash servers."""
+"""Test that gateways reject the requests that crash servers."""
 
 import asyncio
 
@@ -6,6 +6,7 @@
 
 from pimentowalk.admission import crashes
 from pimentowalk.membership import backends as membership
+from pimentowalk.platform import front
 from pimentowalk.platform import names
 from tools.tests import waiting
 
@@ -64,3 +65,64 @@
         assert [len(server.requests_seen) for server in model] == seen
         sound = f'sys:40,more{number}:7'
         assert await _prompt_status(cluster, gateway, 'm', sound) == 200
+
+
+def _crash_count(gateway):
+    return len(gateway.crashes._crashes)
+
+
+async def _restart(cluster, servers):
+    """Start crashed servers again, and wait until all nodes use them."""
+    for server in servers:
+        await server.restart()
+    await asyncio.sleep(membership.MIN_SUSPECT_S)
+    await cluster.platform.announce()
+    await waiting.until(
+        lambda: all(
+            len(g.node.backends.usable('jobs')) == 2 for g in cluster.gateways
+        )
+    )
+
+
+async def test_request_without_a_body_that_crashes_servers_is_rejected(
+    cluster,
+):
+    """BUDGET: such a request crashed servers as often as it was sent."""
+    jobs = cluster.servers[2:]
+    for server in jobs:
+        server.deadly_target = '/look/history?job=17'
+    crashed = 0
+    for number in range(crashes.MIN_CRASHES):
+        gateway = cluster.gateways[number % 3]
+        await cluster.platform.call(
+            gateway, 'GET', '/look/history?job=17', request_id=f'd{number}'
+        )
+        down = [server for server in jobs if server.crashing]
+        assert down
+        crashed += len(down)
+        await waiting.until(
+            lambda total=crashed: all(
+                _crash_count(g) == total for g in cluster.gateways
+            )
+        )
+        await _restart(cluster, down)
+    for gateway in cluster.gateways:
+        seen = [len(server.requests_seen) for server in jobs]
+        for target, status in (
+            ('/look/history?job=17', 422),
+            ('/look/history?job=18', 200),
+        ):
+            answer = await cluster.platform.call(
+                gateway, 'GET', target, request_id='n'
+            )
+            assert answer[0] == status
+        assert sum(len(server.requests_seen) for server in jobs) == (
+            sum(seen) + 1
+        )
+
+
+def test_fingerprint_tells_requests_without_a_body_apart():
+    """A deadly DELETE must not bar the GET of the same resource."""
+    assert front._fingerprint('GET', '/a', None, b'') != front._fingerprint(
+        'DELETE', '/a', None, b''
+    )
