Tell nodes that were away which servers have left

Cause: a departure was sent once, as a change. The view of a new subscriber named only the servers there are, and the node merged it with those that it had restored from its disk. When the restored server was not heard, the node asked it and kept it, since it still answered.

Now tables keep departures for 600 s, the view and servers.json contain them, nodes repeat those that they acknowledged when they connect to control, and one that is news to a control instance is relayed. A restored server that does not announce itself within 2.5 periods is dropped even if it answers. The DELETE of an unknown server gets 503, since nobody else was told.

--- a/pimentowalk/membership/backends.py
+++ b/pimentowalk/membership/backends.py
@@ -12,12 +12,11 @@
 # A backend server expires after this many announcement periods without an
 # announcement; single announcements may be seconds late.
 EXPIRY_PERIODS = 3.5
-# A removed incarnation is remembered this long, so that a late announcement
-# cannot add it again.
-REMOVED_RETENTION_S = 60.0
-# An incarnation that leaves is remembered this long after it was removed: it
-# may be cut off, and announce itself as ready after the partition.
-LEAVING_RETENTION_S = 600.0
+# An incarnation that leaves is remembered this long after it was removed. It
+# may answer for many seconds, or be cut off and announce itself as ready after
+# the partition, and nodes that were cut off or down learn of it later.
+DEPARTURE_RETENTION_S = 600.0
+MAX_DEPARTURES = 10_000
 # Minimum time before a new announcement clears a suspicion; an announcement
 # sent before the failure can arrive after it.
 MIN_SUSPECT_S = 1.5
@@ -25,6 +24,10 @@
 # server announces itself within one; the rest covers the relay over another
 # node.
 COMPLETE_PERIODS = 1.25
+# A server that a node knew before its restart is dropped if it has not
+# announced itself this many periods later. That it answers proves nothing: it
+# may have left while the node was down.
+RESTORED_PERIODS = 2.5
 
 # The index is built anew when it is this many times larger than the table.
 MAX_INDEX_FACTOR = 2
@@ -35,6 +38,8 @@
     """The newest announcement and the health of one backend server.
 
     `is_down` tells of a suspect that its host refuses connections.
+    `restored_s` is when the announcement was restored from a file, None once
+    the server has announced itself since then.
     """
 
     backend: backends.Backend
@@ -42,6 +47,21 @@
     suspect_since_s: float | None = None
     suspect_sequence: int = 0
     is_down: bool = False
+    restored_s: float | None = None
+
+    def update_heard(self, heard_s):
+        """Record that the server announced itself at a time."""
+        self.heard_s = max(self.heard_s, heard_s)
+        if self.restored_s is not None and heard_s > self.restored_s:
+            self.restored_s = None
+
+
+@attrs.frozen
+class Departure:
+    """The last announcement of a server that left, and when it left."""
+
+    backend: backends.Backend
+    left_s: float
 
 
 class BackendTable:
@@ -54,7 +74,7 @@
         self.now_s = now_s
         self._period_s = period_s
         self._records = {}
-        self._removed = {}
+        self._departures = {}
         # Incarnations whose answers said that they leave, and when.
         self._leaving = {}
         self._ids_by_key = {}
@@ -90,10 +110,11 @@
             self._update_heard(record, backend, age_s)
             return False
         self._last_heard_s = self.now_s()
-        if backend.state == backends.GONE:
-            return self._remove(backend)
         now_s = self.now_s()
         heard_s = now_s - age_s
+        if backend.state == backends.GONE:
+            self._remove(backend, heard_s)
+            return True
         if record is None or record.backend.born_ms != backend.born_ms:
             self._records[backend.server_id] = Record(backend, heard_s)
             self._index(backend)
@@ -105,7 +126,7 @@
         record.backend = backend
         if previous.address != backend.address:
             self._index(backend)
-        record.heard_s = max(record.heard_s, heard_s)
+        record.update_heard(heard_s)
         is_changed = _without_times(previous) != _without_times(backend)
         if is_changed:
             self._log('backend server changed', backend)
@@ -116,6 +137,13 @@
             self._notify()
         return True
 
+    def restore(self, backend, age_s):
+        """Apply an announcement that was saved before a restart."""
+        self.apply(backend, age_s)
+        record = self._records.get(backend.server_id)
+        if record is not None and record.backend.order == backend.order:
+            record.restored_s = self.now_s()
+
     def mark_leaving(self, backend):
         """Record that an incarnation leaves; return whether this is new.
 
@@ -152,7 +180,7 @@
         if record is None or record.backend.key != key:
             return False
         now_s = self.now_s()
-        record.heard_s = max(record.heard_s, now_s - age_s)
+        record.update_heard(now_s - age_s)
         if sequence <= record.backend.sequence:
             return True
         self._last_heard_s = now_s
@@ -184,12 +212,10 @@
     def _update_heard(self, record, backend, age_s):
         """Record when another node heard the same announcement."""
         if record is not None and backend.order == record.backend.order:
-            heard_s = self.now_s() - age_s
-            record.heard_s = max(record.heard_s, heard_s)
+            record.update_heard(self.now_s() - age_s)
 
     def _is_outdated(self, record, backend):
-        removed = self._removed.get(backend.server_id)
-        if removed is not None and backend.born_ms <= removed[0]:
+        if self._is_before_departure(backend):
             return True
         if record is None:
             return False
@@ -197,6 +223,18 @@
             return backend.born_ms < record.backend.born_ms
         return backend.order <= record.backend.order
 
+    def _is_before_departure(self, backend):
+        """Return whether an announcement is older than a departure."""
+        departure = self._departures.get(backend.server_id)
+        if departure is None:
+            return False
+        left = departure.backend
+        if left.state == backends.GONE:
+            return backend.born_ms <= left.born_ms
+        if backend.state == backends.GONE:
+            return backend.born_ms < left.born_ms
+        return backend.order <= left.order
+
     def _clears_suspicion(self, record, now_s):
         return (
             record.suspect_since_s is not None
@@ -212,17 +250,28 @@
                 and other.born_ms < backend.born_ms
             ):
                 del self._records[other.server_id]
-                self._removed[other.server_id] = other.born_ms, self.now_s()
+                gone = attrs.evolve(other, state=backends.GONE)
+                self._add_departure(gone, self.now_s())
 
-    def _remove(self, backend):
+    def _remove(self, backend, left_s):
         record = self._records.pop(backend.server_id, None)
-        born_ms = record.backend.born_ms if record else backend.born_ms
-        self._removed[backend.server_id] = born_ms, self.now_s()
-        if record is None:
-            return False
-        self._log('backend server left', record.backend)
-        self._notify()
-        return True
+        self._add_departure(backend, left_s)
+        if record is not None:
+            self._log('backend server left', record.backend)
+            self._notify()
+
+    def _add_departure(self, backend, left_s):
+        self._departures[backend.server_id] = Departure(backend, left_s)
+
+    def _forget_departures(self):
+        """Forget the departures that are old or too many."""
+        oldest_s = self.now_s() - DEPARTURE_RETENTION_S
+        newest = sorted(self._departures.values(), key=lambda d: -d.left_s)
+        self._departures = {
+            departure.backend.server_id: departure
+            for departure in newest[:MAX_DEPARTURES]
+            if departure.left_s >= oldest_s
+        }
 
     def expire(self, verify=None):
         """Remove servers whose announcements have stopped.
@@ -232,19 +281,23 @@
         must call `confirm` or `drop`.
         """
         now_s = self.now_s()
-        for server_id, (_, removed_s) in list(self._removed.items()):
-            if now_s - removed_s > REMOVED_RETENTION_S:
-                del self._removed[server_id]
+        self._forget_departures()
         for server_id, (_, marked_s) in list(self._leaving.items()):
             is_known = server_id in self._records
-            if not is_known and now_s - marked_s > LEAVING_RETENTION_S:
+            if not is_known and now_s - marked_s > DEPARTURE_RETENTION_S:
                 del self._leaving[server_id]
         self._prune_index()
         # If no server is heard, this node is partitioned or was suspended,
         # and its last view is the best one.
         if now_s - self._last_heard_s > self._period_s:
             return
+        restored_s = now_s - RESTORED_PERIODS * self._period_s
         for record in list(self._records.values()):
+            if record.restored_s is not None and (
+                record.restored_s < restored_s
+            ):
+                self.drop(record.backend)
+                continue
             if now_s - record.heard_s <= self.expiry_s:
                 continue
             is_ready = record.backend.state == backends.READY
@@ -265,6 +318,9 @@
         if record is None or record.backend.born_ms != backend.born_ms:
             return
         del self._records[backend.server_id]
+        if record.backend.state != backends.READY:
+            # Nodes that were cut off since may know it as ready.
+            self._add_departure(record.backend, record.heard_s)
         self._log(
             'backend server is silent',
             record.backend,
@@ -381,6 +437,21 @@
             for record in self._records.values()
         ]
 
+    def departures(self):
+        """Return the last announcements of servers that left, with ages."""
+        now_s = self.now_s()
+        return [
+            attrs.evolve(
+                departure.backend,
+                heard_ms=max(0, int((now_s - departure.left_s) * 1000)),
+            )
+            for departure in self._departures.values()
+        ]
+
+    def has_left(self, server_id):
+        """Return whether a server with this id has left and is not back."""
+        return server_id in self._departures and server_id not in self._records
+
     def _log(self, text, backend, **others):
         LOG.info(
             text,
--- a/pimentowalk/membership/tests/test_backends.py
+++ b/pimentowalk/membership/tests/test_backends.py
@@ -273,6 +273,6 @@
     """Each start of a server creates a new id."""
     table.mark_leaving(FIRST)
     table.apply(attrs.evolve(FIRST, state=backends.GONE))
-    clock.now_s = membership.LEAVING_RETENTION_S + 1.0
+    clock.now_s = membership.DEPARTURE_RETENTION_S + 1.0
     table.expire()
     assert not table._leaving
--- a/pimentowalk/mesh/cache_files.py
+++ b/pimentowalk/mesh/cache_files.py
@@ -117,7 +117,7 @@
 
 
 class ViewFile(CacheFile):
-    """Save the announcements of a table of backend servers."""
+    """Save the announcements and departures of backend servers."""
 
     name = 'servers.json'
     content_type = list[backends.Backend]
@@ -130,7 +130,7 @@
         return self._table.generation
 
     def _content(self):
-        return self._table.announcements()
+        return self._table.announcements() + self._table.departures()
 
     def _restore(self, content):
         """Apply announcements with an age at which they soon expire.
@@ -139,7 +139,10 @@
         """
         age_s = self._table.expiry_s - self._table.complete_after_s
         for backend in content:
-            self._table.apply(backend, age_s)
+            if backend.state == backends.GONE:
+                self._table.apply(backend, backend.heard_ms / 1000)
+            else:
+                self._table.restore(backend, age_s)
         return len(content)
 
 
--- a/pimentowalk/mesh/hub.py
+++ b/pimentowalk/mesh/hub.py
@@ -151,7 +151,11 @@
                 # Sent first: a node serves requests once it knows servers.
                 for frame in self.node.subscriber_frames():
                     peer.post(frame)
-                _post_backends(peer, self.node.backends.announcements())
+                table = self.node.backends
+                # A departure may have been announced while the node was away.
+                _post_backends(
+                    peer, table.announcements() + table.departures()
+                )
         else:
             record.sent_backends = False
 
@@ -269,11 +273,20 @@
         return await self.requests.answer(request, peer)
 
 
+def split_backends(backends):
+    """Return announcements in frames that stay below the limit of a frame."""
+    return [
+        node_messages.BackendNews(
+            backends[first : first + MAX_BACKENDS_PER_FRAME]
+        )
+        for first in range(0, len(backends), MAX_BACKENDS_PER_FRAME)
+    ]
+
+
 def _post_backends(peer, backends):
-    """Send announcements in frames that stay below the limit of a frame."""
-    for first in range(0, max(len(backends), 1), MAX_BACKENDS_PER_FRAME):
-        part = backends[first : first + MAX_BACKENDS_PER_FRAME]
-        peer.post(node_messages.BackendNews(part))
+    """Send announcements, and an empty frame if there are none."""
+    for frame in split_backends(backends) or [node_messages.BackendNews([])]:
+        peer.post(frame)
 
 
 def _heartbeats(backends):
--- a/pimentowalk/mesh/links.py
+++ b/pimentowalk/mesh/links.py
@@ -8,6 +8,7 @@
 from pimentowalk.core import errors
 from pimentowalk.core import logs
 from pimentowalk.core import timers as core_timers
+from pimentowalk.mesh import hub as mesh_hub
 from pimentowalk.wire import connection as wire
 from pimentowalk.wire import messages
 from pimentowalk.wire import node_messages
@@ -123,6 +124,9 @@
         self._node.update_links()
 
     async def _report_status(self):
+        # Announced while the connection was broken or could not be opened.
+        for frame in mesh_hub.split_backends(self._node.departures()):
+            self.post(frame)
         while True:
             status = self._node.status_for(self)
             self.news = await self._peer.call(status, STATUS_TIMEOUT_S)
--- a/pimentowalk/mesh/node.py
+++ b/pimentowalk/mesh/node.py
@@ -11,6 +11,7 @@
 from pimentowalk.membership import backends as membership
 from pimentowalk.mesh import hub as mesh_hub
 from pimentowalk.mesh import links as mesh_links
+from pimentowalk.topology import backends
 from pimentowalk.wire import node_messages
 
 LOG = logging.getLogger(__name__)
@@ -49,6 +50,8 @@
         self._timers = timers
         self._links = {}
         self._relayed = {}
+        # Ids of servers whose departures this node has acknowledged.
+        self._acknowledged_departures = set()
         self._tasks = {}
         self._callbacks = {}
         self._document_callbacks = []
@@ -209,8 +212,12 @@
 
     def relay_backends(self, body, origin=None):
         """Apply announcements; relay changes at once, repeats in batches."""
+        departures = []
         for announced in body.backends:
-            self.backends.apply(announced, announced.heard_ms / 1000)
+            is_new = self.backends.apply(announced, announced.heard_ms / 1000)
+            if announced.state == backends.GONE:
+                departures += [announced] * is_new
+                continue
             backend = self.backends.with_mark(announced)
             # The table may know a change from another control instance, which
             # has not sent it to the subscribers of this one.
@@ -221,6 +228,48 @@
                 self.hub.relay_batched(single)
             else:
                 self.hub.relay(single, origin=origin)
+        self._relay_departures(departures, origin)
+
+    def _relay_departures(self, departures, origin=None):
+        """Relay departures that are news to this node.
+
+        All that it knew were relayed before, or sent to new subscribers.
+        """
+        if departures:
+            self.hub.relay(
+                node_messages.BackendNews(departures), origin=origin
+            )
+
+    def apply_backends(self, announcements):
+        """Apply what a control instance pushes; relay new departures.
+
+        That instance may have missed what this one tells its subscribers.
+        """
+        self._relay_departures(
+            [
+                backend
+                for backend in announcements
+                if self.backends.apply(backend, backend.heard_ms / 1000)
+                and backend.state == backends.GONE
+            ]
+        )
+
+    def departures(self):
+        """Return the departures that a control instance may have missed.
+
+        A control instance returns all, any other node those that it has
+        acknowledged itself.
+        """
+        known = [
+            backend
+            for backend in self.backends.announcements()
+            if backend.state != backends.READY
+        ] + self.backends.departures()
+        if self.replica is not None:
+            return known
+        acknowledged = self._acknowledged_departures
+        acknowledged &= {backend.server_id for backend in known}
+        return [b for b in known if b.server_id in acknowledged]
 
     def _forget_departed(self):
         """Drop what was relayed of servers that are gone."""
@@ -232,6 +281,8 @@
 
     def announce(self, backend):
         """Apply an announcement that this node received and publish it."""
+        if backend.state != backends.READY:
+            self._acknowledged_departures.add(backend.server_id)
         body = node_messages.BackendNews([backend])
         for link in self._links.values():
             link.post(body)
@@ -300,8 +351,7 @@
 def on_backends(node, body):
     """Apply announcements."""
     node.has_view = True
-    for backend in body.backends:
-        node.backends.apply(backend, backend.heard_ms / 1000)
+    node.apply_backends(body.backends)
 
 
 @HANDLERS.register('backendHeartbeats')
--- a/pimentowalk/platform/control_api.py
+++ b/pimentowalk/platform/control_api.py
@@ -88,11 +88,16 @@
 
     async def _remove_instance(self, request):
         server_id = request.match_info['server_id']
-        backend = self._node.backends.get(server_id)
+        table = self._node.backends
+        backend = table.get(server_id)
         if backend is not None:
             self._apply_announcement(
                 attrs.evolve(backend, state=backends.GONE)
             )
+        elif not table.has_left(server_id):
+            # Other nodes may know it, and would go on to use it.
+            error = errors.NotRun('unknown here', step='leave')
+            return self._error_response(error, 'departure refused', server_id)
         return web.json_response({})
 
     def _apply_announcement(self, backend):
--- a/pimentowalk/platform/tests/test_notices.py
+++ b/pimentowalk/platform/tests/test_notices.py
@@ -1,7 +1,9 @@
 """Test how gateways treat servers that leave or ask for a pause."""
 
 import asyncio
+import pathlib
 
+from pimentowalk.mesh import cache_files
 from pimentowalk.platform import names
 from tools.tests import waiting
 
@@ -116,3 +118,42 @@
         assert status == 503
     assert 1.0 < float(headers['Retry-After']) < 2.5
     assert sum(len(s.requests_seen) for s in cluster.servers) == 2
+
+
+def _saved_servers(gateway):
+    folder = pathlib.Path(gateway.settings.data_folder)
+    return (folder / cache_files.ViewFile.name).read_text()
+
+
+async def test_server_that_left_while_a_node_was_down_gets_nothing(cluster):
+    """DRAIN: the restarted node knew it from its disk and used it again."""
+    await cluster.wait_for_layers()
+    down = cluster.gateways.pop(0)
+    await asyncio.sleep(cache_files.SAVE_INTERVAL_S * 2)
+    await down.close()
+    leaving = cluster.servers[0]
+    assert leaving.server_id in _saved_servers(down)
+    path = f'/v1/instances/{leaving.server_id}'
+    for gateway in cluster.gateways:
+        # The second one has the departure from the first one.
+        status, _ = await cluster.platform.control(gateway, 'DELETE', path)
+        assert status == 200
+    restarted = await cluster.start_gateway(
+        down.settings.host, first_start=False
+    )
+    cluster.gateways.append(restarted)
+    await waiting.until(
+        lambda: (
+            restarted.freshness.is_valid
+            and [b.server_id for b in restarted.node.backends.usable('model')]
+            == ['m-2']
+        )
+    )
+
+
+async def test_departure_of_an_unknown_server_is_not_acknowledged(cluster):
+    """DRAIN: the node told nobody, and others went on to use the server."""
+    status, _ = await cluster.platform.control(
+        cluster.gateways[0], 'DELETE', '/v1/instances/unknown'
+    )
+    assert status == 503
