End responses that consist of interim responses early

Cause: only bytes were bounded, 64 kB of them, which hold 2,600 interim responses; one read may hold 10,000, all parsed before the bytes are counted.

Now at most 32 interim responses are accepted, and heads are parsed in pieces of 2 kB, so that the count ends a read early.

--- a/pimentowalk/platform/engines.py
+++ b/pimentowalk/platform/engines.py
@@ -31,6 +31,10 @@
 REPORT_ATTEMPTS = 2
 MAX_LINE_BYTES = 32768
 READ_BUFFER_BYTES = 1 << 16
+# Servers send one interim response (100, 103), or one each few seconds (102).
+MAX_INTERIM_RESPONSES = 32
+HEAD_PIECE_BYTES = 2048
+FIRST_FINAL_STATUS = 200
 EVENT_STREAM = 'text/event-stream'
 REPORT_PATH = '/v1/report'
 ORDER_PATH = '/v1/order'
@@ -59,11 +63,37 @@
         super().__init__(loop=loop)
         self._max_head_bytes = max_head_bytes
         self._bytes_without_content = 0
+        self._interim_responses = 0
+        self._has_head = False
+        self._has_failed = False
 
     def _content_bytes(self):
         return getattr(self._payload, 'total_bytes', 0)
 
+    def feed_data(self, data, size=0):
+        """Take the head of a response, which may be an interim one."""
+        message, _ = data
+        self._has_head = message.code >= FIRST_FINAL_STATUS
+        self._interim_responses += not self._has_head
+        super().feed_data(data, size)
+
     def data_received(self, data):
+        """Parse data, the head in pieces.
+
+        Interim responses are counted after each piece: those of one read would
+        keep the event loop busy for tens of milliseconds.
+        """
+        first = 0
+        while first < len(data) and not self._has_failed:
+            size = len(data) if self._has_head else HEAD_PIECE_BYTES
+            self._receive(data[first : first + size])
+            first += size
+            if self._interim_responses > MAX_INTERIM_RESPONSES:
+                self._fail_response(
+                    f'more than {MAX_INTERIM_RESPONSES} interim responses'
+                )
+
+    def _receive(self, data):
         content_bytes = self._content_bytes()
         super().data_received(data)
         if self._content_bytes() > content_bytes:
@@ -71,12 +101,13 @@
             return
         self._bytes_without_content += len(data)
         if self._bytes_without_content > self._max_head_bytes:
-            self._fail_response()
+            self._fail_response(
+                f'more than {self._max_head_bytes} bytes without content'
+            )
 
-    def _fail_response(self):
-        error = aiohttp.ClientPayloadError(
-            f'more than {self._max_head_bytes} bytes without content'
-        )
+    def _fail_response(self, reason):
+        self._has_failed = True
+        error = aiohttp.ClientPayloadError(reason)
         payload = self._payload
         if payload is not None and not payload.is_eof():
             payload.set_exception(error)
--- a/pimentowalk/platform/tests/test_engines.py
+++ b/pimentowalk/platform/tests/test_engines.py
@@ -245,6 +245,17 @@
             await _endless_exchange(client, first, repeated)
 
 
+async def test_few_interim_responses_are_parsed():
+    """A read held ten thousand of them, and delayed all other requests."""
+    handler = engines.StrictResponseHandler(
+        asyncio.get_running_loop(), transport.ResponseLimits().head_bytes
+    )
+    handler.set_response_params()
+    handler.data_received(b'HTTP/1.1 100 Continue\r\n\r\n' * 10_000)
+    assert handler.exception() is not None
+    assert len(handler._buffer) < 200
+
+
 async def test_report_without_end_is_cut(client):
     """A check of a faulty server must not fill the memory of the node."""
     server = EndlessServer(b'HTTP/1.1 200 OK\r\n\r\n', b'x' * 100_000)
