End streams that consist of comments

Cause: comments count as whole events, which no limit applies to. They are bytes without content, like those between the parts of a body, so that max_head_bytes now bounds them, counted from the last event.

--- a/pimentowalk/dispatch/events.py
+++ b/pimentowalk/dispatch/events.py
@@ -6,6 +6,8 @@
 INVALID_LINE = re.compile(
     rb'^(?![A-Za-z-]*:|(?:data|event|id|retry)?\r?$).', re.MULTILINE
 )
+# A line of an event, unlike a comment.
+CONTENT_LINE = re.compile(rb'^(?:data|event|id|retry)', re.MULTILINE)
 ID_LINE = re.compile(rb'^id:[ ]?(\d+)[ ]*\r?$', re.MULTILINE)
 
 
@@ -23,25 +25,36 @@
     1
     """
 
-    def __init__(self, last_id, max_event_bytes=262_144):
+    def __init__(
+        self, last_id, max_event_bytes=262_144, max_comment_bytes=65_536
+    ):
         self.last_id = last_id
         self._max_event_bytes = max_event_bytes
+        self._max_comment_bytes = max_comment_bytes
+        self._comment_bytes = 0
         self._partial = b''
 
     def discard_partial(self):
         """Discard the incomplete event of the previous server."""
         self._partial = b''
+        self._comment_bytes = 0
 
     @property
     def has_partial(self):
         """Return whether the last event is incomplete."""
         return bool(self._partial.strip())
 
+    @property
+    def partial_bytes(self):
+        """Return the length of the incomplete event."""
+        return len(self._partial)
+
     def feed(self, data):
         """Return the whole events that the data completes.
 
         Raises ValueError for data that is no event, such as the text of an
-        error, and for an event that is too long.
+        error, for an event that is too long, and for too many bytes of
+        comments without an event between them.
         """
         data = self._partial + data
         end = _end_of_events(data)
@@ -54,6 +67,7 @@
         if INVALID_LINE.search(whole):
             raise ValueError('a line of an event is no field')
         self._partial = data[end:]
+        self._count_comments(whole)
         ids = [int(found) for found in ID_LINE.findall(whole)]
         if not ids:
             return whole
@@ -62,6 +76,14 @@
             return whole
         return self._without_duplicates(whole)
 
+    def _count_comments(self, whole):
+        if CONTENT_LINE.search(whole):
+            self._comment_bytes = 0
+            return
+        self._comment_bytes += len(whole)
+        if self._comment_bytes > self._max_comment_bytes:
+            raise ValueError('too many bytes without an event')
+
     def _without_duplicates(self, whole):
         kept = []
         for event in re.split(rb'(?<=\n\n)|(?<=\r\n\r\n)', whole):
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -53,7 +53,9 @@
         self._memory_share = 0.0
         self._slot_share = 0.0
         self._events = events.EventFilter(
-            call.last_event_id, dispatcher.limits.event_bytes
+            call.last_event_id,
+            dispatcher.limits.event_bytes,
+            dispatcher.limits.head_bytes,
         )
         self._partial_since_s = None
         # Whether the current try has received a whole event.
--- a/pimentowalk/dispatch/tests/test_events.py
+++ b/pimentowalk/dispatch/tests/test_events.py
@@ -117,3 +117,15 @@
     """The platform adds a field, and other servers send comments."""
     filtered = events.EventFilter(0)
     assert filtered.feed(sound) == sound
+
+
+def test_comments_without_end_are_refused():
+    """A server that sends nothing else keeps the node busy for good."""
+    event_filter = events.EventFilter(0, max_comment_bytes=100)
+    comment = b': x\n\n'
+    for number in range(1, 4):
+        assert event_filter.feed(comment * 15) == comment * 15
+        assert event_filter.feed(_event(number)) == _event(number)
+    with pytest.raises(ValueError, match='without an event'):
+        for _ in range(10):
+            event_filter.feed(comment * 15)
