Bound the bytes of all responses together

A gateway held up to 4 MB for each open request whose server sends without end: 507 MB at 90 requests, 1432 MB at 300. Instances have 300 MB; a process above that is killed, and all its requests end without an answer.

Cause: each response was bounded, their sum was not.

Now bodies that are read whole and incomplete events are counted, and above max_held_bytes (64 MB) the response that holds most is cut, with a log line. A caller that does not read its answer is cut as well, and bodies are written to callers in pieces instead of as a second copy.

Evidence: tests of test_held_bytes.

--- a/bench/pausing_servers.py
+++ b/bench/pausing_servers.py
@@ -439,6 +439,9 @@
         """Note that the response is complete."""
         self.is_complete = True
 
+    def abort(self):
+        """Leave the response incomplete."""
+
     def is_in_time(self, objective_s):
         """Return whether a complete response met the objective."""
         return (
--- a/pimentowalk/dispatch/call_run.py
+++ b/pimentowalk/dispatch/call_run.py
@@ -1,9 +1,12 @@
 """The tries of one call, independent of the kind of service."""
 
 import abc
+import contextlib
 
 from pimentowalk.core import errors
 from pimentowalk.dispatch import calls
+from pimentowalk.dispatch import held_bytes
+from pimentowalk.dispatch import transport
 
 # A route does not bound tries that were provably not executed, but each of
 # them costs the server and the client time.
@@ -158,6 +161,42 @@
         """Return the share of the retry budget that the call may use."""
         return 1.0
 
+    @contextlib.contextmanager
+    def _hold(self, response):
+        """Count the bytes that are held of a response, until the end."""
+        held = self._dispatcher.held_bytes
+        holding = held_bytes.Holding(
+            response.close,
+            self._call.request_id,
+            self._target.backend.address,
+        )
+        try:
+            yield holding
+        finally:
+            held.release(holding)
+
+    async def _read_body(self, response, holding):
+        """Return the whole body of a response; raise Broken.
+
+        It is read before the client gets any of it, so that the call can still
+        be retried if the connection breaks within the body.
+        """
+        dispatcher = self._dispatcher
+        return await transport.read_body(
+            response,
+            dispatcher.limits,
+            self._target.backend.address,
+            lambda size: dispatcher.held_bytes.resize(holding, size),
+        )
+
+    async def _send_body(self, response, body, holding):
+        """Pass a whole response to the client."""
+        # A client that does not read keeps the body here.
+        holding.cut = self._responder.abort
+        await self._responder.start(response)
+        await self._responder.write(body)
+        await self._responder.finish()
+
     def _may_retry(self, error):
         if isinstance(error, calls.Refused):
             return True
--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -12,6 +12,7 @@
 from pimentowalk.dispatch import checks as dispatch_checks
 from pimentowalk.dispatch import crash_reports
 from pimentowalk.dispatch import durations as response_durations
+from pimentowalk.dispatch import held_bytes
 from pimentowalk.dispatch import load_exchange
 from pimentowalk.dispatch import pauses as server_pauses
 from pimentowalk.dispatch import plain
@@ -68,6 +69,7 @@
         self.metrics = metrics
         self.zone = zone
         self.limits = limits or dispatch_transport.ResponseLimits()
+        self.held_bytes = held_bytes.HeldBytes(self.limits.held_bytes, metrics)
         self.rng = rng or random.Random()
         self.outcomes = routing_outcomes.OutcomeTracker(timers.now_s)
         self.paths = routing_hops.POLICIES.get(path_policy)(
--- a/pimentowalk/dispatch/plain.py
+++ b/pimentowalk/dispatch/plain.py
@@ -1,11 +1,11 @@
 """Run a call at one server of a service without an engine."""
 
 import asyncio
+import contextlib
 
 from pimentowalk.core import errors
 from pimentowalk.dispatch import call_run
 from pimentowalk.dispatch import calls
-from pimentowalk.dispatch import transport
 
 # A repeatable call without a response is tried elsewhere after this share of
 # its remaining time.
@@ -75,6 +75,7 @@
         ids = [target.backend.server_id]
         dispatcher.in_flight.begin(ids, 0)
         response = None
+        holdings = contextlib.ExitStack()
         try:
             async with asyncio.timeout(timeout_s):
                 response = await dispatcher.transport.send(
@@ -88,18 +89,13 @@
                         f'status {response.status}',
                         peer=target.backend.address,
                     )
-                # The whole body is read first, so that the call can still
-                # be retried if the connection breaks within the body.
-                body = await transport.read_body(
-                    response, dispatcher.limits, target.backend.address
-                )
+                holding = holdings.enter_context(self._hold(response))
+                body = await self._read_body(response, holding)
             dispatcher.outcomes.record(
                 target.backend.server_id,
                 failed=response.status >= FIRST_SERVER_ERROR_STATUS,
             )
-            await self._responder.start(response)
-            await self._responder.write(body)
-            await self._responder.finish()
+            await self._send_body(response, body, holding)
         except TimeoutError:
             raise calls.Broken(
                 f'no complete response within {timeout_s:.2f} s',
@@ -107,6 +103,7 @@
             ) from None
         finally:
             dispatcher.in_flight.end(ids, 0)
+            holdings.close()
             if response is not None:
                 response.close()
 
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -5,7 +5,6 @@
 from pimentowalk.core import errors
 from pimentowalk.dispatch import calls
 from pimentowalk.dispatch import events
-from pimentowalk.dispatch import transport
 from pimentowalk.dispatch import watched_run
 
 FIRST_SERVER_ERROR_STATUS = 500
@@ -243,11 +242,15 @@
                 return
             self._events.discard_partial()
             self._partial_since_s = None
-            while data := await response.read():
-                if not self._has_output:
-                    self._has_output = True
-                    self._executions += 1
-                await self._pass_events(response, data)
+            with self._hold(response) as holding:
+                while data := await response.read():
+                    if not self._has_output:
+                        self._has_output = True
+                        self._executions += 1
+                    await self._pass_events(response, data)
+                    dispatcher.held_bytes.resize(
+                        holding, self._events.partial_bytes
+                    )
             if self._events.has_partial:
                 raise calls.Broken(
                     'the stream ended within an event',
@@ -314,12 +317,9 @@
             response.status >= FIRST_SERVER_ERROR_STATUS and can_retry
         ):
             raise calls.Broken(f'status {response.status}', peer=address)
-        body = await transport.read_body(
-            response, self._dispatcher.limits, address
-        )
-        await self._responder.start(response)
-        await self._responder.write(body)
-        await self._responder.finish()
+        with self._hold(response) as holding:
+            body = await self._read_body(response, holding)
+            await self._send_body(response, body, holding)
 
     def _handle_failure(self, error):
         dispatcher = self._dispatcher
--- a/pimentowalk/dispatch/tests/fakes.py
+++ b/pimentowalk/dispatch/tests/fakes.py
@@ -6,6 +6,7 @@
 from pimentowalk.core import activity as core_activity
 from pimentowalk.core import metrics as core_metrics
 from pimentowalk.core import timers as core_timers
+from pimentowalk.dispatch import held_bytes
 from pimentowalk.dispatch import pauses
 from pimentowalk.dispatch import transport
 from pimentowalk.membership import backends as membership
@@ -38,6 +39,7 @@
         timers=timers,
         zone='z1',
         limits=transport.ResponseLimits(),
+        held_bytes=held_bytes.HeldBytes(1 << 20),
         node=types.SimpleNamespace(backends=table, live_nodes=1),
         metrics=core_metrics.Metrics('test'),
         admission=admission_room.AdmissionQueues(timers),
@@ -60,6 +62,7 @@
 def call(now_s, *, tokens=2, is_repeatable=True):
     """Return a call that was received at `now_s`."""
     return types.SimpleNamespace(
+        request_id='r1',
         received_s=now_s,
         expires_at_s=now_s + 10,
         last_event_id=0,
--- a/pimentowalk/dispatch/tests/test_trickle.py
+++ b/pimentowalk/dispatch/tests/test_trickle.py
@@ -48,6 +48,9 @@
     async def finish(self):
         self.is_finished = True
 
+    def abort(self):
+        pass
+
 
 def new_run(response):
     """Return a run that is sent to one server, and its responder."""
--- a/pimentowalk/dispatch/transport.py
+++ b/pimentowalk/dispatch/transport.py
@@ -15,7 +15,7 @@
     are no content. `body_bytes` bounds a body that is read whole, and
     `event_bytes` one event of a stream. Bytes that arrive without completing
     an event are accepted for `event_timeout_s`. A server may ask for a pause
-    of `max_pause_s` at most.
+    of `max_pause_s` at most. All responses together hold `held_bytes` at most.
     """
 
     head_bytes: int = 65_536
@@ -23,10 +23,15 @@
     event_bytes: int = 262_144
     event_timeout_s: float = 2.0
     max_pause_s: float = 60.0
+    held_bytes: int = 67_108_864
 
 
-async def read_body(response, limits, peer):
-    """Return the whole body of a response; raise Broken if it is too long."""
+async def read_body(response, limits, peer, hold=None):
+    """Return the whole body of a response; raise Broken if it is too long.
+
+    `hold(size_bytes)` is called with the size so far, if given, and may raise
+    Broken as well.
+    """
     chunks = []
     size_bytes = 0
     while chunk := await response.read():
@@ -37,6 +42,8 @@
                 peer=peer,
             )
         chunks.append(chunk)
+        if hold is not None:
+            hold(size_bytes)
     return b''.join(chunks)
 
 
@@ -137,3 +144,7 @@
     @abc.abstractmethod
     async def finish(self):
         """End the body."""
+
+    @abc.abstractmethod
+    def abort(self):
+        """Break off the response, so that it is not taken as complete."""
--- a/pimentowalk/platform/daemon.py
+++ b/pimentowalk/platform/daemon.py
@@ -266,6 +266,7 @@
         responses.max_event_bytes,
         responses.event_timeout_ms / 1000,
         responses.max_pause_s,
+        responses.max_held_bytes,
     )
 
 
--- a/pimentowalk/platform/front.py
+++ b/pimentowalk/platform/front.py
@@ -36,6 +36,8 @@
 # A node without contact to the leader for longer does not answer 401 or 404,
 # since a newer configuration may contain the key or the route.
 MAX_LEADER_SILENCE_S = 1.2
+# Bodies are written to callers in pieces of this size.
+WRITE_BYTES = 65_536
 DEFAULT_ANSWER_TOKENS = 256
 # The ids of events are below 2^63.
 MAX_ID_DIGITS = 18
@@ -99,7 +101,9 @@
             if self._request.method != 'HEAD':
                 self.response.content_length = len(body)
             await self.response.prepare(self._request)
-            await self.response.write(body)
+            # In pieces, so that no second copy waits for a slow caller.
+            for first in range(0, len(body), WRITE_BYTES):
+                await self.response.write(body[first : first + WRITE_BYTES])
         await self.response.write_eof()
 
     def abort(self):
--- a/pimentowalk/settings/gateway.py
+++ b/pimentowalk/settings/gateway.py
@@ -66,6 +66,7 @@
     max_event_bytes: int = 262_144
     event_timeout_ms: float = 2000.0
     max_pause_s: float = 60.0
+    max_held_bytes: int = 67_108_864
 
 
 def address(text):
@@ -129,6 +130,7 @@
     'max_event_bytes': values.integer(1024, 2**30),
     'event_timeout_ms': values.number(100, 3_600_000, 'milliseconds'),
     'max_pause_s': values.number(0, 86_400, 'seconds'),
+    'max_held_bytes': values.integer(1 << 20, 2**40),
 }
 SECTIONS = ('bounds', 'gateway', 'responses')
 
