Do not take the end of a cut response for its own end

A response that is cut for its size is closed.

The size is checked once more after the last chunk, for bodies and streams. test_cut_response_does_not_pass_for_complete fails without that for bodies.

--- a/pimentowalk/dispatch/call_run.py
+++ b/pimentowalk/dispatch/call_run.py
@@ -188,12 +188,15 @@
         be retried if the connection breaks within the body.
         """
         dispatcher = self._dispatcher
-        return await transport.read_body(
+        body = await transport.read_body(
             response,
             dispatcher.limits,
             self._target.backend.address,
             lambda size: dispatcher.held_bytes.resize(holding, size),
         )
+        # The end of a response that has been cut must not pass for its own.
+        dispatcher.held_bytes.resize(holding, len(body))
+        return body
 
     async def _send_body(self, response, body, holding):
         """Pass a whole response to the client."""
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -251,6 +251,10 @@
                     dispatcher.held_bytes.resize(
                         holding, self._events.partial_bytes
                     )
+                # The end of a response that has been cut is not its own.
+                dispatcher.held_bytes.resize(
+                    holding, self._events.partial_bytes
+                )
             if self._events.has_partial:
                 raise calls.Broken(
                     'the stream ended within an event',
--- a/pimentowalk/dispatch/tests/test_held_bytes.py
+++ b/pimentowalk/dispatch/tests/test_held_bytes.py
@@ -143,6 +143,38 @@
     assert held.total_bytes == 0
 
 
+class EndingResponse(Response):
+    """A response whose body seems to end when it is closed."""
+
+    def __init__(self):
+        super().__init__()
+        self._chunks = [b'x' * 80]
+        self._closed = asyncio.Event()
+
+    async def read(self):
+        if self._chunks:
+            return self._chunks.pop()
+        await self._closed.wait()
+        return b''
+
+    def close(self):
+        self._closed.set()
+
+
+async def test_cut_response_does_not_pass_for_complete(held):
+    """MIXED: the end of its connection looks like the end of its body."""
+    run = new_run(transport.ResponseLimits())
+    run._dispatcher.held_bytes = held
+    run._target = calls.Target(fakes.server(1))
+    response = EndingResponse()
+    with run._hold(response) as holding:
+        reading = asyncio.ensure_future(run._read_body(response, holding))
+        await asyncio.sleep(0)
+        held.resize(new_holding([], ''), 30)
+        with pytest.raises(calls.Broken):
+            await reading
+
+
 async def test_caller_that_does_not_read_is_cut(held):
     """Its body would keep its room for good."""
     unread = asyncio.get_running_loop().create_future()
