Bound what a node keeps of departures, and look for old ones less often

Found by reading: departures were sorted each 0.25 s, and the ids of those that a node has acknowledged were only dropped when it connected to control. Both are looked after each 10 s now.

--- a/pimentowalk/membership/backends.py
+++ b/pimentowalk/membership/backends.py
@@ -17,6 +17,8 @@
 # the partition, and nodes that were cut off or down learn of it later.
 DEPARTURE_RETENTION_S = 600.0
 MAX_DEPARTURES = 10_000
+# Interval at which old departures are looked for.
+CLEANUP_INTERVAL_S = 10.0
 # Minimum time before a new announcement clears a suspicion; an announcement
 # sent before the failure can arrive after it.
 MIN_SUSPECT_S = 1.5
@@ -75,6 +77,7 @@
         self._period_s = period_s
         self._records = {}
         self._departures = {}
+        self._cleaned_s = now_s()
         # Incarnations whose answers said that they leave, and when.
         self._leaving = {}
         self._ids_by_key = {}
@@ -265,7 +268,11 @@
 
     def _forget_departures(self):
         """Forget the departures that are old or too many."""
-        oldest_s = self.now_s() - DEPARTURE_RETENTION_S
+        now_s = self.now_s()
+        if now_s - self._cleaned_s < CLEANUP_INTERVAL_S:
+            return
+        self._cleaned_s = now_s
+        oldest_s = now_s - DEPARTURE_RETENTION_S
         newest = sorted(self._departures.values(), key=lambda d: -d.left_s)
         self._departures = {
             departure.backend.server_id: departure
--- a/pimentowalk/mesh/node.py
+++ b/pimentowalk/mesh/node.py
@@ -268,16 +268,18 @@
         if self.replica is not None:
             return known
         acknowledged = self._acknowledged_departures
-        acknowledged &= {backend.server_id for backend in known}
         return [b for b in known if b.server_id in acknowledged]
 
     def _forget_departed(self):
-        """Drop what was relayed of servers that are gone."""
+        """Drop what was relayed and acknowledged of servers long gone."""
         known = {
             record.backend.server_id for record in self.backends.records()
         }
         for server_id in self._relayed.keys() - known:
             del self._relayed[server_id]
+        self._acknowledged_departures &= known | {
+            backend.server_id for backend in self.backends.departures()
+        }
 
     def announce(self, backend):
         """Apply an announcement that this node received and publish it."""
