--- a/review/support-2/lab.py
+++ b/review/support-2/lab.py
@@ -614,6 +614,8 @@
     `play` returns True if the rule was broken.
     """
     record = Record(pathlib.Path(folder) / 'record.txt')
+    # The processes are ended also if the run is stopped from outside.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     status = 2
     try:
         is_broken = asyncio.run(play(record))
