--- a/review/support-2/lab.py
+++ b/review/support-2/lab.py
@@ -19,6 +19,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 PORTS = {'front': 8227, 'ready': 8220, 'control': 8229, 'peer': 7340}
@@ -623,6 +624,10 @@
         record('the rule was broken' if is_broken else 'the rule held')
     except CannotRun as error:
         record(f'the case could not run: {error}')
+    except Exception as error:
+        # Not the verdict of the rule: Python would exit with 1.
+        record(f'the case could not run: {error!r}')
+        traceback.print_exc()
     finally:
         record.close()
     sys.exit(status)
