Log why a started stream or a client's connection was cut

A stream whose silent server the gateway had left could not be told from one whose server broke off, and a request whose connection the gateway closed was logged as one whose caller had left. A cut stream now has a line with its cause, the server and how long that was silent; a request of a connection that was cut has a line with the limit that caused it. Counters tell how often. Both new tests in test_failed_requests.py fail without the lines.

--- a/pimentowalk/dispatch/calls.py
+++ b/pimentowalk/dispatch/calls.py
@@ -82,6 +82,25 @@
         return [server.server_id for server in self.servers]
 
 
+# Why a try has ended. Only a server that was left might have gone on.
+SERVER_LEFT = 'server_left'
+SERVER_BROKE_OFF = 'server_broke_off'
+DEADLINE = 'deadline'
+
+
+@attrs.frozen
+class LostTry:
+    """How a try ended that had sent events.
+
+    `cause` is one of the constants above, `silent_s` how long before the end
+    the last event came.
+    """
+
+    cause: str
+    culprit: str
+    silent_s: float
+
+
 class TryFailed(errors.PimentowalkError):
     """Report that one try at a backend server brought no complete response.
 
--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -10,6 +10,7 @@
 from pimentowalk.admission import room as admission_room
 from pimentowalk.core import errors
 from pimentowalk.core import logs
+from pimentowalk.dispatch import calls
 from pimentowalk.dispatch import checks as dispatch_checks
 from pimentowalk.dispatch import crash_reports
 from pimentowalk.dispatch import durations as response_durations
@@ -363,6 +364,23 @@
             ),
         )
 
+    def log_cut_stream(self, call, lost, refusals):
+        """Log why a started stream ends, with its `calls.LostTry` or None."""
+        cause = lost.cause if lost else calls.SERVER_BROKE_OFF
+        self.metrics.count(f'cut_streams_{cause}')
+        LOG.info(
+            'started stream cut',
+            extra=logs.fields(
+                step='recover',
+                request_id=call.request_id,
+                cause=cause,
+                culprit=lost.culprit if lost else '',
+                silent_ms=int(lost.silent_s * 1000) if lost else 0,
+                refusals=refusals,
+                version=call.document.version,
+            ),
+        )
+
     def log_kept_try(self, call, target, address, reason):
         """Log that a silent server is not left, since none can take over."""
         self.metrics.count('kept_tries')
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -62,6 +62,8 @@
         self._first_event_s = None
         self._last_event_s = 0.0
         self._longest_pause_s = 0.0
+        # How the last try ended that had sent an event.
+        self._lost_try = None
         self._charge = account_shares.Charge()
 
     def _record_success(self):
@@ -344,6 +346,12 @@
         target = self._target
         dispatcher.log_failed_try(self._call, target, error)
         culprit = error.culprit or target.backend.address
+        if self._has_event:
+            self._lost_try = calls.LostTry(
+                self._cause_of_end(error),
+                culprit,
+                dispatcher.timers.now_s() - self.progress_s,
+            )
         is_refused = isinstance(error, calls.Refused)
         self._refusals += is_refused
         if not is_refused:
@@ -370,6 +378,14 @@
                     # It may have crashed, or only be short of memory.
                     dispatcher.checks.check(server)
 
+    def _cause_of_end(self, error):
+        """Return whether this process or the server ended a try."""
+        if self._has_expired():
+            return calls.DEADLINE
+        if isinstance(error, calls.Stalled):
+            return calls.SERVER_LEFT
+        return calls.SERVER_BROKE_OFF
+
     def _count_uncertain_execution(self, error, culprit):
         """Count an execution whose first event may have been lost.
 
@@ -397,6 +413,9 @@
         step = failure.step if failure else 'choose'
         peer = failure.peer if failure else ''
         if self._responder.started:
+            self._dispatcher.log_cut_stream(
+                self._call, self._lost_try, self._refusals
+            )
             message = failure.message if failure else 'no path available'
             return errors.OutcomeUnknown(
                 f'stream cut: {message}', step=step, peer=peer
--- a/pimentowalk/dispatch/tests/fakes.py
+++ b/pimentowalk/dispatch/tests/fakes.py
@@ -52,6 +52,7 @@
         in_flight=types.SimpleNamespace(record_full=lambda _: None),
         log_failed_try=lambda *_: None,
         log_denied_retry=lambda *_: None,
+        log_cut_stream=lambda *_: None,
         suspect=lambda *_, **__: None,
         usable=table.usable,
         pauses=pauses.ServerPauses(timers.now_s, 60.0),
--- a/pimentowalk/platform/client_connection.py
+++ b/pimentowalk/platform/client_connection.py
@@ -72,6 +72,8 @@
         self._costs_bytes = collections.deque()
         # Why no request of the connection is served any more.
         self.refusal = None
+        # Which limit made this process cut the connection.
+        self.cut_reason = ''
         self._reservation = intake.held.reserve(0)
         self._unread_bytes = 0
         self._unread_since_s = None
@@ -111,8 +113,9 @@
         self._intake.held.release_request(self._reservation)
         super().connection_lost(exc)
 
-    def cut(self):
+    def cut(self, reason):
         """Close the connection, without waiting for unsent bytes."""
+        self.cut_reason = reason
         if self._client.get_write_buffer_size():
             self._client.abort()
         else:
@@ -126,6 +129,7 @@
             self._client.close()
         else:
             # The response to an earlier request is not whole.
+            self.cut_reason = f'status {status} for a later request'
             self._client.abort()
 
     def data_received(self, data):
@@ -231,6 +235,7 @@
             self._unread_since_s = now_s if unread_bytes else None
         elif self._is_late(now_s, self._unread_since_s, 'response_timeout_ms'):
             self._intake.refuse('unread_response', 'response_timeout_ms')
+            self.cut_reason = 'response_timeout_ms'
             self._client.abort()
 
     def _is_late(self, now_s, since_s, setting):
--- a/pimentowalk/platform/front.py
+++ b/pimentowalk/platform/front.py
@@ -179,9 +179,13 @@
                     await self._dispatcher.handle(log.call, responder)
                 response = responder.response
             except asyncio.CancelledError:
+                cut_reason = self._intake.cut_reason(request.protocol)
+                if cut_reason:
+                    self._metrics.count('cut_requests')
                 log.log_cancelled(
                     is_connected=request.transport is not None,
                     is_started=responder.started,
+                    cut_reason=cut_reason,
                 )
                 raise
             except ConnectionError as error:
--- a/pimentowalk/platform/intake.py
+++ b/pimentowalk/platform/intake.py
@@ -79,7 +79,7 @@
                 return False
             oldest = next(iter(self._waiting))
             self.forget(oldest)
-            oldest.cut()
+            oldest.cut('max_connections')
         self._open.add(connection)
         self._waiting[connection] = None
         return True
@@ -113,6 +113,10 @@
             self._waiting[connection] = None
             self._waiting.move_to_end(connection)
 
+    def cut_reason(self, connection):
+        """Return the limit for which a connection was cut, or ''."""
+        return getattr(connection, 'cut_reason', '')
+
     def is_waiting(self, connection):
         """Return whether a connection has no whole request."""
         return connection in self._waiting
--- a/pimentowalk/platform/request_log.py
+++ b/pimentowalk/platform/request_log.py
@@ -51,12 +51,22 @@
             extra=self._fields('answer', is_started=is_started),
         )
 
-    def log_cancelled(self, *, is_connected, is_started):
-        """Log that the caller left, or that this process cut the request."""
+    def log_cancelled(self, *, is_connected, is_started, cut_reason=''):
+        """Log that the caller left, or that this process cut the request.
+
+        `cut_reason` is the limit for which it cut the connection, if any.
+        """
         message = 'the caller closed the connection'
-        if is_connected:
+        if cut_reason:
+            message = 'request cut with its connection'
+        elif is_connected:
             message = 'request cancelled by the stop'
-        LOG.info(message, extra=self._fields('answer', is_started=is_started))
+        LOG.info(
+            message,
+            extra=self._fields(
+                'answer', is_started=is_started, cut_reason=cut_reason
+            ),
+        )
 
     def public_error(self, error):
         """Return the error that the caller gets for any exception.
--- a/pimentowalk/platform/tests/changing.py
+++ b/pimentowalk/platform/tests/changing.py
@@ -38,7 +38,8 @@
 class Steps:
     """Run a coroutine function when a request first reaches its step.
 
-    `breaks` breaks off the next run without a complete answer.
+    `breaks` breaks off the next run without a complete answer, or the run
+    that sets it while it pauses.
     """
 
     def __init__(self):
@@ -97,6 +98,10 @@
         await self.steps.reach('event')
         await response.write(b'data: x\n\n')
         await self.steps.reach('pause')
+        if self.steps.breaks:
+            self.steps.breaks = False
+            request.transport.abort()
+            return response
         last_id = int(request.headers.get(names.LAST_EVENT_ID, 0))
         for number in range(max(2, last_id + 1), EVENTS + 1):
             await response.write(f'id: {number}\ndata: x\n\n'.encode())
--- a/pimentowalk/platform/tests/test_failed_requests.py
+++ b/pimentowalk/platform/tests/test_failed_requests.py
@@ -6,6 +6,7 @@
 import aiohttp
 import pytest
 
+from pimentowalk.dispatch import calls
 from pimentowalk.platform.tests import samples
 from tools.tests import waiting
 
@@ -72,6 +73,42 @@
     assert _lines(caplog, 'r1')[message].tries == 1
 
 
+async def test_cut_stream_is_logged_with_its_cause(scene, caplog):
+    """A server that broke off looked like one that was left."""
+    caplog.set_level(logging.INFO)
+    scene.configure(lambda data, _: data['routes'][0].update(attempts=1))
+
+    async def crash():
+        scene.steps.breaks = True
+
+    scene.steps.actions['pause'] = crash
+    with pytest.raises(aiohttp.ClientPayloadError):
+        await scene.request('POST', '/draft/2f', 'r1')
+    assert _lines(caplog, 'r1')['started stream cut'].cause == (
+        calls.SERVER_BROKE_OFF
+    )
+    assert scene.metrics.counters['cut_streams_server_broke_off'] == 1
+
+
+async def test_request_of_a_cut_connection_is_logged(cluster, caplog):
+    """The log named the caller, although the gateway cut the connection."""
+    caplog.set_level(logging.INFO)
+    gateway = cluster.gateways[0]
+    for server in cluster.servers[2:]:
+        server.hangs = True
+    request = asyncio.ensure_future(
+        cluster.platform.call(gateway, 'POST', '/book/x', request_id='r1')
+    )
+    await waiting.until(lambda: gateway.dispatcher.runs)
+    for connection in list(gateway.intake._open):
+        connection.cut('max_connections')
+    with pytest.raises(aiohttp.ClientError):
+        await request
+    message = 'request cut with its connection'
+    await waiting.until(lambda: message in _lines(caplog, 'r1'))
+    assert _lines(caplog, 'r1')[message].cut_reason == 'max_connections'
+
+
 async def test_paused_servers_receive_no_stream(scene):
     """BUDGET: streams were sent to heads that had asked for a pause."""
     for server in scene.dispatcher.usable('model'):
