Show that a started stream is cut when its silent server is left too early

A caller's stream breaks off although its server is only silent for a second and goes on: the gateway closes the connection to it, and then all other servers refuse the stream as full servers do.

--- a/pimentowalk/platform/tests/changing.py
+++ b/pimentowalk/platform/tests/changing.py
@@ -66,6 +66,8 @@
         self.report_status = 200
         # Whether streams are answered with events.
         self.has_events = True
+        # How many requests were refused.
+        self.refusals = 0
 
     async def _report(self, request):
         if self.report_status is None:
@@ -76,6 +78,15 @@
 
     async def _serve(self, request):
         request_id = request.headers[names.REQUEST_ID]
+        if self.refuses:
+            self.refusals += 1
+            return web.Response(
+                status=503,
+                headers={
+                    names.REQUEST_ID: request_id,
+                    names.NOT_EXECUTED: '1',
+                },
+            )
         self.runs[request_id] += 1
         await request.read()
         await self.steps.reach('run')
--- a/pimentowalk/platform/tests/test_silent_streams.py
+++ b/pimentowalk/platform/tests/test_silent_streams.py
@@ -13,7 +13,7 @@
 ANSWER = changing.Answer(200, 'r1', test_document_changes.EVENTS)
 
 
-def _fall_silent(scene, *, reports, step='pause'):
+def _fall_silent(scene, *, reports, step='pause', others_refuse=False):
     """Let the server of a stream pause; its report says that it stalls.
 
     `reports` tells how its reports are answered meanwhile.
@@ -21,6 +21,8 @@
 
     async def pause():
         (running,) = [server for server in scene.servers if server.runs['r1']]
+        for server in scene.servers:
+            server.refuses = others_refuse and server is not running
         running.stalled = [{'id': 'r1', 'address': running.address}]
         running.report_status = reports
         await asyncio.sleep(SILENCE_S)
@@ -88,6 +90,17 @@
     assert scene.runs('r1') == 1
 
 
+@pytest.mark.parametrize('reports', [200, 503, None])
+async def test_silent_server_is_not_left_for_servers_that_refuse(
+    scene, reports
+):
+    """LOST: a stream was cut since all other servers were full."""
+    _fall_silent(scene, reports=reports, others_refuse=True)
+    assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
+    assert scene.runs('r1') == 1
+    assert sum(server.refusals for server in scene.servers) > 0
+
+
 async def test_silent_server_is_left_for_another_one(scene):
     """A pause makes an answer late if another server could have gone on."""
     _fall_silent(scene, reports=200)
