Show that a whole request is cut for a new connection

A caller gets no answer to a whole request that waits for the start of its gateway, or that was read behind another one of its connection: at the limit of connections, the gateway closes the connection as one without a whole request.

--- a/pimentowalk/platform/tests/standin.py
+++ b/pimentowalk/platform/tests/standin.py
@@ -19,7 +19,8 @@
 
     Faults are injected by attributes: `refuses` answers 503 without running
     the request, `break_after_events` aborts a stream after that many events,
-    `hangs` delays each answer by 60 s, `status` is the status of plain calls.
+    `hangs` delays each answer by 60 s, `released` until this event is set,
+    `status` is the status of plain calls.
     A server crashes when it begins to answer a prompt with `deadly_part`, or
     a plain call of `deadly_target`.
     `leaves` adds to each answer that the server leaves, without announcing
@@ -42,6 +43,7 @@
         self.refuses = False
         self.break_after_events = None
         self.hangs = False
+        self.released = None
         self.deadly_part = None
         self.deadly_target = None
         self.crashing = None
@@ -146,6 +148,8 @@
             return web.Response(status=421)
         if self.hangs:
             await asyncio.sleep(60)
+        if self.released is not None:
+            await self.released.wait()
         if self.refuses:
             headers[names.NOT_EXECUTED] = '1'
             if self.pause_text is not None:
--- /dev/null
+++ b/pimentowalk/platform/tests/test_connection_limit.py
@@ -0,0 +1,69 @@
+"""Test which connections make room for new ones."""
+
+import asyncio
+import contextlib
+
+import attrs
+import pytest
+
+from pimentowalk.platform.tests import test_intake
+from tools.tests import waiting
+
+REQUEST = (test_intake.HEAD % 'GET' + '\r\n').replace('/book/', '/look/')
+MAX_CONNECTIONS = 2
+
+
+def _limit_connections(gateway):
+    gateway.intake.settings = attrs.evolve(
+        gateway.intake.settings, max_connections=MAX_CONNECTIONS
+    )
+
+
+async def _connect_others(gateway, stack):
+    """Connect clients that send nothing, one more than there is room for."""
+    for _ in range(MAX_CONNECTIONS):
+        await stack.enter_async_context(test_intake.connect(gateway))
+        await asyncio.sleep(0.05)
+
+
+@contextlib.asynccontextmanager
+async def _waiting_request(gateway, servers, *, ahead):
+    """Send a whole request that waits for the start; yield its reader.
+
+    With `ahead`, it is read behind another request of its connection.
+    """
+    async with test_intake.connect(gateway) as (reader, writer):
+        if ahead:
+            released = asyncio.Event()
+            for server in servers:
+                server.released = released
+            writer.write(REQUEST.encode() * 2)
+            await waiting.until(lambda: gateway.dispatcher.runs)
+            gateway.node.has_view = False
+            released.set()
+            assert await test_intake.read_status(reader) == 200
+        else:
+            gateway.node.has_view = False
+            writer.write(REQUEST.encode())
+        await waiting.until(lambda: gateway.drain.active_count)
+        yield reader
+        gateway.node.has_view = True
+
+
+@pytest.mark.parametrize('ahead', [False, True])
+async def test_whole_request_is_not_cut_for_a_new_connection(cluster, ahead):
+    """LOST: a request that waited for the start got no answer.
+
+    Its connection was closed as one that had sent no whole request.
+    """
+    gateway = cluster.gateways[0]
+    _limit_connections(gateway)
+    servers = cluster.servers[2:]
+    async with (
+        contextlib.AsyncExitStack() as stack,
+        _waiting_request(gateway, servers, ahead=ahead) as reader,
+    ):
+        await _connect_others(gateway, stack)
+        assert gateway.intake.connection_count <= MAX_CONNECTIONS
+        gateway.node.has_view = True
+        assert await test_intake.read_status(reader) == 200
