Leave a silent server only once another one has sent an event

What callers saw: a started stream broke off although its server was sound and only silent for a second.

Cause: the gateway closed the connection to the silent server as soon as another path existed and the retry budget had granted a try. Neither promises room nor an answer. Where all other servers refused, as full ones do, the stream was lost. Class of fault: a step that cannot be undone is taken before its condition holds.

Change: the next try is opened beside the present one, which is left when the other server has sent an event that the caller does not have. Whichever goes on first is kept, and the other is closed. If the present server breaks off meanwhile, the open try becomes the present one without a further retry. A try that was closed for the present server counts as an attempt, since its server may have begun to execute; a refused one does not. A server that has crashed is left at once as before, since its memory on other servers is needed and nothing can be lost.

--- a/pimentowalk/dispatch/admitted_run.py
+++ b/pimentowalk/dispatch/admitted_run.py
@@ -44,6 +44,9 @@
 
     async def _select_target(self):
         """Choose a path, after the streams that already wait for capacity."""
+        if self._opening is not None:
+            self._target = self._opening.target
+            return
         if self._admission is None:
             self._begin_admission()
             if not self._responder.started:
--- a/pimentowalk/dispatch/call_run.py
+++ b/pimentowalk/dispatch/call_run.py
@@ -49,7 +49,7 @@
     async def run(self):
         """Try until a response is complete; raise PimentowalkError."""
         failure = None
-        while self._tries < self._max_tries():
+        while self._may_try():
             if self._tries and not await self._acquire_retry():
                 break
             if backoff_s := self._backoff_s():
@@ -61,8 +61,7 @@
                 break
             self._dispatcher.reject_if_barred(self._call)
             self._reject_if_late()
-            self._tries += 1
-            self._call.activity.begin_try()
+            self._count_try()
             try:
                 await self._try_target()
                 return
@@ -94,6 +93,15 @@
                 step='drain',
             )
 
+    def _may_try(self):
+        """Return whether the call may take another try."""
+        return self._tries < self._max_tries()
+
+    def _count_try(self):
+        """Count a try that is about to be sent."""
+        self._tries += 1
+        self._call.activity.begin_try()
+
     def _max_tries(self):
         """Return how many tries the call may take."""
         return MAX_TRIES
@@ -168,13 +176,16 @@
         return 1.0
 
     @contextlib.contextmanager
-    def _hold(self, response):
-        """Count the bytes that are held of a response, until the end."""
+    def _hold(self, response, peer=''):
+        """Count the bytes that are held of a response, until the end.
+
+        `peer` is its server, if that is not the present one.
+        """
         held = self._dispatcher.held_bytes
         holding = held_bytes.Holding(
             response.close,
             self._call.request_id,
-            self._target.backend.address,
+            peer or self._target.backend.address,
         )
         try:
             yield holding
--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -292,6 +292,10 @@
         """Report later that a run failed, if its server has crashed."""
         self._crash_reports.add(call, server, has_output=has_output)
 
+    def is_barred(self, call):
+        """Return whether a call may crash its server."""
+        return self.crashes.barred(call.traits) is not None
+
     def reject_if_barred(self, call):
         """Raise PimentowalkError for a call that may crash its server."""
         bar = self.crashes.barred(call.traits)
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -8,10 +8,10 @@
 from pimentowalk.dispatch import calls
 from pimentowalk.dispatch import events
 from pimentowalk.dispatch import pacing
+from pimentowalk.dispatch import takeover
 from pimentowalk.routing import pace_state
 
 FIRST_SERVER_ERROR_STATUS = 500
-FIRST_NON_SUCCESS_STATUS = 300
 # A client abandons a stream after 2 s without an event; until shortly before
 # that, a started stream is worth retries and waiting.
 RESUME_WAIT_S = 1.8
@@ -171,6 +171,8 @@
         return super()._wait_end_s()
 
     def _backoff_s(self):
+        if self._opening is not None:
+            return 0.0
         if self._responder.started:
             return RESUME_BACKOFF_S * self._refusals
         return super()._backoff_s()
@@ -193,15 +195,19 @@
 
     async def _run_try(self):
         dispatcher = self._dispatcher
+        self._adopted, self._opening = self._opening, None
         self.progress_s = dispatcher.timers.now_s()
         self._interruption = None
         self._recovery_task = None
         self._has_output = False
         self._has_event = False
-        dispatcher.in_flight.begin(self._target.server_ids, self._tokens)
-        self._probe = pacing.begin(
-            dispatcher.pace, self._service, self._call, self._target
-        )
+        if self._adopted is not None:
+            self._probe = self._adopted.probe
+        else:
+            dispatcher.in_flight.begin(self._target.server_ids, self._tokens)
+            self._probe = pacing.begin(
+                dispatcher.pace, self._service, self._call, self._target
+            )
         self._watch_path()
         began_s = self.progress_s
         self._record_begin()
@@ -226,6 +232,8 @@
             raise self._interruption from None
         finally:
             self._try_task.cancel()
+            if self._adopted is not None:
+                self._adopted.close()
             for task in (self._report_task, self._recovery_task):
                 if task is not None:
                     task.cancel()
@@ -242,12 +250,9 @@
 
     async def _pass_response(self):
         dispatcher = self._dispatcher
-        call = self._call
-        response = await dispatcher.transport.send(
-            call, self._target, self._remaining_ms(), self._events.last_id
-        )
+        response = await self._send()
         try:
-            is_success = response.status < FIRST_NON_SUCCESS_STATUS
+            is_success = response.status < takeover.FIRST_NON_SUCCESS_STATUS
             if not (is_success and self._has_events(response)):
                 await self._pass_whole(response)
                 return
@@ -276,9 +281,8 @@
         finally:
             response.close()
 
-    def _has_events(self, response):
-        """Return whether a successful response is a series of events."""
-        return True
+    def _last_event_id(self):
+        return self._events.last_id
 
     async def _pass_events(self, response, data):
         """Forward whole events; raise Broken for bytes that complete none.
@@ -306,6 +310,7 @@
         else:
             self._partial_since_s = None
         if whole:
+            self._drop_opening()
             if not self._has_event:
                 self._dispatcher.pace.end(self._probe, pace_state.ANSWERED)
             self._charge.events += events.count_events(whole)
@@ -342,20 +347,30 @@
             await self._send_body(response, body, holding)
 
     def _handle_failure(self, error):
-        dispatcher = self._dispatcher
-        target = self._target
-        dispatcher.log_failed_try(self._call, target, error)
-        culprit = error.culprit or target.backend.address
         if self._has_event:
             self._lost_try = calls.LostTry(
                 self._cause_of_end(error),
-                culprit,
-                dispatcher.timers.now_s() - self.progress_s,
+                error.culprit or self._target.backend.address,
+                self._dispatcher.timers.now_s() - self.progress_s,
             )
+        self._record_failure(
+            error,
+            self._target,
+            has_output=self._has_output,
+            has_event=self._has_event,
+        )
+
+    def _record_failure(
+        self, error, target, *, has_output=False, has_event=False
+    ):
+        """Record a failed try at a target, and exclude its server."""
+        dispatcher = self._dispatcher
+        dispatcher.log_failed_try(self._call, target, error)
+        culprit = error.culprit or target.backend.address
         is_refused = isinstance(error, calls.Refused)
         self._refusals += is_refused
-        if not is_refused:
-            self._count_uncertain_execution(error, culprit)
+        if not (is_refused or has_output):
+            self._count_uncertain_execution(error, target, culprit)
         for server in target.servers:
             if server.address == culprit:
                 is_paused = dispatcher.pauses.is_paused(server)
@@ -370,7 +385,7 @@
                     dispatcher.pace.record_refusal(server.server_id)
                 if not is_refused:
                     dispatcher.report_failed_run(
-                        self._call, server, has_output=self._has_event
+                        self._call, server, has_output=has_event
                     )
                 if calls.proves_server_down(error):
                     dispatcher.suspect(server, error.message, is_down=True)
@@ -386,16 +401,14 @@
             return calls.SERVER_LEFT
         return calls.SERVER_BROKE_OFF
 
-    def _count_uncertain_execution(self, error, culprit):
+    def _count_uncertain_execution(self, error, target, culprit):
         """Count an execution whose first event may have been lost.
 
         A reachable head that sent no event has not begun to execute. One
         that does not answer may be executing behind a slow link.
         """
-        if self._has_output:
-            return
         is_broken = isinstance(error, calls.Broken)
-        if is_broken or culprit == self._target.backend.address:
+        if is_broken or culprit == target.backend.address:
             self._executions += 1
             self._may_have_executed = True
         if not self._call.route.is_repeatable:
--- a/pimentowalk/dispatch/tests/fakes.py
+++ b/pimentowalk/dispatch/tests/fakes.py
@@ -60,6 +60,7 @@
         paused_ids=lambda _: frozenset(),
         has_pauses=False,
         reject_if_barred=lambda _: None,
+        is_barred=lambda _: False,
         report_failed_run=lambda *_, **__: None,
     )
 
--- a/pimentowalk/dispatch/transport.py
+++ b/pimentowalk/dispatch/transport.py
@@ -103,6 +103,29 @@
         """Close the connection, which cancels unfinished work."""
 
 
+class ReadAhead(Response):
+    """A response of which some bytes have been read already."""
+
+    def __init__(self, response, data):
+        self.status = response.status
+        self.headers = response.headers
+        self.load = response.load
+        self.is_event_stream = response.is_event_stream
+        self._response = response
+        self._data = data
+
+    async def read(self):
+        """Return the next chunk, empty at the end; raise Broken."""
+        if self._data:
+            data, self._data = self._data, b''
+            return data
+        return await self._response.read()
+
+    def close(self):
+        """Close the connection, which cancels unfinished work."""
+        self._response.close()
+
+
 class Transport(abc.ABC):
     """Send calls to backend servers.
 
--- a/pimentowalk/dispatch/watched_run.py
+++ b/pimentowalk/dispatch/watched_run.py
@@ -4,8 +4,8 @@
 import logging
 
 from pimentowalk.core import logs
-from pimentowalk.dispatch import call_run
 from pimentowalk.dispatch import calls
+from pimentowalk.dispatch import takeover
 from pimentowalk.routing import hops as routing_hops
 
 LOG = logging.getLogger(__name__)
@@ -31,7 +31,7 @@
 FAILED_SERVER_TIMEOUT_S = 0.06
 
 
-class WatchedRun(call_run.CallRun):
+class WatchedRun(takeover.TakeoverRun):
     """A call whose answer is streamed as events over a path of servers."""
 
     def __init__(self, dispatcher, call, service, responder):
@@ -40,7 +40,6 @@
         # The `pause_watch.PauseWatch` of a route that bounds its pauses.
         self.pauses = None
         self._seen_generation = None
-        self._tokens = call.prompt_tokens + call.expected_answer_tokens
         self._has_output = False
         self._try_task = None
         self._interruption = None
@@ -98,7 +97,7 @@
             return
         if not is_silent and not self._has_new_view():
             return
-        failed = self._failed_server()
+        failed = self._failed_server(self._target)
         if failed is not None and self._must_leave(failed, silent_s):
             self._recover(failed.address, 'a server of the path failed')
             return
@@ -152,10 +151,10 @@
         if self.pauses is not None:
             self.pauses.begin(self._target.hops, self._tokens)
 
-    def _failed_server(self):
+    def _failed_server(self, target):
         """Return a server that failed or unloaded its layers, or None."""
         table = self._dispatcher.node.backends
-        for hop in self._target.hops:
+        for hop in target.hops:
             server = hop.backend
             if table.has_failed(server):
                 return server
@@ -240,7 +239,15 @@
         # Another execution continues within 100 ms. Rerouting has to wait
         # until the stalled step is given up, but takes no attempt.
         is_head = address == head.address
-        may_interrupt = self._may_interrupt(is_head=is_head)
+        may_interrupt = False
+        if self._can_fail() or self._has_crashed(address):
+            may_interrupt = self._may_interrupt(is_head=is_head)
+        elif await self._take_over(address, reason, is_head=is_head):
+            if self._interruption is None:
+                # The present server has gone on.
+                self._excluded -= suspects
+                self._recovery_task = None
+            return
         if not (may_interrupt or is_head) and await self._reroute():
             return
         if may_interrupt or self._can_fail():
@@ -251,6 +258,15 @@
         self._excluded -= suspects
         await self._wait_for_events(address, reason)
 
+    def _has_crashed(self, address):
+        """Return whether the server of the path at an address is down."""
+        has_crashed = self._dispatcher.node.backends.has_crashed
+        return any(
+            has_crashed(server)
+            for server in self._target.servers
+            if server.address == address
+        )
+
     def _can_execute(self, *, is_head):
         """Return whether the route allows another execution.
 
@@ -267,8 +283,8 @@
     def _may_interrupt(self, *, is_head):
         """Return whether the current try should be given up.
 
-        A silent server may go on. A call whose failure loses an answer
-        leaves it only for another path, with a retry that is granted before.
+        A call whose failure loses an answer waits for another path and for
+        a retry, even if its server is down.
         """
         if self._can_fail():
             return is_head or self._can_execute(is_head=is_head)
--- a/pimentowalk/platform/tests/changing.py
+++ b/pimentowalk/platform/tests/changing.py
@@ -109,13 +109,14 @@
         await self.steps.reach('event')
         await response.write(b'data: x\n\n')
         await self.steps.reach('pause')
-        if self.steps.breaks:
-            self.steps.breaks = False
-            request.transport.abort()
-            return response
         last_id = int(request.headers.get(names.LAST_EVENT_ID, 0))
         for number in range(max(2, last_id + 1), EVENTS + 1):
+            if self.steps.breaks:
+                self.steps.breaks = False
+                request.transport.abort()
+                return response
             await response.write(f'id: {number}\ndata: x\n\n'.encode())
+            await self.steps.reach(f'after {number}')
         await response.write_eof()
         return response
 
