Keep the silent server of a new stream until another one answers

What callers saw: a new stream got 502 after about half a second although its server was sound, silent for a second, and about to send the first event. All other servers refused it, or no path or retry was left.

The gateway closed the connection as soon as the silence was noticed if the caller could repeat the request by itself.

Change: a new stream opens its next try beside the present one as a started stream does. An answer without events takes over once it is whole. Only a crashed server is left at once.

--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -11,7 +11,6 @@
 from pimentowalk.dispatch import takeover
 from pimentowalk.routing import pace_state
 
-FIRST_SERVER_ERROR_STATUS = 500
 # A client abandons a stream after 2 s without an event; until shortly before
 # that, a started stream is worth retries and waiting.
 RESUME_WAIT_S = 1.8
@@ -170,6 +169,11 @@
             return self._last_event_s + RESUME_WAIT_S
         return super()._wait_end_s()
 
+    def _opening_end_s(self):
+        if self._responder.started:
+            return self._wait_end_s()
+        return super()._opening_end_s()
+
     def _backoff_s(self):
         if self._opening is not None:
             return 0.0
@@ -339,9 +343,10 @@
         route = self._call.route
         can_retry = route.is_repeatable and self._executions < route.attempts
         if self._responder.started or (
-            response.status >= FIRST_SERVER_ERROR_STATUS and can_retry
+            response.status >= takeover.FIRST_SERVER_ERROR_STATUS and can_retry
         ):
             raise calls.Broken(f'status {response.status}', peer=address)
+        self._drop_opening()
         with self._hold(response) as holding:
             body = await self._read_body(response, holding)
             await self._send_body(response, body, holding)
--- a/pimentowalk/dispatch/takeover.py
+++ b/pimentowalk/dispatch/takeover.py
@@ -11,6 +11,7 @@
 from pimentowalk.routing import pace_state
 
 FIRST_NON_SUCCESS_STATUS = 300
+FIRST_SERVER_ERROR_STATUS = 500
 # The head of an opening without an event is asked this often which server has
 # stalled. Its first event takes longer than others, since the prompt is read.
 REPORT_INTERVAL_S = 0.25
@@ -127,7 +128,7 @@
         is_allowed = (
             self._can_execute(is_head=is_head)
             and self._may_try()
-            and dispatcher.timers.now_s() < self._wait_end_s()
+            and dispatcher.timers.now_s() < self._opening_end_s()
         )
         if not is_allowed or dispatcher.is_barred(self._call):
             return None
@@ -198,7 +199,7 @@
         limits = self._dispatcher.limits
         is_success = response.status < FIRST_NON_SUCCESS_STATUS
         if not (is_success and self._has_events(response)):
-            raise calls.Broken(f'status {response.status}', peer=peer)
+            return await self._read_whole(response, peer)
         found = events.EventFilter(
             self._last_event_id(), limits.event_bytes, limits.head_bytes
         )
@@ -219,6 +220,25 @@
             self._dispatcher.held_bytes.resize(holding, len(data))
         return transport.ReadAhead(response, data)
 
+    async def _read_whole(self, response, peer):
+        """Return a response without events, once its body is whole."""
+        is_error = response.status >= FIRST_SERVER_ERROR_STATUS
+        if is_error or self._responder.started:
+            raise calls.Broken(f'status {response.status}', peer=peer)
+        with self._hold(response, peer) as holding:
+            body = await transport.read_body(
+                response,
+                self._dispatcher.limits,
+                peer,
+                lambda size: self._dispatcher.held_bytes.resize(holding, size),
+            )
+            self._dispatcher.held_bytes.resize(holding, len(body))
+        return transport.ReadAhead(response, body)
+
+    def _opening_end_s(self):
+        """Return until when another server may be tried."""
+        return self._call.expires_at_s
+
     async def _send(self):
         """Return the response of the present try; raise TryFailed."""
         if self._adopted is not None:
--- a/pimentowalk/dispatch/watched_run.py
+++ b/pimentowalk/dispatch/watched_run.py
@@ -239,10 +239,11 @@
         # Another execution continues within 100 ms. Rerouting has to wait
         # until the stalled step is given up, but takes no attempt.
         is_head = address == head.address
-        may_interrupt = False
-        if self._can_fail() or self._has_crashed(address):
-            may_interrupt = self._may_interrupt(is_head=is_head)
-        elif await self._take_over(address, reason, is_head=is_head):
+        is_down = self._has_crashed(address)
+        may_interrupt = is_down and self._may_interrupt(is_head=is_head)
+        if not is_down and await self._take_over(
+            address, reason, is_head=is_head
+        ):
             if self._interruption is None:
                 # The present server has gone on.
                 self._excluded -= suspects
@@ -250,7 +251,7 @@
             return
         if not (may_interrupt or is_head) and await self._reroute():
             return
-        if may_interrupt or self._can_fail():
+        if may_interrupt or (is_down and self._can_fail()):
             self._interrupt(
                 calls.Stalled(reason, peer=head.address, culprit=address)
             )
--- a/pimentowalk/platform/tests/test_silent_streams.py
+++ b/pimentowalk/platform/tests/test_silent_streams.py
@@ -34,6 +34,15 @@
     data['routes'][0].update(changes)
 
 
+def _drain(scene, server):
+    announcement = server.announcement() | {'state': 'draining'}
+    scene.node.backends.apply(
+        announcements.decode(
+            server.server_id, json.dumps(announcement).encode()
+        )
+    )
+
+
 def _deny_retries(scene):
     scene.dispatcher.budget.take = lambda *_, **__: False
 
@@ -78,18 +87,30 @@
 @pytest.mark.parametrize('reports', [200, 503, None])
 async def test_silent_server_is_not_left_without_another_path(scene, reports):
     """LOST: a stream was cut when no other server held its layers."""
-    draining = scene.servers[1]
-    announcement = draining.announcement() | {'state': 'draining'}
-    scene.node.backends.apply(
-        announcements.decode(
-            draining.server_id, json.dumps(announcement).encode()
-        )
-    )
+    _drain(scene, scene.servers[1])
     _fall_silent(scene, reports=reports)
     assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
     assert scene.runs('r1') == 1
 
 
+@pytest.mark.parametrize('reports', [200, 503, None])
+@pytest.mark.parametrize('obstacle', ['refusals', 'no retry', 'no path'])
+async def test_new_stream_keeps_its_silent_server(scene, reports, obstacle):
+    """LOST: a new stream got 502 although its server was about to begin."""
+    if obstacle == 'no retry':
+        _deny_retries(scene)
+    if obstacle == 'no path':
+        _drain(scene, scene.servers[1])
+    _fall_silent(
+        scene,
+        reports=reports,
+        step='run',
+        others_refuse=obstacle == 'refusals',
+    )
+    assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
+    assert scene.runs('r1') == 1
+
+
 @pytest.mark.parametrize('reports', [200, 503, None])
 async def test_silent_server_is_not_left_for_servers_that_refuse(
     scene, reports
