Bound takeovers by the attempts of a route, and keep their state truthful

Two tries of a call may be executed beside each other, so that a route with one attempt opens none. A call whose present try was refused counted as unsent while its opening was under way, and could have been reported as not run by a planned stop. An opening that ends within an event has failed and takes nothing over. Found by reading; the test of a route with one attempt is new.

--- a/pimentowalk/dispatch/takeover.py
+++ b/pimentowalk/dispatch/takeover.py
@@ -85,6 +85,11 @@
         # An opening was counted when it was sent.
         if self._opening is None:
             super()._count_try()
+        self._call.activity.may_have_run = True
+
+    def _reject_if_late(self):
+        if self._opening is None:
+            super()._reject_if_late()
 
     def _may_retry(self, error):
         return self._opening is not None or super()._may_retry(error)
@@ -127,6 +132,8 @@
         dispatcher = self._dispatcher
         is_allowed = (
             self._can_execute(is_head=is_head)
+            # Both servers may execute the call.
+            and self._call.route.attempts > 1
             and self._may_try()
             and dispatcher.timers.now_s() < self._opening_end_s()
         )
@@ -216,6 +223,11 @@
                     break
                 if len(data) > limits.body_bytes:
                     raise calls.Broken('no event is new', peer=peer)
+            else:
+                if found.has_partial:
+                    raise calls.Broken(
+                        'the stream ended within an event', peer=peer
+                    )
             # The end of a response that has been cut is not its own.
             self._dispatcher.held_bytes.resize(holding, len(data))
         return transport.ReadAhead(response, data)
--- a/pimentowalk/platform/tests/test_takeovers.py
+++ b/pimentowalk/platform/tests/test_takeovers.py
@@ -115,3 +115,17 @@
         await _serve_while_silent(scene, 0.6, 3.0)
     assert scene.runs('r1') == 2
     _assert_nothing_held(scene)
+
+
+async def test_route_with_one_attempt_opens_no_second_try(scene):
+    """BUDGET: both servers would run a stream that may run at one."""
+    scene.configure(lambda data, _: data['routes'][0].update(attempts=1))
+
+    async def pause():
+        (running,) = [server for server in scene.servers if server.runs['r1']]
+        running.stalled = [{'id': 'r1', 'address': scene.servers[1].address}]
+        await asyncio.sleep(1.0)
+
+    scene.steps.actions['run'] = pause
+    assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
+    assert scene.runs('r1') == 1
