Move the opening of a second try out of the runs of streams

Calls that are no streams need it as well. `opening.py` has what does not depend on events: a try beside the present one, its successor's target, its attempt and its retry. `_read_body` names the server whose response is held, which may be that of an opening. No behaviour is changed.

The tests of dispatch, test_silent_streams.py, test_takeovers.py, test_failed_requests.py and test_plain_streams.py pass.

--- a/pimentowalk/dispatch/call_run.py
+++ b/pimentowalk/dispatch/call_run.py
@@ -202,7 +202,7 @@
         body = await transport.read_body(
             response,
             dispatcher.limits,
-            self._target.backend.address,
+            holding.peer,
             lambda size: dispatcher.held_bytes.resize(holding, size),
         )
         # The end of a response that has been cut must not pass for its own.
--- a/pimentowalk/dispatch/takeover.py
+++ b/pimentowalk/dispatch/takeover.py
@@ -1,14 +1,11 @@
 """Open a second try of a stream before its first one is left."""
 
-import asyncio
 import contextlib
 
-from pimentowalk.dispatch import call_run
 from pimentowalk.dispatch import calls
 from pimentowalk.dispatch import events
-from pimentowalk.dispatch import pacing
+from pimentowalk.dispatch import opening
 from pimentowalk.dispatch import transport
-from pimentowalk.routing import pace_state
 
 FIRST_NON_SUCCESS_STATUS = 300
 FIRST_SERVER_ERROR_STATUS = 500
@@ -17,146 +14,56 @@
 REPORT_INTERVAL_S = 0.25
 
 
-class Opening:
-    """A try that is awaited while another one is under way.
-
-    `task` returns the response once it has an event; `probe` is that of the
-    server's pace.
-    """
-
-    def __init__(self, target, probe, task):
-        self.target = target
-        self.probe = probe
-        self._task = task
-        task.add_done_callback(_consume_exception)
-
-    async def wait(self, timeout_s):
-        """Wait for the end of the task; return whether it has ended."""
-        done, _ = await asyncio.wait({self._task}, timeout=timeout_s)
-        return bool(done)
-
-    @property
-    def error(self):
-        """Return the exception of a task that has ended, or None."""
-        return self._task.exception()
-
-    async def response(self):
-        """Return the response; raise `calls.TryFailed`."""
-        return await self._task
-
-    def close(self):
-        """End the try, and close its connection."""
-        if not self._task.cancel() and not self._task.cancelled():
-            if self._task.exception() is None:
-                self._task.result().close()
-
-
-def _consume_exception(task):
-    """Retrieve the exception of a task that nobody awaits any more."""
-    if not task.cancelled():
-        task.exception()
-
-
-class TakeoverRun(call_run.CallRun):
-    """A call that keeps its present try until another one has an event.
-
-    A path and a granted retry promise neither room nor an answer, so that a
-    server that is only silent is not left for them.
-    """
+class TakeoverRun(opening.OpeningRun):
+    """A call that keeps its present try until another one has an event."""
 
     def __init__(self, dispatcher, call, service, responder):
         super().__init__(dispatcher, call, service, responder)
-        # A try beside the present one, and the opening that became that one.
-        self._opening = None
+        # The opening that became the present try.
         self._adopted = None
-        self._tokens = call.prompt_tokens + call.expected_answer_tokens
-
-    async def run(self):
-        """Try until a response is complete; raise PimentowalkError."""
-        try:
-            await super().run()
-        finally:
-            self._close_opening()
-
-    def _may_try(self):
-        return self._opening is not None or super()._may_try()
-
-    def _count_try(self):
-        # An opening was counted when it was sent.
-        if self._opening is None:
-            super()._count_try()
-        self._call.activity.may_have_run = True
-
-    def _reject_if_late(self):
-        if self._opening is None:
-            super()._reject_if_late()
-
-    def _may_retry(self, error):
-        return self._opening is not None or super()._may_retry(error)
-
-    async def _acquire_retry(self):
-        if self._opening is not None:
-            return True
-        return await super()._acquire_retry()
 
     async def _take_over(self, address, reason, *, is_head):
         """Leave a silent server once another one has sent an event.
 
         Returns whether the stream goes on, at either of them.
         """
-        target = self._choose_successor(is_head=is_head)
+        # Both servers may execute the call.
+        may_run_twice = self._call.route.attempts > 1
+        if not (may_run_twice and self._can_execute(is_head=is_head)):
+            return False
+        target = self._choose_successor()
         if target is None:
             return False
-        metrics = self._dispatcher.metrics
-        metrics.count('openings')
-        opening = self._open(target)
+        opened = self._open(target)
         stall = None
-        while stall is None and not await opening.wait(REPORT_INTERVAL_S):
-            stall = await self._find_stall(opening, is_head=is_head)
-        if self._opening is not opening:
+        while stall is None and not await opened.wait(REPORT_INTERVAL_S):
+            stall = await self._find_stall(opened, is_head=is_head)
+        if self._opening is not opened:
             return True
-        error = stall or opening.error
+        error = stall or opened.error
         if error is None:
-            metrics.count('takeovers')
+            self._dispatcher.metrics.count('takeovers')
             peer = self._target.backend.address
             self._interrupt(calls.Stalled(reason, peer=peer, culprit=address))
             return True
-        self._close_opening()
-        if not isinstance(error, calls.TryFailed):
-            raise error
-        self._record_failure(error, target)
+        self._give_up_opening(error)
         return False
 
-    def _choose_successor(self, *, is_head):
-        """Return a target that may be sent the call now, or None."""
-        dispatcher = self._dispatcher
-        is_allowed = (
-            self._can_execute(is_head=is_head)
-            # Both servers may execute the call.
-            and self._call.route.attempts > 1
-            and self._may_try()
-            and dispatcher.timers.now_s() < self._opening_end_s()
-        )
-        if not is_allowed or dispatcher.is_barred(self._call):
-            return None
-        target = self._choose()
-        return target if target is not None and self._take_retry() else None
-
-    async def _find_stall(self, opening, *, is_head):
+    async def _find_stall(self, opened, *, is_head):
         """Return why an opening is given up for yet another server, or None.
 
         A head that has sent nothing may have begun to execute, so that it is
         kept if it was the last attempt.
         """
         dispatcher = self._dispatcher
-        head = opening.target.backend
-        failed = self._failed_server(opening.target)
+        head = opened.target.backend
+        failed = self._failed_server(opened.target)
         address = failed.address if failed is not None else ''
         if not address:
             with contextlib.suppress(calls.TryFailed):
                 report = await dispatcher.checks.report(head)
                 address = report.stalled.get(self._call.request_id, '')
-        culprits = [s for s in opening.target.servers if s.address == address]
+        culprits = [s for s in opened.target.servers if s.address == address]
         if not culprits:
             return None
         if culprits[0] is head and not self._has_spare_execution(is_head):
@@ -171,27 +78,7 @@
         executions = self._executions + (is_head and not self._has_output)
         return executions + 1 < self._call.route.attempts
 
-    def _drop_opening(self):
-        """Keep the present server, which has sent an event first."""
-        if self._opening is not None:
-            self._dispatcher.metrics.count('dropped_openings')
-            # Its server may have begun to execute.
-            self._executions += 1
-            self._close_opening()
-
-    def _open(self, target):
-        """Send the call to a target, beside its present try."""
-        dispatcher = self._dispatcher
-        super()._count_try()
-        dispatcher.in_flight.begin(target.server_ids, self._tokens)
-        probe = pacing.begin(
-            dispatcher.pace, self._service, self._call, target
-        )
-        task = asyncio.ensure_future(self._await_event(target))
-        self._opening = Opening(target, probe, task)
-        return self._opening
-
-    async def _await_event(self, target):
+    async def _await_response(self, target):
         """Return the response of a target once it has an event."""
         response = await self._dispatcher.transport.send(
             self._call, target, self._remaining_ms(), self._last_event_id()
@@ -238,19 +125,9 @@
         if is_error or self._responder.started:
             raise calls.Broken(f'status {response.status}', peer=peer)
         with self._hold(response, peer) as holding:
-            body = await transport.read_body(
-                response,
-                self._dispatcher.limits,
-                peer,
-                lambda size: self._dispatcher.held_bytes.resize(holding, size),
-            )
-            self._dispatcher.held_bytes.resize(holding, len(body))
+            body = await self._read_body(response, holding)
         return transport.ReadAhead(response, body)
 
-    def _opening_end_s(self):
-        """Return until when another server may be tried."""
-        return self._call.expires_at_s
-
     async def _send(self):
         """Return the response of the present try; raise TryFailed."""
         if self._adopted is not None:
@@ -262,15 +139,6 @@
             self._last_event_id(),
         )
 
-    def _close_opening(self):
-        """End the opening, if there is one, and release what it holds."""
-        opening, self._opening = self._opening, None
-        if opening is not None:
-            opening.close()
-            dispatcher = self._dispatcher
-            dispatcher.in_flight.end(opening.target.server_ids, self._tokens)
-            dispatcher.pace.end(opening.probe, pace_state.ABANDONED)
-
     def _has_events(self, response):
         """Return whether a successful response is a series of events."""
         return True
