Show that a stream is cut if its call is barred while a try is opened

What callers saw: a stream breaks off although its second server has sent an event. Cause: the first server is left for that event, and then CallRun.run rejects the barred call before it adopts the try that was sent long before.

--- /dev/null
+++ b/pimentowalk/platform/tests/test_openings.py
@@ -0,0 +1,77 @@
+"""Test streams that are opened at a second server beside the first one."""
+
+import asyncio
+import types
+
+from aiohttp import web
+
+from pimentowalk.platform import names
+from pimentowalk.platform.tests import changing
+from pimentowalk.platform.tests import test_silent_streams
+
+ANSWER = test_silent_streams.ANSWER
+
+
+def _model_servers(scene):
+    return [s for s in scene.servers if s.service == 'model']
+
+
+def _blame(scene, culprit=None):
+    """Let the servers that run the stream report that it has stalled."""
+    for server in _model_servers(scene):
+        if server.runs['r1']:
+            address = (culprit or server).address
+            server.stalled = [{'id': 'r1', 'address': address}]
+
+
+async def _respond(request, headers):
+    """Begin a response of events."""
+    response = web.StreamResponse(
+        headers=headers | {'Content-Type': 'text/event-stream'}
+    )
+    await response.prepare(request)
+    return response
+
+
+async def _send_rest(request, headers):
+    """Answer with the events that the caller does not have."""
+    response = await _respond(request, headers)
+    last_id = int(request.headers.get(names.LAST_EVENT_ID, 0))
+    for number in range(last_id + 1, changing.EVENTS + 1):
+        await response.write(f'id: {number}\ndata: x\n\n'.encode())
+    await response.write_eof()
+    return response
+
+
+async def _request_while_silent(scene, stream, silence_s=1.0, step='pause'):
+    """Request a stream whose server falls silent for a while.
+
+    The other servers answer by `stream(request, headers)`.
+    """
+
+    async def pause():
+        _blame(scene)
+        for server in _model_servers(scene):
+            if not server.runs['r1']:
+                server._stream = stream
+        await asyncio.sleep(silence_s)
+
+    scene.steps.actions[step] = pause
+    return await scene.request('POST', '/draft/2f', 'r1')
+
+
+async def test_call_barred_after_its_opening_was_sent_is_not_cut(scene):
+    """LOST: a stream was cut although its second server had an event.
+
+    Its first server was left for that event, and the call was rejected as if
+    it were about to be sent.
+    """
+
+    async def bar(request, headers):
+        await asyncio.sleep(0.2)
+        scene.dispatcher.crashes.barred = lambda _: types.SimpleNamespace(
+            trait=1, crashes=3
+        )
+        return await _send_rest(request, headers)
+
+    assert await _request_while_silent(scene, bar) == ANSWER
