Show that "not run" is said of a stream that a server had begun

What callers saw: 503 not_run for a stream of which the second server had sent bytes; a caller may then run it again. Cause: TakeoverRun passes no has_output for an opening, so that StreamRun._count_uncertain_execution takes its head for one that has sent nothing if another server of the path is blamed. Nothing is counted, and a refusal by the first server resets may_have_run.

--- a/pimentowalk/platform/tests/test_openings.py
+++ b/pimentowalk/platform/tests/test_openings.py
@@ -1,10 +1,12 @@
 """Test streams that are opened at a second server beside the first one."""
 
 import asyncio
+import json
 import types
 
 from aiohttp import web
 
+from pimentowalk.platform import announcements
 from pimentowalk.platform import names
 from pimentowalk.platform.tests import changing
 from pimentowalk.platform.tests import test_silent_streams
@@ -75,3 +77,49 @@
         return await _send_rest(request, headers)
 
     assert await _request_while_silent(scene, bar) == ANSWER
+
+
+async def test_stalled_opening_that_has_begun_is_not_reported_as_not_run(
+    scene,
+):
+    """A caller was told "not run" of a stream that a server had begun."""
+    scene.servers.append(
+        changing.SteppedServer('model-3', 'model', scene.steps)
+    )
+    await scene.servers[-1].start()
+    first, head, tail = _model_servers(scene)
+
+    def announce(server, **changes):
+        announcement = server.announcement() | changes
+        scene.node.backends.apply(
+            announcements.decode(
+                server.server_id, json.dumps(announcement).encode()
+            )
+        )
+
+    async def begin(request, headers):
+        response = await _respond(request, headers)
+        await response.write(b'id: 1\n')
+        head.stalled = [{'id': 'r1', 'address': tail.address}]
+        await asyncio.sleep(3.0)
+        return response
+
+    async def refuse(request, headers):
+        return web.Response(
+            status=503, headers=headers | {names.NOT_EXECUTED: '1'}
+        )
+
+    async def pause():
+        head.layers, tail.layers = (0, 4), (4, 8)
+        for server in (head, tail):
+            announce(server, sequence=9)
+        first.stalled = [{'id': 'r1', 'address': first.address}]
+        await asyncio.sleep(1.0)
+
+    for server in (head, tail):
+        announce(server, state='draining', sequence=8)
+    first._stream, head._stream = refuse, begin
+    scene.steps.actions['run'] = pause
+    answer = await scene.request('POST', '/draft/2f', 'r1')
+    assert head.runs['r1'] == 1
+    assert answer.status == 502
