Show that an opening with an event is closed for an older report

What callers saw: a stream waits for its silent server, here for 3 s, although its second server has sent an event after 0.35 s. Cause: TakeoverRun._take_over prefers the stall that _find_stall returns to the end of the opening, which may have come while the report was awaited. The opening is closed, its server excluded and an attempt counted.

--- a/pimentowalk/platform/tests/test_openings.py
+++ b/pimentowalk/platform/tests/test_openings.py
@@ -123,3 +123,28 @@
     answer = await scene.request('POST', '/draft/2f', 'r1')
     assert head.runs['r1'] == 1
     assert answer.status == 502
+
+
+async def test_opening_with_an_event_is_not_closed_for_an_older_report(scene):
+    """LOST: a stream waited for its silent server although another served it.
+
+    A report that had been asked for before the event still named the server.
+    """
+    scene.configure(lambda data, _: data['routes'][0].update(attempts=3))
+    report = scene.dispatcher.checks.report
+
+    async def report_late(backend):
+        answer = await report(backend)
+        if not scene.metrics.counters['openings']:
+            return answer
+        await asyncio.sleep(0.2)
+        return types.SimpleNamespace(stalled={'r1': backend.address})
+
+    async def begin_late(request, headers):
+        await asyncio.sleep(0.35)
+        return await _send_rest(request, headers)
+
+    scene.dispatcher.checks.report = report_late
+    since_s = scene.timers.now_s()
+    assert await _request_while_silent(scene, begin_late, 3.0) == ANSWER
+    assert scene.timers.now_s() - since_s < 2.0
