--- a/pimentowalk/platform/tests/test_openings.py
+++ b/pimentowalk/platform/tests/test_openings.py
@@ -148,3 +148,34 @@
     since_s = scene.timers.now_s()
     assert await _request_while_silent(scene, begin_late, 3.0) == ANSWER
     assert scene.timers.now_s() - since_s < 2.0
+
+
+async def test_opening_at_a_failed_server_without_engine_is_given_up(scene):
+    """LOST: a stream waited for two failed servers beside a free one."""
+    scene.servers.append(changing.SteppedServer('jobs-3', 'jobs', scene.steps))
+    await scene.servers[-1].start()
+    scene.announce()
+    scene.configure(
+        lambda data, _: data['routes'][0].update(service='jobs', attempts=3)
+    )
+
+    def suspect():
+        for server in scene.servers:
+            if server.runs['r1']:
+                scene.dispatcher.suspect(
+                    scene.node.backends.get(server.server_id), 'timeout'
+                )
+
+    async def pause_second():
+        suspect()
+        await asyncio.sleep(3.0)
+
+    async def pause():
+        scene.steps.actions['run'] = pause_second
+        suspect()
+        await asyncio.sleep(3.0)
+
+    scene.steps.actions['pause'] = pause
+    since_s = scene.timers.now_s()
+    assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
+    assert scene.timers.now_s() - since_s < 2.0
