Show that a try leaks after an exception in the recovery

What operators would see: a server that looks busy for ever, and a connection to it that nobody closes. Cause: if _find_stall raises an unforeseen exception, _repeat_if_it_fails allows the recovery again, but the opening stays. The next _take_over opens another one, since _may_try is true while there is an opening, and overwrites the first.

--- a/pimentowalk/platform/tests/test_openings.py
+++ b/pimentowalk/platform/tests/test_openings.py
@@ -179,3 +179,27 @@
     since_s = scene.timers.now_s()
     assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
     assert scene.timers.now_s() - since_s < 2.0
+
+
+async def test_failed_report_of_an_opening_leaks_no_try(scene):
+    """A server looked busy for ever after an exception in the recovery."""
+    scene.configure(lambda data, _: data['routes'][0].update(attempts=4))
+    report = scene.dispatcher.checks.report
+    failures = iter([RuntimeError('the report is malformed')])
+
+    async def fail_once(backend):
+        if scene.metrics.counters['openings']:
+            for failure in failures:
+                raise failure
+        return await report(backend)
+
+    async def wait(request, headers):
+        await asyncio.sleep(1.5)
+        return await _send_rest(request, headers)
+
+    scene.dispatcher.checks.report = fail_once
+    assert await _request_while_silent(scene, wait, 2.5) == ANSWER
+    assert not any(
+        scene.dispatcher.in_flight.requests(server.server_id)
+        for server in scene.servers
+    )
