Show that a refused opening takes an attempt

What callers saw: a stream with two attempts breaks off with its first server although the second one has only refused it. Cause: _drop_opening counts an execution whatever has become of the opening. It may have ended with a refusal, or not have been sent yet, which is noticed only after the report that is awaited.

--- a/pimentowalk/platform/tests/test_openings.py
+++ b/pimentowalk/platform/tests/test_openings.py
@@ -203,3 +203,31 @@
         scene.dispatcher.in_flight.requests(server.server_id)
         for server in scene.servers
     )
+
+
+async def test_refused_opening_takes_no_attempt(scene):
+    """LOST: a stream was cut for an attempt that its server had refused."""
+    report = scene.dispatcher.checks.report
+    send = _send_rest
+
+    async def report_late(backend):
+        answer = await report(backend)
+        if scene.metrics.counters['openings']:
+            await asyncio.sleep(0.3)
+        return answer
+
+    async def refuse_once(request, headers):
+        if scene.metrics.counters['dropped_openings']:
+            return await send(request, headers)
+        await asyncio.sleep(0.35)
+        return web.Response(
+            status=503, headers=headers | {names.NOT_EXECUTED: '1'}
+        )
+
+    async def break_off():
+        scene.steps.breaks = True
+        await asyncio.sleep(0.8)
+
+    scene.dispatcher.checks.report = report_late
+    scene.steps.actions['after 2'] = break_off
+    assert await _request_while_silent(scene, refuse_once, 0.6) == ANSWER
