Show that a comment takes a stream over

What callers saw: a started stream breaks off, or a new one gets 502, although its server is only silent for a second. Cause: EventFilter.feed returns comments as whole events. TakeoverRun._read_event takes one for an event that the caller does not have; in the same way, a comment of the first server drops the opening.

--- a/pimentowalk/platform/tests/test_openings.py
+++ b/pimentowalk/platform/tests/test_openings.py
@@ -5,6 +5,7 @@
 import types
 
 from aiohttp import web
+import pytest
 
 from pimentowalk.platform import announcements
 from pimentowalk.platform import names
@@ -231,3 +232,17 @@
     scene.dispatcher.checks.report = report_late
     scene.steps.actions['after 2'] = break_off
     assert await _request_while_silent(scene, refuse_once, 0.6) == ANSWER
+
+
+@pytest.mark.parametrize('step', ['pause', 'run'])
+async def test_comment_does_not_take_a_stream_over(scene, step):
+    """LOST: a sound server was left for one that sent a comment and broke."""
+
+    async def break_off(request, headers):
+        response = await _respond(request, headers)
+        await response.write(b': comment\n\n')
+        await asyncio.sleep(0.05)
+        request.transport.abort()
+        return response
+
+    assert await _request_while_silent(scene, break_off, step=step) == ANSWER
