Show that an empty response takes a stream over

What callers saw: a stream ends after its first event, or without any, and looks whole, although its first server is about to go on. Cause: _read_event returns a response that ends without a new event as one that takes over. An empty response is a proof of the end only if the first server has gone.

--- a/pimentowalk/platform/tests/test_openings.py
+++ b/pimentowalk/platform/tests/test_openings.py
@@ -246,3 +246,17 @@
         return response
 
     assert await _request_while_silent(scene, break_off, step=step) == ANSWER
+
+
+@pytest.mark.parametrize('step', ['pause', 'run'])
+async def test_response_without_events_does_not_take_a_stream_over(
+    scene, step
+):
+    """LOST: an answer ended early, as if whole, at an empty response."""
+
+    async def end_at_once(request, headers):
+        response = await _respond(request, headers)
+        await response.write_eof()
+        return response
+
+    assert await _request_while_silent(scene, end_at_once, step=step) == ANSWER
