Show that a stream runs at more servers than its attempts

What operators would see: BUDGET. A first server breaks off, a second one is silent before its first event, a server that is not its head is blamed, and a third one is opened: the second goes on while the third runs. Cause: _can_execute counts a present try without output only if its head is to be left. That was right when it was closed; now it goes on beside the opening. The check of attempts > 1 in _choose_successor covers only the first try.

--- a/pimentowalk/platform/tests/test_openings.py
+++ b/pimentowalk/platform/tests/test_openings.py
@@ -260,3 +260,29 @@
         return response
 
     assert await _request_while_silent(scene, end_at_once, step=step) == ANSWER
+
+
+async def test_stream_runs_at_no_more_servers_than_attempts(scene):
+    """BUDGET: three servers ran a stream with two attempts."""
+    scene.servers.append(
+        changing.SteppedServer('model-3', 'model', scene.steps)
+    )
+    await scene.servers[-1].start()
+    scene.announce()
+    foreign = scene.servers[2]
+
+    async def pause_third():
+        await asyncio.sleep(3.0)
+
+    async def pause_second():
+        _blame(scene, culprit=foreign)
+        scene.steps.actions['run'] = pause_third
+        await asyncio.sleep(0.8)
+
+    async def break_off():
+        scene.steps.breaks = True
+        scene.steps.actions['run'] = pause_second
+
+    scene.steps.actions['pause'] = break_off
+    assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
+    assert scene.runs('r1') <= 2
