Show that answered connections can shut new clients out

What callers saw: at the limit of connections, new ones are reset although all others are idle. Cause: ClientConnection counts a request until Front._handle has ended. A request that aiohttp answers by itself, such as "OPTIONS *", never gets there, so that its connection has a whole request for ever and Intake drops it from the list of those that can be closed; its reserved bytes stay as well. The test fails, and holds on.

--- a/pimentowalk/platform/tests/test_connection_limit.py
+++ b/pimentowalk/platform/tests/test_connection_limit.py
@@ -107,3 +107,21 @@
     assert limit.admit(others[1])
     assert whole.is_cut
     assert not unsent.is_cut
+
+
+async def test_answered_connection_outside_the_routes_makes_room(cluster):
+    """A few clients that sent `OPTIONS *` shut all new ones out."""
+    gateway = cluster.gateways[0]
+    _limit_connections(gateway)
+    async with contextlib.AsyncExitStack() as stack:
+        for _ in range(MAX_CONNECTIONS):
+            reader, writer = await stack.enter_async_context(
+                test_intake.connect(gateway)
+            )
+            writer.write(b'OPTIONS * HTTP/1.1\r\nHost: a.example\r\n\r\n')
+            assert await test_intake.read_status(reader) == 404
+        reader, writer = await stack.enter_async_context(
+            test_intake.connect(gateway)
+        )
+        writer.write(REQUEST.encode())
+        assert await test_intake.read_status(reader) == 200
