Show that a later header section cuts a request in progress

What callers saw: a whole request gets no answer because a later one of its connection has a header section that is too long and not whole. Cause: ClientConnection._refuse aborts the connection if it cannot write the refusal at once; a whole header section of that length, or a lack of bytes, sets `refusal` instead, and the connection is closed after the earlier responses.

--- a/pimentowalk/platform/tests/test_intake.py
+++ b/pimentowalk/platform/tests/test_intake.py
@@ -90,6 +90,23 @@
         assert [await read_status(reader) for _ in range(6)] == [200] * 6
 
 
+async def test_header_that_is_too_long_cuts_no_earlier_request(cluster):
+    """LOST: a whole request got no answer because of the next one."""
+    gateway = cluster.gateways[0]
+    released = asyncio.Event()
+    for server in cluster.servers[2:]:
+        server.released = released
+    async with connect(gateway) as (reader, writer):
+        writer.write(
+            (HEAD % 'GET' + '\r\n').replace('/book/', '/look/').encode()
+        )
+        await waiting.until(lambda: gateway.dispatcher.runs)
+        writer.write((POST + ('X: ' + 'b' * 7000 + '\r\n') * 20).encode())
+        await asyncio.sleep(0.1)
+        released.set()
+        assert await read_status(reader) == 200
+
+
 async def test_readiness_is_answered_without_the_body(cluster):
     """Bodies on this address would be read before anybody checks them."""
     address = cluster.gateways[0].settings.ready
