Do not reject a call whose next try has been sent already

What callers saw: a stream broke off although its second server had sent an event.

Cause: the first server was left for that event, and the call was then rejected as barred, as if the second try were still to be sent.

Change: a call is checked before a try is sent, and not again when an opening becomes the present try.

--- a/pimentowalk/dispatch/call_run.py
+++ b/pimentowalk/dispatch/call_run.py
@@ -59,8 +59,7 @@
                 await self._wait_for_target()
             if self._target is None or self._has_expired():
                 break
-            self._dispatcher.reject_if_barred(self._call)
-            self._reject_if_late()
+            self._reject_unsent()
             self._count_try()
             try:
                 await self._try_target()
@@ -78,6 +77,11 @@
         """Return whether a response would be of no use any more."""
         return self._dispatcher.timers.now_s() >= self._call.expires_at_s
 
+    def _reject_unsent(self):
+        """Raise PimentowalkError if the next try must not be sent."""
+        self._dispatcher.reject_if_barred(self._call)
+        self._reject_if_late()
+
     def _reject_if_late(self):
         """Raise PimentowalkError if the stop would cut the response.
 
--- a/pimentowalk/dispatch/opening.py
+++ b/pimentowalk/dispatch/opening.py
@@ -87,9 +87,10 @@
             super()._count_try()
         self._call.activity.may_have_run = True
 
-    def _reject_if_late(self):
+    def _reject_unsent(self):
+        # An opening has been sent already.
         if self._opening is None:
-            super()._reject_if_late()
+            super()._reject_unsent()
 
     def _may_retry(self, error):
         return self._opening is not None or super()._may_retry(error)
