Count an opening whose server has begun to answer

What callers saw: 503 not_run for a stream of which a server had sent bytes, so that a caller might run it again.

Cause: a failed opening was recorded as one that had sent nothing. Where another server of its path was to blame, no execution was counted.

Change: an opening records whether its server has sent a part of a body, and then counts as an execution.

test_stalled_opening_that_has_begun_is_not_reported_as_not_run failed before.

--- a/pimentowalk/dispatch/opening.py
+++ b/pimentowalk/dispatch/opening.py
@@ -12,14 +12,20 @@
 class Opening:
     """A try whose response is awaited by a task.
 
-    `probe` is that of the server's pace.
+    `probe` is that of the server's pace, `has_output` tells whether the server
+    has sent a part of its body.
     """
 
-    def __init__(self, target, probe, task):
+    def __init__(self, target, probe):
         self.target = target
         self.probe = probe
-        self._task = task
-        task.add_done_callback(_consume_exception)
+        self.has_output = False
+        self._task = None
+
+    def begin(self, coroutine):
+        """Run the coroutine that returns the response."""
+        self._task = asyncio.ensure_future(coroutine)
+        self._task.add_done_callback(_consume_exception)
 
     async def wait(self, timeout_s, *others):
         """Wait until this try or another one ends; return if this one has."""
@@ -135,8 +141,9 @@
         probe = pacing.begin(
             dispatcher.pace, self._service, self._call, target
         )
-        task = asyncio.ensure_future(self._await_response(target))
-        return Opening(target, probe, task)
+        opening = Opening(target, probe)
+        opening.begin(self._await_response(opening))
+        return opening
 
     def _end(self, opening):
         """End a try, and release what it holds."""
@@ -161,19 +168,22 @@
 
     def _give_up_opening(self, error):
         """Record that the opening has failed; the present try goes on."""
-        target = self._opening.target
+        opening = self._opening
         self._close_opening()
         if not isinstance(error, calls.TryFailed):
             raise error
-        self._record_failure(error, target)
+        self._executions += opening.has_output
+        self._record_failure(
+            error, opening.target, has_output=opening.has_output
+        )
 
     @abc.abstractmethod
-    async def _await_response(self, target):
+    async def _await_response(self, opening):
         """Send the call to a target; return a response that may take over.
 
         Raises `calls.TryFailed`.
         """
 
     @abc.abstractmethod
-    def _record_failure(self, error, target):
+    def _record_failure(self, error, target, *, has_output=False):
         """Record a failed try at a target, and exclude its server."""
--- a/pimentowalk/dispatch/takeover.py
+++ b/pimentowalk/dispatch/takeover.py
@@ -78,19 +78,23 @@
         executions = self._executions + (is_head and not self._has_output)
         return executions + 1 < self._call.route.attempts
 
-    async def _await_response(self, target):
+    async def _await_response(self, opening):
         """Return the response of a target once it has an event."""
         response = await self._dispatcher.transport.send(
-            self._call, target, self._remaining_ms(), self._last_event_id()
+            self._call,
+            opening.target,
+            self._remaining_ms(),
+            self._last_event_id(),
         )
         try:
-            return await self._read_event(response, target.backend.address)
+            return await self._read_event(response, opening)
         except BaseException:
             response.close()
             raise
 
-    async def _read_event(self, response, peer):
+    async def _read_event(self, response, opening):
         limits = self._dispatcher.limits
+        peer = opening.target.backend.address
         is_success = response.status < FIRST_NON_SUCCESS_STATUS
         if not (is_success and self._has_events(response)):
             return await self._read_whole(response, peer)
@@ -100,6 +104,7 @@
         data = b''
         with self._hold(response, peer) as holding:
             while chunk := await response.read():
+                opening.has_output = True
                 data += chunk
                 self._dispatcher.held_bytes.resize(holding, len(data))
                 try:
