Prefer the event of an opening to an older report

What callers saw: a stream waited for its silent server although another one had sent an event.

Cause: a report that was requested before the event named the path as stalled, and the opening was closed for it.

Change: the end of an opening decides; a report counts only while it is awaited.

test_opening_with_an_event_is_not_closed_for_an_older_report failed before.

--- a/pimentowalk/dispatch/takeover.py
+++ b/pimentowalk/dispatch/takeover.py
@@ -40,7 +40,8 @@
             stall = await self._find_stall(opened, is_head=is_head)
         if self._opening is not opened:
             return True
-        error = stall or opened.error
+        # Its event may have come while a report was awaited.
+        error = opened.error if opened.has_ended else stall
         if error is None:
             self._dispatcher.metrics.count('takeovers')
             peer = self._target.backend.address
