Give up an opening at a failed server of a service without engine

What callers saw: a stream waited for two servers that were known to have failed, while a third one was free.

Cause: failed servers were looked for among the hops of a path, and the target of a service without engine has none.

Change: such a target is its only server.

test_opening_at_a_failed_server_without_engine_is_given_up failed before.

--- a/pimentowalk/dispatch/plain_stream.py
+++ b/pimentowalk/dispatch/plain_stream.py
@@ -22,6 +22,10 @@
         )
         return calls.Target(backend) if backend else None
 
+    def _failed_server(self, target):
+        has_failed = self._dispatcher.node.backends.has_failed
+        return target.backend if has_failed(target.backend) else None
+
     def _has_successor(self):
         return self._choose() is not None
 
