Close an opening if its watch fails unexpectedly

What operators saw: a server looked busy for ever, and nobody closed a connection to it.

Cause: after an unexpected exception the recovery is allowed again, but the opening stayed, and the next one replaced it.

Change: the opening is closed before the exception is logged.

test_failed_report_of_an_opening_leaks_no_try failed before.

--- a/pimentowalk/dispatch/takeover.py
+++ b/pimentowalk/dispatch/takeover.py
@@ -35,9 +35,11 @@
         if target is None:
             return False
         opened = self._open(target)
-        stall = None
-        while stall is None and not await opened.wait(REPORT_INTERVAL_S):
-            stall = await self._find_stall(opened, is_head=is_head)
+        try:
+            stall = await self._await_end(opened)
+        except Exception:
+            self._close_opening()
+            raise
         if self._opening is not opened:
             return True
         # Its event may have come while a report was awaited.
@@ -50,7 +52,14 @@
         self._give_up_opening(error)
         return False
 
-    async def _find_stall(self, opened, *, is_head):
+    async def _await_end(self, opened):
+        """Wait until an opening has ended; return why it has stalled."""
+        stall = None
+        while stall is None and not await opened.wait(REPORT_INTERVAL_S):
+            stall = await self._find_stall(opened)
+        return stall
+
+    async def _find_stall(self, opened):
         """Return why an opening is given up for yet another server, or None.
 
         A head that has sent nothing may have begun to execute, so that it is
@@ -67,17 +76,23 @@
         culprits = [s for s in opened.target.servers if s.address == address]
         if not culprits:
             return None
-        if culprits[0] is head and not self._has_spare_execution(is_head):
+        if culprits[0] is head and not self._may_run_beside(opened):
             return None
         dispatcher.checks.check_blamed(culprits[0])
         return calls.Stalled(
             'the path has stalled', peer=head.address, culprit=address
         )
 
-    def _has_spare_execution(self, is_head):
-        """Return whether the route allows an attempt beyond the opening."""
-        executions = self._executions + (is_head and not self._has_output)
-        return executions + 1 < self._call.route.attempts
+    def _may_run_beside(self, opened=None):
+        """Return whether the route allows one more attempt.
+
+        The present try goes on, and may be executed even if it has sent
+        nothing so far. So may an opening.
+        """
+        route = self._call.route
+        executions = self._executions + (not self._has_output)
+        executions += opened is not None
+        return route.is_repeatable and executions < route.attempts
 
     async def _await_response(self, opening):
         """Return the response of a target once it has an event."""
