Count the present try of a stream before another one is opened

What operators saw: three servers ran a stream with two attempts.

Cause: a present try that has sent nothing was counted only if its first server was to be left. That was right while it was closed; now it goes on beside the opening and may be executed.

Change: the present try and the opening both count. Where the attempts do not allow both, a try that has sent nothing behind a failed server is left first, as before.

test_stream_runs_at_no_more_servers_than_attempts failed before.

--- a/pimentowalk/dispatch/takeover.py
+++ b/pimentowalk/dispatch/takeover.py
@@ -22,16 +22,12 @@
         # The opening that became the present try.
         self._adopted = None
 
-    async def _take_over(self, address, reason, *, is_head):
+    async def _take_over(self, address, reason):
         """Leave a silent server once another one has sent an event.
 
         Returns whether the stream goes on, at either of them.
         """
-        # Both servers may execute the call.
-        may_run_twice = self._call.route.attempts > 1
-        if not (may_run_twice and self._can_execute(is_head=is_head)):
-            return False
-        target = self._choose_successor()
+        target = self._choose_successor() if self._may_run_beside() else None
         if target is None:
             return False
         opened = self._open(target)
--- a/pimentowalk/dispatch/watched_run.py
+++ b/pimentowalk/dispatch/watched_run.py
@@ -239,11 +239,9 @@
         # Another execution continues within 100 ms. Rerouting has to wait
         # until the stalled step is given up, but takes no attempt.
         is_head = address == head.address
-        is_down = self._has_crashed(address)
-        may_interrupt = is_down and self._may_interrupt(is_head=is_head)
-        if not is_down and await self._take_over(
-            address, reason, is_head=is_head
-        ):
+        must_leave = self._is_lost(address, is_head=is_head)
+        may_interrupt = must_leave and self._may_interrupt(is_head=is_head)
+        if not must_leave and await self._take_over(address, reason):
             if self._interruption is None:
                 # The present server has gone on.
                 self._excluded -= suspects
@@ -251,7 +249,7 @@
             return
         if not (may_interrupt or is_head) and await self._reroute():
             return
-        if may_interrupt or (is_down and self._can_fail()):
+        if may_interrupt or (must_leave and self._can_fail()):
             self._interrupt(
                 calls.Stalled(reason, peer=head.address, culprit=address)
             )
@@ -259,14 +257,18 @@
         self._excluded -= suspects
         await self._wait_for_events(address, reason)
 
-    def _has_crashed(self, address):
-        """Return whether the server of the path at an address is down."""
-        has_crashed = self._dispatcher.node.backends.has_crashed
-        return any(
-            has_crashed(server)
-            for server in self._target.servers
-            if server.address == address
-        )
+    def _is_lost(self, address, *, is_head):
+        """Return whether the present try is left before another one answers.
+
+        It cannot go on if a server has crashed. Behind a failed server it has
+        not begun if it has sent nothing, so that closing it saves an attempt.
+        """
+        table = self._dispatcher.node.backends
+        servers = [s for s in self._target.servers if s.address == address]
+        if any(table.has_crashed(server) for server in servers):
+            return True
+        has_begun = self._has_output or is_head or self._may_run_beside()
+        return not has_begun and any(map(table.has_failed, servers))
 
     def _can_execute(self, *, is_head):
         """Return whether the route allows another execution.
