Count no attempt for an opening that was refused

What callers saw: a stream with two attempts broke off with its first server although the second one had only refused it.

Cause: an opening counted as an execution when the first server went on, whatever had become of it.

Change: it counts unless its server has refused it.

test_refused_opening_takes_no_attempt failed before.

--- a/pimentowalk/dispatch/opening.py
+++ b/pimentowalk/dispatch/opening.py
@@ -46,6 +46,13 @@
         """Return the exception of a task that has ended, or None."""
         return self._task.exception()
 
+    @property
+    def may_have_executed(self):
+        """Return whether the server has not refused the call."""
+        return not (
+            self._task.done() and isinstance(self.error, calls.Refused)
+        )
+
     async def response(self):
         """Return the response; raise `calls.TryFailed`."""
         return await self._task
@@ -156,8 +163,7 @@
         """Keep the present server, which has gone on first."""
         if self._opening is not None:
             self._dispatcher.metrics.count('dropped_openings')
-            # Its server may have begun to execute.
-            self._executions += 1
+            self._executions += self._opening.may_have_executed
             self._close_opening()
 
     def _close_opening(self):
