Let no comment take a stream over

What callers saw: a sound silent server was left for one that sent a comment and broke off. The stream was cut, or got 502.

Cause: comments of a stream of events counted as events. A comment of the present server also closed the opening and used up an attempt.

Change: only an event with a field decides which server goes on.

--- a/pimentowalk/dispatch/events.py
+++ b/pimentowalk/dispatch/events.py
@@ -77,7 +77,7 @@
         return self._without_duplicates(whole)
 
     def _count_comments(self, whole):
-        if CONTENT_LINE.search(whole):
+        if has_event(whole):
             self._comment_bytes = 0
             return
         self._comment_bytes += len(whole)
@@ -96,6 +96,15 @@
         return b''.join(kept)
 
 
+def has_event(whole):
+    """Return whether one of some whole events is no comment.
+
+    >>> has_event(b': still there\\n\\n')
+    False
+    """
+    return CONTENT_LINE.search(whole) is not None
+
+
 def count_events(whole):
     """Return the number of events, or comments, in whole ones.
 
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -314,7 +314,8 @@
         else:
             self._partial_since_s = None
         if whole:
-            self._drop_opening()
+            if events.has_event(whole):
+                self._drop_opening()
             if not self._has_event:
                 self._dispatcher.pace.end(self._probe, pace_state.ANSWERED)
             self._charge.events += events.count_events(whole)
--- a/pimentowalk/dispatch/takeover.py
+++ b/pimentowalk/dispatch/takeover.py
@@ -123,7 +123,7 @@
                     whole = found.feed(chunk)
                 except ValueError as error:
                     raise calls.Broken(str(error), peer=peer) from None
-                if whole:
+                if events.has_event(whole):
                     break
                 if len(data) > limits.body_bytes:
                     raise calls.Broken('no event is new', peer=peer)
