Let no response without events take a stream over

What callers saw: an answer ended early, as if it were whole, because the second server had answered with an empty stream of events.

Cause: the end of a stream counted as an answer of an opening.

Change: an opening that ends without an event has failed, and the present server is kept.

Both cases of test_response_without_events_does_not_take_a_stream_over failed before.

--- a/pimentowalk/dispatch/takeover.py
+++ b/pimentowalk/dispatch/takeover.py
@@ -128,10 +128,9 @@
                 if len(data) > limits.body_bytes:
                     raise calls.Broken('no event is new', peer=peer)
             else:
-                if found.has_partial:
-                    raise calls.Broken(
-                        'the stream ended within an event', peer=peer
-                    )
+                raise calls.Broken(
+                    'the stream ended without an event', peer=peer
+                )
             # The end of a response that has been cut is not its own.
             self._dispatcher.held_bytes.resize(holding, len(data))
         return transport.ReadAhead(response, data)
