Let the second try of a new stream wait for its turn

What callers saw: a new stream at a silent server was opened at another one before streams that already waited for capacity there.

Cause: an opening chose its path without asking the admission queue.

Change: a new stream opens no second try while others must go first. It keeps its server meanwhile.

test_opening_of_a_new_stream_waits_for_its_turn failed before.

--- a/pimentowalk/dispatch/admitted_run.py
+++ b/pimentowalk/dispatch/admitted_run.py
@@ -42,6 +42,12 @@
     def _admission_times_s(self):
         """Return when a new stream is overdue, and until when it waits."""
 
+    def _choose_successor(self):
+        queue, priority = self._admission.queue, self._call.priority
+        if not self._responder.started and queue.must_wait(priority):
+            return None
+        return super()._choose_successor()
+
     async def _select_target(self):
         """Choose a path, after the streams that already wait for capacity."""
         if self._opening is not None:
--- a/pimentowalk/platform/tests/test_openings.py
+++ b/pimentowalk/platform/tests/test_openings.py
@@ -182,6 +182,15 @@
     assert scene.timers.now_s() - since_s < 2.0
 
 
+async def test_opening_of_a_new_stream_waits_for_its_turn(scene):
+    """A second try went before streams that already waited for capacity."""
+    queue = scene.dispatcher.admission.of_service('model')
+    queue.must_wait = lambda priority: scene.runs('r1') > 0
+    answer = await _request_while_silent(scene, _send_rest, step='run')
+    assert answer == ANSWER
+    assert scene.metrics.counters['openings'] == 0
+
+
 async def test_failed_report_of_an_opening_leaks_no_try(scene):
     """A server looked busy for ever after an exception in the recovery."""
     scene.configure(lambda data, _: data['routes'][0].update(attempts=4))
