Keep a request in progress when a later header section is refused

What callers saw: a whole request got no answer because a later one of its connection had a header section that was too long and not whole.

Cause: the connection was aborted where the refusal could not be written at once.

Change: nothing more is read, and the connection is closed after the response to the request in progress, as after a whole header section that is too long.

test_header_that_is_too_long_cuts_no_earlier_request failed before.

--- a/pimentowalk/platform/client_connection.py
+++ b/pimentowalk/platform/client_connection.py
@@ -135,7 +135,14 @@
 
     def _refuse(self, status):
         """Answer a header section that is not whole, and close."""
-        if self._waiter is not None and not self.has_whole_request:
+        if self.has_whole_request:
+            self.refusal = errors.PimentowalkError(
+                'a later request of the connection was refused',
+                code='header_too_large',
+                step='read',
+            )
+            self._pause_transport_reading()
+        elif self._waiter is not None:
             reason, field = REFUSALS[status]
             self._client.write(REFUSAL % (status, reason, field))
             self._client.close()
