End each request of a connection once its response is written

What callers saw: at the limit of connections new ones were reset although all others were idle.

Cause: a request counted as unanswered until the handler of the front had ended. One that the HTTP library answers by itself, such as OPTIONS *, never got there, so that its connection was never closed for a new one, and its bytes stayed reserved.

Change: the connection counts the end of each request, after its response has been written.

test_answered_connection_outside_the_routes_makes_room failed before.

--- a/pimentowalk/platform/client_connection.py
+++ b/pimentowalk/platform/client_connection.py
@@ -230,6 +230,15 @@
         size_bytes += FIELD_BYTES * fields + sum(self._costs_bytes)
         self._intake.held.resize_request(self._reservation, size_bytes)
 
+    async def _handle_request(self, request, start_time, request_handler):
+        """Answer a request, also one that reaches no handler of ours."""
+        try:
+            return await super()._handle_request(
+                request, start_time, request_handler
+            )
+        finally:
+            self._intake.end_request(self)
+
     def end_request(self):
         """Release the header section of the request that has ended."""
         if self._costs_bytes:
--- a/pimentowalk/platform/front.py
+++ b/pimentowalk/platform/front.py
@@ -195,7 +195,6 @@
                 response = self._error_response(error, log, responder)
             finally:
                 reader.release()
-                self._intake.end_request(request.protocol)
                 self._busy_connections.discard(request.protocol)
         if self._closes_after(request):
             response.force_close()
