Do not take the reset of a report for a crash

What callers saw: a started stream broke off although its server was sound and only silent for a second. The server reset the connections of report requests, as one above its limit of connections does, while all other servers were full.

Cause: any failure of a report request other than a timeout counted as proof that the server is down, and a stream leaves such a server at once. Class of fault: a step that cannot be undone is taken before its condition holds.

Change: only a connection that cannot be established counts as proof. A connection that is reset, or a response that is no HTTP, is a report without an answer. Two of them make a server suspect as before, so that it gets no new work, and its streams leave it once another server has sent an event.

--- a/pimentowalk/dispatch/calls.py
+++ b/pimentowalk/dispatch/calls.py
@@ -127,10 +127,10 @@
 
 
 class NoAnswer(Unreachable):
-    """Report that a connection or a report timed out.
+    """Report that a connection timed out, or a report was not answered.
 
-    Unlike a refused connection, a timeout does not prove that the server is
-    down: the network may be at fault.
+    Unlike a refused connection, this does not prove that the server is down:
+    the network may be at fault, or the server has too many connections.
     """
 
 
--- a/pimentowalk/platform/engines.py
+++ b/pimentowalk/platform/engines.py
@@ -466,8 +466,13 @@
             raise calls.NoAnswer(
                 f'no answer to {path}', peer=peer, culprit=peer
             ) from None
-        except (aiohttp.ClientError, OSError) as error:
+        except aiohttp.ClientConnectorError as error:
             raise calls.Unreachable(
+                f'cannot connect: {error!r}', peer=peer, culprit=peer
+            ) from None
+        except (aiohttp.ClientError, OSError) as error:
+            # A server above its limit of connections resets new ones.
+            raise calls.NoAnswer(
                 f'{path}: {error!r}', peer=peer, culprit=peer
             ) from None
         try:
--- a/pimentowalk/platform/tests/changing.py
+++ b/pimentowalk/platform/tests/changing.py
@@ -62,7 +62,8 @@
         self.steps = steps
         self.layers = (0, samples.ENGINE['layers'])
         self.runs = collections.Counter()
-        # The status of reports; None delays them beyond any timeout.
+        # The status of reports; None delays them beyond any timeout, 0 resets
+        # their connections.
         self.report_status = 200
         # Whether streams are answered with events.
         self.has_events = True
@@ -72,6 +73,9 @@
     async def _report(self, request):
         if self.report_status is None:
             await asyncio.sleep(REQUEST_TIMEOUT_S)
+        if self.report_status == 0:
+            request.transport.abort()
+            return web.Response()
         if self.report_status != 200:
             return web.Response(status=self.report_status)
         return await super()._report(request)
--- a/pimentowalk/platform/tests/test_silent_streams.py
+++ b/pimentowalk/platform/tests/test_silent_streams.py
@@ -122,6 +122,13 @@
     assert sum(server.refusals for server in scene.servers) > 0
 
 
+async def test_silent_server_that_resets_reports_is_not_left(scene):
+    """LOST: a server at its limit of connections counted as crashed."""
+    _fall_silent(scene, reports=0, others_refuse=True)
+    assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
+    assert scene.runs('r1') == 1
+
+
 async def test_silent_server_is_left_for_another_one(scene):
     """A pause makes an answer late if another server could have gone on."""
     _fall_silent(scene, reports=200)
