Take only a refused connection for a crash

What callers saw: nothing yet outside the test. A node without free descriptors, or without a route to a host, would take each server that it asks for a crashed one, tell the other nodes, and end the streams of these servers.

Cause: every error while a connection is established counted as proof that the server is down. Class of fault: a step that cannot be undone is taken before its condition holds.

Change: only a refused connection is proof. Other errors count as no answer; the call was not sent, and may go to another server, as before.

test_want_of_descriptors_does_not_prove_that_a_server_is_down failed before.

--- a/pimentowalk/dispatch/calls.py
+++ b/pimentowalk/dispatch/calls.py
@@ -127,7 +127,7 @@
 
 
 class NoAnswer(Unreachable):
-    """Report that a connection timed out, or a report was not answered.
+    """Report that a connection failed otherwise, or a report was not answered.
 
     Unlike a refused connection, this does not prove that the server is down:
     the network may be at fault, or the server has too many connections.
--- a/pimentowalk/platform/engines.py
+++ b/pimentowalk/platform/engines.py
@@ -270,9 +270,7 @@
                 f'cannot connect: {error!r}', peer=peer, culprit=peer
             ) from None
         except aiohttp.ClientConnectorError as error:
-            raise calls.Unreachable(
-                f'cannot connect: {error!r}', peer=peer, culprit=peer
-            ) from None
+            raise _connection_failure(error, peer) from None
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise calls.Broken(f'no answer: {error!r}', peer=peer) from None
         return self._validate_response(call, response, backend)
@@ -467,9 +465,7 @@
                 f'no answer to {path}', peer=peer, culprit=peer
             ) from None
         except aiohttp.ClientConnectorError as error:
-            raise calls.Unreachable(
-                f'cannot connect: {error!r}', peer=peer, culprit=peer
-            ) from None
+            raise _connection_failure(error, peer) from None
         except (aiohttp.ClientError, OSError) as error:
             # A server above its limit of connections resets new ones.
             raise calls.NoAnswer(
@@ -496,6 +492,17 @@
             return response.status, text
 
 
+def _connection_failure(error, peer):
+    """Return the failed try for a connection that was not established.
+
+    Only a refused connection tells that no process listens. Other errors may
+    be those of the network or of this node, such as a lack of descriptors.
+    """
+    is_refused = isinstance(error.os_error, ConnectionRefusedError)
+    failure = calls.Unreachable if is_refused else calls.NoAnswer
+    return failure(f'cannot connect: {error!r}', peer=peer, culprit=peer)
+
+
 def _without_event_id(headers, last_event_id):
     """Remove the event id of the caller if a later one replaces it."""
     if not last_event_id:
--- a/pimentowalk/platform/tests/test_engines.py
+++ b/pimentowalk/platform/tests/test_engines.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import errno
 import logging
 import socket
 import struct
@@ -542,6 +543,25 @@
     assert calls.proves_server_down(caught.value)
 
 
+async def test_want_of_descriptors_does_not_prove_that_a_server_is_down(
+    client, monkeypatch
+):
+    """LOST: a node without free descriptors took all servers for crashed."""
+    backend = backends.Backend('s', 1, 1, 'svc', '127.0.0.1', 1)
+
+    def fail(*arguments, **others):
+        raise OSError(errno.EMFILE, 'Too many open files')
+
+    monkeypatch.setattr(socket, 'socket', fail)
+    for step in (
+        client.report(backend),
+        client.send(_call(), calls.Target(backend), 1000, 0),
+    ):
+        with pytest.raises(calls.Unreachable) as caught:
+            await step
+        assert not calls.proves_server_down(caught.value)
+
+
 async def test_repeated_report_takes_no_longer_than_one(client):
     """A second timeout would delay the detection of a silent server."""
     async with _resetting_server(1, answers=False) as (server, backend):
