Move no server for layers that are held again

What callers saw: streams through a sound server ended, and were refused elsewhere for want of room, although the layers that it was ordered to load had a holder again.

Cause: the leader plans a move, asks the server for its report, and then sends the order, with which the server gives up layers without waiting for its streams. Only the lease was checked again after the report. Meanwhile the announcement of a server that had been late can arrive, or a suspicion end. Class of fault: a step that cannot be undone is taken without its condition.

Change: a server that holds layers gets an order only if, after the report, it would still load a layer that no other server of its zone holds or was ordered to load. Otherwise the order is dropped at once, so that the plan is not made as if the server had moved.

test_server_is_not_moved_for_a_gap_that_has_closed failed before. `may_send` became `validate`, which raises the reason; the tests of the lease check the same as before.

--- a/pimentowalk/placement/executor.py
+++ b/pimentowalk/placement/executor.py
@@ -49,6 +49,10 @@
 FAILED_ORDER_PAUSE_S = 1.0
 
 
+class ObsoleteOrder(errors.Conflict):
+    """Report that an order was not sent, since it is not needed any more."""
+
+
 @attrs.define
 class Order:
     """An order that was given but may not be in effect yet."""
@@ -63,13 +67,13 @@
     """Order servers to load the layer ranges of the plan.
 
     `streams(server_id)` returns how many requests run through a server.
-    `order(backend, assignment, fence, preempt=..., may_send=...)` sends an
-    order, unless `may_send()` is false by then: the process may have been
-    suspended beyond its lease since the plan was made. It raises
-    PimentowalkError if the order was rejected or its outcome is unknown. A
-    server that gives up layers for missing ones is preempted instead of
-    drained: a stream of a frozen node would delay it until the caller of the
-    stream gives up.
+    `order(backend, assignment, fence, preempt=..., validate=...)` sends an
+    order, unless `validate()` raises by then: since the plan was made, the
+    process may have been suspended beyond its lease, or the gap may have
+    closed. It raises PimentowalkError if the order was rejected or its outcome
+    is unknown. A server that gives up layers for missing ones is preempted
+    instead of drained: a stream of a frozen node would delay it until the
+    caller of the stream gives up.
     """
 
     def __init__(
@@ -279,7 +283,7 @@
     def _start_order(self, backend, assignment, engine, now_s):
         size = assignment.end_layer - assignment.first_layer
         load_s = engine.load_s * size / engine.total_layers
-        self._orders[backend.server_id] = Order(
+        order = self._orders[backend.server_id] = Order(
             backend.service,
             assignment,
             backend.born_ms,
@@ -288,12 +292,43 @@
         # Read together with the lease: after a change of leaders, the term
         # is that of the next one.
         task = asyncio.ensure_future(
-            self._send_order(backend, assignment, self._fence())
+            self._send_order(backend, order, engine, self._fence())
         )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _send_order(self, backend, assignment, fence):
+    def _validate(self, backend, assignment, engine):
+        """Raise PimentowalkError if an order must not be sent any more."""
+        if not self._is_leader():
+            raise errors.NotLeader(
+                'the leadership ended before the order was sent',
+                step='place',
+                peer=backend.address,
+            )
+        if backend.layer_count and not self._adds_missing_layer(
+            backend, assignment, engine
+        ):
+            raise ObsoleteOrder(
+                'the gap closed before the order was sent',
+                step='place',
+                peer=backend.address,
+            )
+
+    def _adds_missing_layer(self, backend, assignment, engine):
+        """Return whether a server would load a layer that its zone lacks."""
+        others = [
+            self._planned_server(other, engine)
+            for other in self._table.usable(backend.service)
+            if other.zone == backend.zone
+            and other.server_id != backend.server_id
+        ]
+        copies = tiling.coverage(others, engine.total_layers)
+        held = range(backend.first_layer, backend.end_layer)
+        loaded = range(assignment.first_layer, assignment.end_layer)
+        return any(not copies[layer] for layer in loaded if layer not in held)
+
+    async def _send_order(self, backend, order, engine, fence):
+        assignment = order.assignment
         fields = logs.fields(
             step='placement',
             peer=backend.address,
@@ -308,8 +343,12 @@
                 assignment,
                 fence,
                 preempt=backend.layer_count > 0,
-                may_send=self._is_leader,
+                validate=lambda: self._validate(backend, assignment, engine),
             )
+        except ObsoleteOrder as error:
+            LOG.info('order not sent: %s', error, extra=fields)
+            if self._orders.get(backend.server_id) is order:
+                del self._orders[backend.server_id]
         except errors.PimentowalkError as error:
             LOG.warning('order failed: %s', error, extra=fields)
             order = self._orders.get(backend.server_id)
--- a/pimentowalk/placement/tests/test_executor.py
+++ b/pimentowalk/placement/tests/test_executor.py
@@ -62,10 +62,9 @@
             streams=lambda server_id: self.streams.get(server_id, 0),
         )
 
-    async def _order(self, backend, assignment, fence, *, preempt, may_send):
+    async def _order(self, backend, assignment, fence, *, preempt, validate):
         await self.timers.sleep(self.report_s)
-        if not may_send():
-            raise errors.NotLeader('the leadership ended')
+        validate()
         self.orders.append((backend.server_id, preempt, fence))
         if not self.replies:
             raise errors.PeerLost('no answer', peer=backend.address)
@@ -249,6 +248,28 @@
     return 0 in tiling.coverage(rest, 80)
 
 
+async def test_server_is_not_moved_for_a_gap_that_has_closed(harness):
+    """LOST: an order ended the streams of a server for layers held again.
+
+    The announcement of their holder was only late. It came while the server
+    to be moved was asked for its report.
+    """
+    harness.orders.clear()
+    harness.report_s = 0.2
+    sole = _sole_holder(harness)
+    delay_s = executor.DEPARTED_MOVE_AFTER_S + 2 * executor.POLL_S
+    harness.table.drop(sole)
+    await harness.timers.advance(delay_s)
+    assert harness.executor._orders
+    harness.table.apply(attrs.evolve(sole, sequence=sole.sequence + 1))
+    await harness.timers.advance(1.0)
+    assert harness.orders == []
+    # The order that was not sent must not hold up the next one.
+    harness.table.drop(harness.table.get(sole.server_id))
+    await harness.timers.advance(delay_s + harness.report_s)
+    assert harness.missing_layers() == 0
+
+
 async def test_order_is_not_sent_after_the_leadership_ended():
     """A paused leader would act beside its successor, with its fence."""
     created = ExecutorHarness()
--- a/pimentowalk/platform/engines.py
+++ b/pimentowalk/platform/engines.py
@@ -396,14 +396,15 @@
         fence,
         *,
         preempt=False,
-        may_send=lambda: True,
+        validate=lambda: None,
     ):
         """Order a server to hold a range of layers; raise PimentowalkError.
 
         The precondition is the number of orders that the server has accepted,
         so that an order that arrives late cannot override a newer one. A
         server that executes the order of an earlier leader gets no other one.
-        `may_send()` is asked last, since the report takes time.
+        `validate()` is called last, since the report takes time, and raises
+        PimentowalkError if the order must not be sent any more.
         """
         report = await self.report(backend)
         if report.get('busy'):
@@ -412,12 +413,7 @@
                 step='place',
                 peer=backend.address,
             )
-        if not may_send():
-            raise errors.NotLeader(
-                'the leadership ended before the order was sent',
-                step='place',
-                peer=backend.address,
-            )
+        validate()
         body = {
             'operation': 'place',
             'from': assignment.first_layer,
--- a/pimentowalk/platform/tests/test_engines.py
+++ b/pimentowalk/platform/tests/test_engines.py
@@ -345,10 +345,12 @@
 async def test_order_is_sent_only_with_a_valid_lease(client, ordered_server):
     """The lease of a leader may end while it waits for the report."""
     backend = _backend(ordered_server)
+
+    def validate():
+        raise errors.NotLeader('the leadership ended')
+
     with pytest.raises(errors.NotLeader):
-        await client.order_layers(
-            backend, ASSIGNMENT, 5, may_send=lambda: False
-        )
+        await client.order_layers(backend, ASSIGNMENT, 5, validate=validate)
     assert ordered_server.layers is None
     await client.order_layers(backend, ASSIGNMENT, 5)
     assert ordered_server.layers == (0, 8)
