Let no entry of an unnamed service replace a server

What callers saw: a started stream left its sound server, and was cut where all others were full. After that the server got no new work until its next start.

Cause: an announcement with the address of a server and a later start counted as proof that the server had been replaced, whatever service it named. One with the id of a server changed its service. Entries of other writers may name a service that the configuration does not have, and tell nothing of the other servers. Class of fault: a step that cannot be undone is taken before its condition holds.

Change: the table asks whether a service is named by the document in force. An entry of another service replaces no server at its address or under its id, and is not found at the address. An address that a named service reuses removes the former server as before.

The three cases of test_unnamed_service_replaces_no_server and test_server_is_not_left_for_an_entry_of_an_unnamed_service failed before.

--- a/pimentowalk/gateway/core.py
+++ b/pimentowalk/gateway/core.py
@@ -88,7 +88,9 @@
             seeds=self._seeds,
             decode=decode,
             backend_table=membership.BackendTable(
-                now_s, settings.announcement_period_ms / 1000
+                now_s,
+                settings.announcement_period_ms / 1000,
+                self._is_named_service,
             ),
         )
         self.client = mesh_leader.LeaderClient(self.node, timers)
@@ -208,6 +210,11 @@
             streams=self.dispatcher.in_flight.reported_requests,
         )
 
+    def _is_named_service(self, service):
+        """Return whether the document in force, if any, has a service."""
+        document = self.node.document
+        return document is None or service in document.services
+
     async def _order_layers(self, backend, assignment, fence, **options):
         """Send an order to a server unless it asked this node for a pause."""
         if self.dispatcher.pauses.is_paused(backend):
--- a/pimentowalk/membership/backends.py
+++ b/pimentowalk/membership/backends.py
@@ -69,11 +69,14 @@
 class BackendTable:
     """Keep the newest announcement of each backend server.
 
-    `generation` increases with each change of the usable servers.
+    `generation` increases with each change of the usable servers. An
+    announcement for a service that is not `is_named(service)` may come from a
+    faulty writer, and tells nothing of the other servers.
     """
 
-    def __init__(self, now_s, period_s):
+    def __init__(self, now_s, period_s, is_named=lambda service: True):
         self.now_s = now_s
+        self._is_named = is_named
         self._period_s = period_s
         self._records = {}
         self._departures = {}
@@ -222,6 +225,9 @@
             return True
         if record is None:
             return False
+        is_other = backend.service != record.backend.service
+        if is_other and not self._is_named(backend.service):
+            return True
         if backend.state == backends.GONE:
             return backend.born_ms < record.backend.born_ms
         return backend.order <= record.backend.order
@@ -247,6 +253,8 @@
 
     def _remove_predecessors(self, backend):
         """Remove older servers at the address of a new incarnation."""
+        if not self._is_named(backend.service):
+            return
         for other in self._all_at_address(backend.address):
             if (
                 other.server_id != backend.server_id
@@ -400,8 +408,9 @@
 
     def at_address(self, address):
         """Return the newest backend server at an address, or None."""
+        found = self._all_at_address(address)
         return max(
-            self._all_at_address(address),
+            (b for b in found if self._is_named(b.service)),
             key=lambda b: b.born_ms,
             default=None,
         )
--- a/pimentowalk/membership/tests/test_backends.py
+++ b/pimentowalk/membership/tests/test_backends.py
@@ -65,6 +65,32 @@
     assert table.at_address('10.0.0.1:80').server_id == 'i-2'
 
 
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'server_id': 'x-1', 'born_ms': 300},
+        {'sequence': 9},
+        {'born_ms': 300},
+    ],
+    ids=str,
+)
+def test_unnamed_service_replaces_no_server(clock, changes):
+    """LOST: streams left a sound server because of another writer's entry.
+
+    The server was not used again before its next start.
+    """
+    table = membership.BackendTable(
+        clock, PERIOD_S, lambda service: service == 'svc'
+    )
+    table.apply(FIRST)
+    table.apply(attrs.evolve(FIRST, service='unnamed', **changes))
+    assert _usable_ids(table) == ['i-1']
+    assert not table.has_failed(FIRST)
+    assert not table.has_crashed(FIRST)
+    assert table.at_address('10.0.0.1:80') == FIRST
+    assert table.apply(attrs.evolve(FIRST, sequence=10))
+
+
 def test_late_announcement_of_a_former_owner_is_ignored(table):
     """Its address belongs to another server now."""
     table.apply(attrs.evolve(FIRST, server_id='i-2', born_ms=300))
--- a/pimentowalk/platform/tests/changing.py
+++ b/pimentowalk/platform/tests/changing.py
@@ -145,8 +145,12 @@
 
     def __init__(self, timers):
         self.node_id = 'n-1'
-        self.backends = membership.BackendTable(timers.now_s, 60.0)
         self.document = None
+        self.backends = membership.BackendTable(
+            timers.now_s,
+            60.0,
+            lambda service: service in self.document.services,
+        )
         self.has_view = True
         self.live_nodes = 1
         self._document_callbacks = []
--- a/pimentowalk/platform/tests/test_silent_streams.py
+++ b/pimentowalk/platform/tests/test_silent_streams.py
@@ -129,6 +129,26 @@
     assert scene.runs('r1') == 1
 
 
+async def test_server_is_not_left_for_an_entry_of_an_unnamed_service(scene):
+    """LOST: an entry with the address of a server counted as its restart."""
+
+    async def announce():
+        (running,) = [server for server in scene.servers if server.runs['r1']]
+        entry = running.announcement() | {'service': 'unnamed'}
+        entry['born'] += 1000
+        running.stalled = [{'id': 'r1', 'address': running.address}]
+        for server in scene.servers:
+            server.refuses = server is not running
+        scene.node.backends.apply(
+            announcements.decode('x-1', json.dumps(entry).encode())
+        )
+        await asyncio.sleep(SILENCE_S)
+
+    scene.steps.actions['pause'] = announce
+    assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
+    assert scene.runs('r1') == 1
+
+
 async def test_silent_server_is_left_for_another_one(scene):
     """A pause makes an answer late if another server could have gone on."""
     _fall_silent(scene, reports=200)
