End a planned stop only after all answers have left the process

What callers saw: a whole answer broke off near its end when its gateway stopped, although much of the time for the stop was left. The caller read slowly.

Cause: a request counted as finished once its handler had written the answer. Class of fault: a step that cannot be undone is taken before its condition holds.

Change: the drain also waits for connections with unsent bytes, until the end of the time for the stop at most. A caller that reads nothing can therefore use up that time, unless `response_timeout_ms` cuts it before.

test_drain_awaits_an_answer_that_was_not_sent_whole failed before. It raises the limit of unsent bytes, so that the rest does not depend on the kernel.

--- a/pimentowalk/entry/drain.py
+++ b/pimentowalk/entry/drain.py
@@ -125,13 +125,15 @@
         *,
         shutdown_delay_s=SHUTDOWN_DELAY_S,
         has_unhandled=lambda: False,
+        has_unsent=lambda: False,
     ):
         """Fail readiness, stop accepting connections, await the requests.
 
         Returns the ids of the requests that did not finish in time. For
         `shutdown_delay_s` the entry reports that it is not ready but still
         accepts connections. `has_unhandled()` tells whether a request has
-        been read whose handler has not begun.
+        been read whose handler has not begun, `has_unsent()` whether a part
+        of a response has not left the process.
         """
         self.draining = True
         start_s = self._timers.now_s()
@@ -145,7 +147,8 @@
         await stop_accepting()
         self._last_active_s = self._timers.now_s()
         await self._poll_until(
-            self._end_s, lambda: self._has_work(has_unhandled)
+            self._end_s,
+            lambda: self._has_work(has_unhandled) or has_unsent(),
         )
         now_s = self._timers.now_s()
         for request in self._active:
--- a/pimentowalk/platform/daemon.py
+++ b/pimentowalk/platform/daemon.py
@@ -227,6 +227,7 @@
             self.bounds.stop_ms / 1000 - STOP_MARGIN_S,
             shutdown_delay_s=SHUTDOWN_DELAY_S,
             has_unhandled=self._has_open_request,
+            has_unsent=self._has_unsent_bytes,
         )
         transfer_task.cancel()
 
@@ -247,6 +248,13 @@
             for connection in self._front_runner.server.connections
         )
 
+    def _has_unsent_bytes(self):
+        """Return whether a part of a response has not left the process."""
+        return any(
+            connection.has_unsent_bytes
+            for connection in self._front_runner.server.connections
+        )
+
     def _close_connections(self):
         """Close idle connections at once and the others when they are idle.
 
--- a/pimentowalk/platform/tests/standin.py
+++ b/pimentowalk/platform/tests/standin.py
@@ -20,7 +20,7 @@
     Faults are injected by attributes: `refuses` answers 503 without running
     the request, `break_after_events` aborts a stream after that many events,
     `hangs` delays each answer by 60 s, `released` until this event is set,
-    `status` is the status of plain calls.
+    `status` and `body` are those of the answers to plain calls.
     A server crashes when it begins to answer a prompt with `deadly_part`, or
     a plain call of `deadly_target`.
     `leaves` adds to each answer that the server leaves, without announcing
@@ -52,6 +52,7 @@
         self.pause_text = None
         self.reports_sent = 0
         self.status = 200
+        self.body = b'done'
         self.events = 6
         self.event_interval_s = 0.005
         self.stalled = []
@@ -160,7 +161,7 @@
             if request.raw_path == self.deadly_target:
                 self._crash(request)
             return web.Response(
-                status=self.status, body=b'done', headers=headers
+                status=self.status, body=self.body, headers=headers
             )
         return await self._stream(request, headers)
 
--- a/pimentowalk/platform/tests/test_stop.py
+++ b/pimentowalk/platform/tests/test_stop.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import logging
+import socket
 
 import aiohttp
 from aiohttp import web_protocol
@@ -11,6 +12,7 @@
 
 from pimentowalk.dispatch import stream
 from pimentowalk.entry import drain as entry_drain
+from pimentowalk.platform import client_connection
 from pimentowalk.platform import daemon
 from pimentowalk.platform import names
 from pimentowalk.settings import gateway as gateway_settings
@@ -141,6 +143,46 @@
     writer.close()
 
 
+async def open_slow_connection(address):
+    """Return the streams of a connection that receives few bytes at once."""
+    client = socket.socket()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+    client.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(
+        client, (address.host, address.port)
+    )
+    return await asyncio.open_connection(sock=client, limit=4096)
+
+
+async def test_drain_awaits_an_answer_that_was_not_sent_whole(
+    cluster, stop, short_delay, monkeypatch
+):
+    """LOST: the process ended with the rest of an answer for a slow caller."""
+    body = bytes(1 << 20)
+    monkeypatch.setattr(client_connection, 'UNSENT_BYTES', len(body))
+    for server in cluster.servers:
+        server.body = body
+    gateway = cluster.gateways[0]
+    reader, writer = await open_slow_connection(gateway.settings.front)
+    writer.write(
+        b'POST /book/2f HTTP/1.1\r\nHost: a.example\r\n'
+        b'Pimentowalk-Request-Id: r1\r\nPimentowalk-Key: k1\r\n'
+        b'Content-Length: 4\r\n\r\nbody'
+    )
+    answer = await reader.readuntil(b'\r\n\r\n')
+    await waiting.until(lambda: not gateway.drain.active_count)
+    (connection,) = gateway._front_runner.server.connections
+    assert connection.has_unsent_bytes
+    stopping = stop(20.0)
+    await asyncio.sleep(entry_drain.HANDOVER_TIMEOUT_S + 0.5)
+    assert not stopping.done()
+    async with asyncio.timeout(TIMEOUT_S):
+        answer += await reader.read()
+        await stopping
+    assert answer.endswith(b'\r\n\r\n' + body)
+    writer.close()
+
+
 async def test_body_may_arrive_after_idle_connections_are_closed(
     cluster, stop, short_delay
 ):
