Cut no whole response for one that is still being received

What callers saw: a whole answer broke off while its caller was reading it, if it was the largest at a moment at which all responses held too many bytes.

Cause: the largest response was cut, whether it was whole or not. Once a whole one is being sent, its caller can get no other answer, while one that is not whole is tried again or answered with an error. Class of fault: a step that cannot be undone is taken although another one can be.

Change: whole responses tell so, and are not cut for others while they hold a quarter of the limit at most, which is what requests leave. Beyond that the largest of all is cut as before, so that callers that do not read cannot take all the room.

test_whole_response_is_not_cut_for_one_that_is_not failed before. test_whole_responses_do_not_hold_all_bytes guards the bound, and held before.

--- a/pimentowalk/dispatch/call_run.py
+++ b/pimentowalk/dispatch/call_run.py
@@ -216,6 +216,7 @@
     async def _send_body(self, response, body, holding):
         """Pass a whole response to the client."""
         # A client that does not read keeps the body here.
+        holding.is_whole = True
         holding.cut = self._responder.abort
         await self._responder.start(response)
         await self._responder.write(body)
--- a/pimentowalk/dispatch/held_bytes.py
+++ b/pimentowalk/dispatch/held_bytes.py
@@ -24,6 +24,10 @@
 # have a few KB; a few uploads must not shut them out.
 LARGE_SHARE = 0.75
 LARGE_BYTES = 65_536
+# Part of the limit up to which whole responses are not cut for others: what
+# requests leave. The caller of a whole one gets no other answer, while others
+# can still be tried again or answered with an error.
+WHOLE_SHARE = 1 - REQUEST_SHARE
 # Single bytes are no progress: a client could hold its reservation with them.
 PROGRESS_BYTES = 4096
 
@@ -33,7 +37,8 @@
     """The bytes that are held of one response.
 
     `cut()` ends the response; it is called once, if the bytes of all
-    responses exceed the limit and this one holds the most.
+    responses exceed the limit and this one holds the most. `is_whole` tells
+    that it only waits for its caller.
     """
 
     cut: object
@@ -41,6 +46,7 @@
     peer: str = ''
     size_bytes: int = 0
     is_cut: bool = False
+    is_whole: bool = False
 
 
 @attrs.define(eq=False)
@@ -182,7 +188,7 @@
             self.total_bytes += size_bytes - holding.size_bytes
             holding.size_bytes = size_bytes
             while self.total_bytes > self._limit_bytes and self._holdings:
-                self._cut(max(self._holdings, key=lambda h: h.size_bytes))
+                self._cut(self._find_largest())
         if holding.is_cut:
             raise calls.Broken(
                 f'all responses hold more than {self._limit_bytes} bytes, '
@@ -190,6 +196,14 @@
                 peer=holding.peer,
             )
 
+    def _find_largest(self):
+        """Return the largest response, a whole one only if they hold much."""
+        received = [h for h in self._holdings if not h.is_whole]
+        whole_bytes = sum(h.size_bytes for h in self._holdings if h.is_whole)
+        if received and whole_bytes <= WHOLE_SHARE * self._limit_bytes:
+            return max(received, key=lambda h: h.size_bytes)
+        return max(self._holdings, key=lambda h: h.size_bytes)
+
     def release(self, holding):
         """Stop counting a holding."""
         if holding in self._holdings:
--- a/pimentowalk/dispatch/tests/test_held_bytes.py
+++ b/pimentowalk/dispatch/tests/test_held_bytes.py
@@ -38,6 +38,29 @@
         held.resize(large, 81)
 
 
+def test_whole_response_is_not_cut_for_one_that_is_not(held):
+    """LOST: a whole answer that its caller was reading broke off."""
+    cuts = []
+    whole = new_holding(cuts, 'whole')
+    held.resize(whole, 24)
+    whole.is_whole = True
+    for number in range(4):
+        held.resize(new_holding(cuts, number), 21 - number)
+    assert cuts == [0]
+    assert whole.is_cut is False
+
+
+def test_whole_responses_do_not_hold_all_bytes(held):
+    """Callers that do not read would end all other responses."""
+    cuts = []
+    for number in range(3):
+        whole = new_holding(cuts, number)
+        held.resize(whole, 30 + number)
+        whole.is_whole = True
+    held.resize(new_holding(cuts, 'received'), 9)
+    assert cuts == [2]
+
+
 def test_response_that_outgrows_all_is_cut_at_once(held):
     """Its own reader ends, not that of a smaller one."""
     cuts = []
