Keep the silent server of a plain call until another one has answered

What callers saw: a repeatable call got 502 although its server was sound, silent for longer than 45% of the call's time, and about to answer. All other servers refused it, or no server or retry was left.

Cause: the gateway closed the connection after that share of the time. It was not known yet whether another server takes the call. This is the class of fault of streams that left their silent server: a step that cannot be undone is taken before its condition holds.

Change: the next try is opened beside the present one. The first whole answer that is no server error wins, and the other connection is closed. A refusal leaves the present try under way until the deadline, and takes no attempt. If one of the two breaks off, the other goes on without a further retry. An error of the last server is passed on as before, once the present one has brought no answer. The log line of a kept try names servers instead of streams.

The stand-in server may refuse a request that it has queued, and answers with its status.

--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -389,7 +389,7 @@
         """Log that a silent server is not left, since none can take over."""
         self.metrics.count('kept_tries')
         LOG.info(
-            'no other path for a stalled stream: %s',
+            'no other server can take over: %s',
             reason,
             extra=logs.fields(
                 step='recover',
--- a/pimentowalk/dispatch/plain.py
+++ b/pimentowalk/dispatch/plain.py
@@ -1,18 +1,17 @@
 """Run a call at one server of a service without an engine."""
 
-import asyncio
 import contextlib
 
 from pimentowalk.core import errors
-from pimentowalk.dispatch import call_run
 from pimentowalk.dispatch import calls
-from pimentowalk.dispatch import pacing
+from pimentowalk.dispatch import opening
+from pimentowalk.dispatch import transport
 from pimentowalk.routing import pace_state
 
-# A repeatable call without a response is tried elsewhere after this share of
-# its remaining time.
-TRY_TIMEOUT_SHARE = 0.45
-MIN_TRY_TIMEOUT_S = 0.15
+# Another server is tried beside one that has not answered a repeatable call
+# after this share of its remaining time.
+SILENCE_SHARE = 0.45
+MIN_SILENCE_S = 0.15
 FIRST_SERVER_ERROR_STATUS = 500
 # Load penalty of a server in another zone, as a share of its slots.
 ZONE_PENALTY = 0.15
@@ -63,71 +62,145 @@
         excluded = excluded | {found.server_id}
 
 
-class PlainRun(call_run.CallRun):
+class WholeResponse(transport.ReadAhead):
+    """A response whose body has been read and is held until it is closed."""
+
+    def __init__(self, response, body, holding, release):
+        super().__init__(response, body)
+        self.body = body
+        self.holding = holding
+        self._release = release
+
+    def close(self):
+        """Close the connection, and release the body."""
+        self._release()
+
+
+class PlainRun(opening.OpeningRun):
     """One call of a service without an engine, with its tries."""
 
+    def __init__(self, dispatcher, call, service, responder):
+        super().__init__(dispatcher, call, service, responder)
+        # The servers hold no tokens, only requests.
+        self._tokens = 0
+
     def _choose(self):
         backend = choose_usable(
             self._dispatcher, self._service.name, self._excluded
         )
         return calls.Target(backend) if backend else None
 
-    def _is_last(self):
+    def _has_spare_attempt(self):
+        """Return whether an attempt is left beside the tries under way."""
         route = self._call.route
+        under_way = 1 + (self._opening is not None)
         return (
-            not route.is_repeatable or self._executions + 1 >= route.attempts
+            route.is_repeatable
+            and self._executions + under_way < route.attempts
         )
 
+    def _has_expired(self):
+        # An answer that is ready is delivered, also late.
+        is_ready = self._opening is not None and self._opening.has_ended
+        return super()._has_expired() and not is_ready
+
+    def _left_s(self):
+        return self._call.expires_at_s - self._dispatcher.timers.now_s()
+
     async def _try_target(self):
-        dispatcher = self._dispatcher
-        call = self._call
-        target = self._target
-        is_last = self._is_last()
-        left_s = call.expires_at_s - dispatcher.timers.now_s()
-        timeout_s = left_s
-        if not is_last:
-            timeout_s = max(left_s * TRY_TIMEOUT_SHARE, MIN_TRY_TIMEOUT_S)
-        ids = [target.backend.server_id]
-        dispatcher.in_flight.begin(ids, 0)
-        probe = pacing.begin(dispatcher.pace, self._service, call, target)
-        response = None
-        holdings = contextlib.ExitStack()
+        present = self._opening or self._begin(self._target)
+        self._opening = None
         try:
-            async with asyncio.timeout(timeout_s):
-                response = await dispatcher.transport.send(
-                    call, target, self._remaining_ms(), 0
-                )
-                if (
-                    response.status >= FIRST_SERVER_ERROR_STATUS
-                    and not is_last
-                ):
-                    raise calls.Broken(
-                        f'status {response.status}',
-                        peer=target.backend.address,
-                    )
-                holding = holdings.enter_context(self._hold(response))
-                body = await self._read_body(response, holding)
-            dispatcher.pace.end(probe, pace_state.ANSWERED)
-            dispatcher.outcomes.record(
-                target.backend.server_id,
-                failed=response.status >= FIRST_SERVER_ERROR_STATUS,
+            response = await self._first_response(present)
+            is_error = response.status >= FIRST_SERVER_ERROR_STATUS
+            if is_error and (self._opening or self._has_spare_attempt()):
+                raise _status_error(response, present.target)
+            # A body that has been cut is not held any more.
+            self._dispatcher.held_bytes.resize(
+                response.holding, len(response.body)
             )
-            await self._send_body(response, body, holding)
-        except TimeoutError:
-            raise calls.Broken(
-                f'no complete response within {timeout_s:.2f} s',
-                peer=target.backend.address,
-            ) from None
+            self._drop_opening()
+            self._dispatcher.pace.end(present.probe, pace_state.ANSWERED)
+            self._dispatcher.outcomes.record(
+                present.target.backend.server_id, failed=is_error
+            )
+            await self._send_body(response, response.body, response.holding)
         finally:
-            dispatcher.in_flight.end(ids, 0)
-            dispatcher.pace.end(probe, pace_state.ABANDONED)
-            holdings.close()
-            if response is not None:
-                response.close()
+            self._end(present)
+
+    async def _first_response(self, present):
+        """Return the response of the present try; raise TryFailed.
+
+        Fails also once another server has answered first, whose try is then
+        the opening.
+        """
+        left_s = self._left_s()
+        silence_s = max(left_s * SILENCE_SHARE, MIN_SILENCE_S)
+        if not await present.wait(min(silence_s, left_s)):
+            await self._try_others(present)
+        if not await present.wait(max(self._left_s(), 0)):
+            peer = present.target.backend.address
+            raise calls.Broken(
+                'no complete response before the deadline', peer=peer
+            )
+        return await present.response()
+
+    async def _try_others(self, present):
+        """Try other servers while the present one is silent."""
+        dispatcher = self._dispatcher
+        backend = present.target.backend
+        self._excluded.add(backend.server_id)
+        if self._has_spare_attempt():
+            dispatcher.checks.check(backend)
+        while self._has_spare_attempt():
+            target = self._choose_successor()
+            if target is None:
+                dispatcher.log_kept_try(
+                    self._call, present.target, backend.address, 'no response'
+                )
+                return
+            opened = self._open(target)
+            await present.wait(max(self._left_s(), 0), opened)
+            if present.has_ended or not opened.has_ended:
+                return
+            if opened.error is not None:
+                self._give_up_opening(opened.error)
+                continue
+            response = await opened.response()
+            if response.status >= FIRST_SERVER_ERROR_STATUS:
+                # It is passed on if the present try brings no answer.
+                return
+            dispatcher.metrics.count('takeovers')
+            raise calls.Stalled(
+                'another server has answered first',
+                peer=backend.address,
+                culprit=backend.address,
+            )
+
+    async def _await_response(self, opened):
+        """Return the whole response of a target; raise TryFailed."""
+        target = opened.target
+        response = await self._dispatcher.transport.send(
+            self._call, target, self._remaining_ms(), 0
+        )
+        with contextlib.ExitStack() as stack:
+            stack.callback(response.close)
+            is_error = response.status >= FIRST_SERVER_ERROR_STATUS
+            if is_error and self._has_spare_attempt():
+                raise _status_error(response, target)
+            holding = stack.enter_context(
+                self._hold(response, target.backend.address)
+            )
+            body = await self._read_body(response, holding)
+            return WholeResponse(
+                response, body, holding, stack.pop_all().close
+            )
 
     def _handle_failure(self, error):
+        self._record_failure(error, self._target)
+
+    def _record_failure(self, error, target, *, has_output=False):
         dispatcher = self._dispatcher
-        target = self._target
         if isinstance(error, calls.Refused):
             dispatcher.pace.record_refusal(target.backend.server_id)
         else:
@@ -165,3 +238,9 @@
         return errors.OutcomeUnknown(
             failure.message, step=failure.step, peer=failure.peer
         )
+
+
+def _status_error(response, target):
+    return calls.Broken(
+        f'status {response.status}', peer=target.backend.address
+    )
--- a/pimentowalk/platform/tests/changing.py
+++ b/pimentowalk/platform/tests/changing.py
@@ -83,17 +83,14 @@
     async def _serve(self, request):
         request_id = request.headers[names.REQUEST_ID]
         if self.refuses:
-            self.refusals += 1
-            return web.Response(
-                status=503,
-                headers={
-                    names.REQUEST_ID: request_id,
-                    names.NOT_EXECUTED: '1',
-                },
-            )
+            return self._refuse(request_id)
         self.runs[request_id] += 1
         await request.read()
         await self.steps.reach('run')
+        if self.refuses:
+            # It was only queued so far.
+            self.runs[request_id] -= 1
+            return self._refuse(request_id)
         if self.steps.breaks:
             self.steps.breaks = False
             request.transport.abort()
@@ -102,7 +99,14 @@
         self.last_headers = request.headers.copy()
         if request.path.startswith('/draft/') and self.has_events:
             return await self._stream(request, headers)
-        return web.Response(body=b'done', headers=headers)
+        return web.Response(status=self.status, body=b'done', headers=headers)
+
+    def _refuse(self, request_id):
+        self.refusals += 1
+        return web.Response(
+            status=503,
+            headers={names.REQUEST_ID: request_id, names.NOT_EXECUTED: '1'},
+        )
 
     async def _stream(self, request, headers):
         response = web.StreamResponse(
--- a/pimentowalk/platform/tests/test_silent_streams.py
+++ b/pimentowalk/platform/tests/test_silent_streams.py
@@ -34,7 +34,8 @@
     data['routes'][0].update(changes)
 
 
-def _drain(scene, server):
+def drain(scene, server):
+    """Let a server announce that it accepts no new work."""
     announcement = server.announcement() | {'state': 'draining'}
     scene.node.backends.apply(
         announcements.decode(
@@ -43,7 +44,8 @@
     )
 
 
-def _deny_retries(scene):
+def deny_retries(scene):
+    """Let the retry budget grant nothing from now on."""
     scene.dispatcher.budget.take = lambda *_, **__: False
 
 
@@ -78,7 +80,7 @@
 @pytest.mark.parametrize('reports', [200, 503, None])
 async def test_silent_server_is_not_left_without_a_retry(scene, reports):
     """LOST: a stream was cut when the retry budget denied its resumption."""
-    _deny_retries(scene)
+    deny_retries(scene)
     _fall_silent(scene, reports=reports)
     assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
     assert scene.runs('r1') == 1
@@ -87,7 +89,7 @@
 @pytest.mark.parametrize('reports', [200, 503, None])
 async def test_silent_server_is_not_left_without_another_path(scene, reports):
     """LOST: a stream was cut when no other server held its layers."""
-    _drain(scene, scene.servers[1])
+    drain(scene, scene.servers[1])
     _fall_silent(scene, reports=reports)
     assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
     assert scene.runs('r1') == 1
@@ -98,9 +100,9 @@
 async def test_new_stream_keeps_its_silent_server(scene, reports, obstacle):
     """LOST: a new stream got 502 although its server was about to begin."""
     if obstacle == 'no retry':
-        _deny_retries(scene)
+        deny_retries(scene)
     if obstacle == 'no path':
-        _drain(scene, scene.servers[1])
+        drain(scene, scene.servers[1])
     _fall_silent(
         scene,
         reports=reports,
