Sync the folder after a saved file was renamed

A loss of power could undo the rename of servers.json and crashes.json, so that departures saved long before were lost.

Cause: CacheFile synced the new file, but not the folder that it was renamed in.

Change: the rename is followed by a sync of the folder, as in the control log.

test_folder_is_synced_after_the_rename failed before: the last sync was of the temporary file. A real loss of power was not tried.

--- a/pimentowalk/control/files.py
+++ b/pimentowalk/control/files.py
@@ -100,7 +100,7 @@
     def make_folder(self):
         """Create the folder if it is missing, and sync its parent."""
         os.makedirs(self.folder, mode=0o700, exist_ok=True)
-        _sync_path(os.path.dirname(os.path.abspath(self.folder)))
+        sync_path(os.path.dirname(os.path.abspath(self.folder)))
 
     def names(self):
         """Return the names of all files, in order."""
@@ -130,10 +130,11 @@
 
     def sync_folder(self):
         """Return once creations, renames and removals are on disk."""
-        _sync_path(self.folder)
+        sync_path(self.folder)
 
 
-def _sync_path(path):
+def sync_path(path):
+    """Return once the entries of a folder are on disk; raise OSError."""
     fd = os.open(path, os.O_RDONLY)
     try:
         os.fsync(fd)
--- a/pimentowalk/mesh/cache_files.py
+++ b/pimentowalk/mesh/cache_files.py
@@ -17,6 +17,7 @@
 import cattrs
 from cattrs.preconf import json as json_converter
 
+from pimentowalk.control import files
 from pimentowalk.core import identifiers
 from pimentowalk.core import logs
 from pimentowalk.topology import backends
@@ -108,12 +109,7 @@
             self._saved_generation = generation
 
     def _write(self, data):
-        temporary = self._path.with_suffix('.tmp')
-        with open(temporary, 'wb') as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
-        temporary.replace(self._path)
+        replace_file(self._path, data)
 
 
 class ViewFile(CacheFile):
@@ -179,6 +175,18 @@
         return len(content.notes)
 
 
+def replace_file(path, data):
+    """Replace a file durably; raise OSError, also if the disk is full."""
+    temporary = path.with_suffix('.tmp')
+    with open(temporary, 'wb') as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    temporary.replace(path)
+    # Without it, a loss of power may undo the rename.
+    files.sync_path(path.parent)
+
+
 def _encode(content):
     text = CONVERTER.dumps(content).encode()
     return b'%016x\n' % identifiers.hash64(text) + text
--- a/pimentowalk/mesh/tests/test_cache_files.py
+++ b/pimentowalk/mesh/tests/test_cache_files.py
@@ -1,6 +1,7 @@
 """Test that a node restores its servers after a restart."""
 
 import asyncio
+import os
 
 import attrs
 import pytest
@@ -154,6 +155,20 @@
     assert not failures
 
 
+async def test_folder_is_synced_after_the_rename(tmp_path, monkeypatch):
+    """DRAIN: a loss of power undid the rename, and departures were lost."""
+    node = FakeNode(tmp_path)
+    path = tmp_path / cache_files.ViewFile.name
+    synced = []
+
+    def record_sync(fd):
+        synced.append((os.readlink(f'/proc/self/fd/{fd}'), path.exists()))
+
+    monkeypatch.setattr(os, 'fsync', record_sync)
+    node.file._write(b'')
+    assert synced[-1] == (str(tmp_path), True)
+
+
 async def test_restarted_nodes_still_know_which_part_crashes_servers(
     tmp_path,
 ):
