Acknowledge a departure once a disk holds it

Cause: draining and DELETE were answered from memory; the file of known servers is saved each 0.5 s. Class of fault: an acknowledgement that nothing durable holds.

A node without a disk sends the departure to the control instances as a call and waits for the first answer. If the disk fails or stalls, or no instance answers, the answer is 503 not_durable. Frames and the file of known servers keep their form.

The test counts from when the nodes are in touch since then, as the rule does.

--- a/pimentowalk/gateway/core.py
+++ b/pimentowalk/gateway/core.py
@@ -22,6 +22,7 @@
 from pimentowalk.entry import drain as entry_drain
 from pimentowalk.membership import backends as membership
 from pimentowalk.mesh import cache_files
+from pimentowalk.mesh import departure_log
 from pimentowalk.mesh import freshness as mesh_freshness
 from pimentowalk.mesh import leader as mesh_leader
 from pimentowalk.mesh import node as mesh_node
@@ -198,6 +199,9 @@
                 settings.data_folder, self.crashes, self.timers
             ),
         ]
+        self.node.departure_log = departure_log.DepartureLog(
+            settings.data_folder, self.node.backends, self.timers
+        )
         self._executor = placement.Executor(
             self.node.backends,
             self.timers,
@@ -240,7 +244,10 @@
             for file in self._cache_files:
                 file.load()
                 self._tasks.append(asyncio.ensure_future(file.run()))
+            # They end servers of the file that was saved before.
+            self.node.departure_log.load()
             self._tasks += [
+                asyncio.ensure_future(self.node.departure_log.run()),
                 asyncio.ensure_future(self._repair.run()),
                 asyncio.ensure_future(self._executor.run()),
             ]
--- a/pimentowalk/membership/backends.py
+++ b/pimentowalk/membership/backends.py
@@ -462,9 +462,20 @@
             for departure in self._departures.values()
         ]
 
-    def has_left(self, server_id):
-        """Return whether a server with this id has left and is not back."""
-        return server_id in self._departures and server_id not in self._records
+    def all_departures(self):
+        """Return the departures and the servers that are known to drain."""
+        return [
+            backend
+            for backend in self.announcements()
+            if backend.state != backends.READY
+        ] + self.departures()
+
+    def departed(self, server_id):
+        """Return what a server that has left and is not back was, or None."""
+        departure = self._departures.get(server_id)
+        if departure is None or server_id in self._records:
+            return None
+        return departure.backend
 
     def _log(self, text, backend, **others):
         LOG.info(
--- a/pimentowalk/mesh/cache_files.py
+++ b/pimentowalk/mesh/cache_files.py
@@ -129,16 +129,8 @@
         return self._table.announcements() + self._table.departures()
 
     def _restore(self, content):
-        """Apply announcements with an age at which they soon expire.
-
-        Servers that do not announce themselves may have left meanwhile.
-        """
-        age_s = self._table.expiry_s - self._table.complete_after_s
         for backend in content:
-            if backend.state == backends.GONE:
-                self._table.apply(backend, backend.heard_ms / 1000)
-            else:
-                self._table.restore(backend, age_s)
+            restore_backend(self._table, backend)
         return len(content)
 
 
@@ -175,6 +167,17 @@
         return len(content.notes)
 
 
+def restore_backend(table, backend):
+    """Apply a saved announcement with an age at which it soon expires.
+
+    Servers that do not announce themselves may have left meanwhile.
+    """
+    if backend.state == backends.GONE:
+        table.apply(backend, backend.heard_ms / 1000)
+    else:
+        table.restore(backend, table.expiry_s - table.complete_after_s)
+
+
 def replace_file(path, data):
     """Replace a file durably; raise OSError, also if the disk is full."""
     temporary = path.with_suffix('.tmp')
--- a/pimentowalk/mesh/hub.py
+++ b/pimentowalk/mesh/hub.py
@@ -27,6 +27,8 @@
 # Interval at which repeated announcements and loads are relayed together;
 # changes of the usable servers are relayed at once.
 BATCH_INTERVAL_S = 0.25
+# A node that asks whether departures are on disk waits little longer.
+HOLD_TIMEOUT_S = 0.7
 # An announcement takes 260 bytes of a frame.
 MAX_BACKENDS_PER_FRAME = 1000
 
@@ -249,20 +251,25 @@
 
     def start_request(self, peer, envelope):
         """Answer a control request without blocking the connection."""
-        task = asyncio.ensure_future(self._answer(peer, envelope))
+        answer = self.answer(envelope.body, peer.peer)
+        self._start_reply(peer, envelope, answer, 'control request')
+
+    def hold_departures(self, peer, envelope):
+        """Answer once the departures in a frame are on disk."""
+        answer = self._hold(envelope.body.backends)
+        self._start_reply(peer, envelope, answer, 'leave')
+
+    def _start_reply(self, peer, envelope, answer, step):
+        task = asyncio.ensure_future(_reply(peer, envelope, answer, step))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _answer(self, peer, envelope):
-        reply = await self.answer(envelope.body, peer.peer)
+    async def _hold(self, backends):
         try:
-            await peer.reply(envelope, reply)
-        except errors.PeerLost as error:
-            LOG.info(
-                'reply not sent: %s',
-                error,
-                extra=logs.fields(step='control request', peer=peer.peer),
-            )
+            await self.node.hold_departures(backends, HOLD_TIMEOUT_S)
+        except errors.NotDurable as error:
+            return wire.failure(error)
+        return messages.Empty()
 
     async def answer(self, request, peer):
         """Return the `ControlReply` to a request."""
@@ -273,6 +280,17 @@
         return await self.requests.answer(request, peer)
 
 
+async def _reply(peer, envelope, answer, step):
+    try:
+        await peer.reply(envelope, await answer)
+    except errors.PeerLost as error:
+        LOG.info(
+            'reply not sent: %s',
+            error,
+            extra=logs.fields(step=step, peer=peer.peer),
+        )
+
+
 def split_backends(backends):
     """Return announcements in frames that stay below the limit of a frame."""
     return [
@@ -321,8 +339,13 @@
 
 @FRAMES.register('backendNews')
 async def on_backends(hub, peer, envelope):
-    """Apply announcements and relay changes at once."""
+    """Apply announcements and relay changes at once.
+
+    A call asks that the departures are on disk before the answer.
+    """
     hub.node.relay_backends(envelope.body, origin=peer)
+    if envelope.call_id:
+        hub.hold_departures(peer, envelope)
 
 
 @FRAMES.register('loadNews')
--- a/pimentowalk/mesh/links.py
+++ b/pimentowalk/mesh/links.py
@@ -170,3 +170,36 @@
         unknown_keys = self._node.handle_frame(envelope.body)
         if unknown_keys:
             self.post(node_messages.BackendRequest(unknown_keys))
+
+
+async def hold_departures(links, body, timeout_s):
+    """Return once a control instance has departures on its disk.
+
+    All are sent the departures. Raises NotDurable if none answers.
+    """
+    calls = []
+    for link in links:
+        if link.is_open:
+            calls.append(_call_to_hold(link, body, timeout_s))
+        else:
+            link.post(body)
+    for call in asyncio.as_completed(calls):
+        if await call:
+            return
+    raise errors.NotDurable('no control instance holds it', step='leave')
+
+
+async def _call_to_hold(link, body, timeout_s):
+    """Return whether a control instance has departures on its disk."""
+    try:
+        await link.call(body, timeout_s)
+    except (errors.PimentowalkError, TimeoutError) as error:
+        # An instance of an older release sends no answer, one without a disk
+        # refuses.
+        LOG.info(
+            'departure not held: %s',
+            error or 'no answer',
+            extra=logs.fields(step='leave', peer=link.address.node_id),
+        )
+        return False
+    return True
--- a/pimentowalk/mesh/node.py
+++ b/pimentowalk/mesh/node.py
@@ -45,6 +45,8 @@
         self.has_view = False
         self.live_nodes = 1
         self.replica = None
+        # Only on an instance with a disk.
+        self.departure_log = None
         self._seeds = seeds
         self._decode = decode
         self._timers = timers
@@ -214,7 +216,7 @@
         """Apply announcements; relay changes at once, repeats in batches."""
         departures = []
         for announced in body.backends:
-            is_new = self.backends.apply(announced, announced.heard_ms / 1000)
+            is_new = self._apply(announced)
             if announced.state == backends.GONE:
                 departures += [announced] * is_new
                 continue
@@ -230,6 +232,13 @@
                 self.hub.relay(single, origin=origin)
         self._relay_departures(departures, origin)
 
+    def _apply(self, backend):
+        """Apply an announcement; return whether it is new."""
+        is_new = self.backends.apply(backend, backend.heard_ms / 1000)
+        if is_new and self.departure_log is not None:
+            self.departure_log.add(backend)
+        return is_new
+
     def _relay_departures(self, departures, origin=None):
         """Relay departures that are news to this node.
 
@@ -249,8 +258,7 @@
             [
                 backend
                 for backend in announcements
-                if self.backends.apply(backend, backend.heard_ms / 1000)
-                and backend.state == backends.GONE
+                if self._apply(backend) and backend.state == backends.GONE
             ]
         )
 
@@ -260,11 +268,7 @@
         A control instance returns all, any other node those that it has
         acknowledged itself.
         """
-        known = [
-            backend
-            for backend in self.backends.announcements()
-            if backend.state != backends.READY
-        ] + self.backends.departures()
+        known = self.backends.all_departures()
         if self.replica is not None:
             return known
         acknowledged = self._acknowledged_departures
@@ -290,6 +294,27 @@
             link.post(body)
         self.relay_backends(body)
 
+    async def announce_departure(self, backend, timeout_s):
+        """Announce a departure; return once a disk holds it.
+
+        Raises NotDurable. The departure is in force nevertheless.
+        """
+        if self.departure_log is not None:
+            self.announce(backend)
+            await self.departure_log.wait_durable(backend, timeout_s)
+            return
+        body = node_messages.BackendNews([backend])
+        self._acknowledged_departures.add(backend.server_id)
+        self.relay_backends(body)
+        await mesh_links.hold_departures(self._links.values(), body, timeout_s)
+
+    async def hold_departures(self, announcements, timeout_s):
+        """Return once the disk of this instance holds departures."""
+        if self.departure_log is None:
+            raise errors.NotDurable('this node has no disk', step='leave')
+        for backend in announcements:
+            await self.departure_log.wait_durable(backend, timeout_s)
+
     def publish_load(self, body):
         """Publish the load of this node to all nodes."""
         for link in self._links.values():
--- a/pimentowalk/platform/control_api.py
+++ b/pimentowalk/platform/control_api.py
@@ -17,6 +17,7 @@
 # Clients try another node after one second without an answer.
 PUT_TIMEOUT_S = 0.9
 GET_TIMEOUT_S = 0.9
+DEPARTURE_TIMEOUT_S = 0.8
 MAX_BODY_BYTES = 16 << 20
 
 
@@ -83,26 +84,35 @@
             return self._error_response(
                 error, 'announcement refused', server_id
             )
-        self._apply_announcement(backend)
+        if backend.state != backends.READY:
+            return await self._acknowledge_departure(backend)
+        self._metrics.count('announcements')
+        self._node.announce(backend)
         return web.json_response({})
 
     async def _remove_instance(self, request):
         server_id = request.match_info['server_id']
         table = self._node.backends
-        backend = table.get(server_id)
-        if backend is not None:
-            self._apply_announcement(
-                attrs.evolve(backend, state=backends.GONE)
-            )
-        elif not table.has_left(server_id):
+        backend = table.get(server_id) or table.departed(server_id)
+        if backend is None:
             # Other nodes may know it, and would go on to use it.
             error = errors.NotRun('unknown here', step='leave')
             return self._error_response(error, 'departure refused', server_id)
-        return web.json_response({})
+        # Repeated if no answer arrived: it must be on disk then, too.
+        return await self._acknowledge_departure(
+            attrs.evolve(backend, state=backends.GONE)
+        )
 
-    def _apply_announcement(self, backend):
+    async def _acknowledge_departure(self, backend):
+        """Answer once a disk holds that a server drains or has left."""
         self._metrics.count('announcements')
-        self._node.announce(backend)
+        try:
+            await self._node.announce_departure(backend, DEPARTURE_TIMEOUT_S)
+        except errors.NotDurable as error:
+            return self._error_response(
+                error, 'departure not acknowledged', backend.server_id
+            )
+        return web.json_response({})
 
     def _error_response(self, error, event, peer=''):
         self._metrics.count(f'control_errors_{error.code}')
--- /dev/null
+++ b/pimentowalk/platform/tests/test_departures.py
@@ -0,0 +1,124 @@
+"""Test that a departure that was acknowledged holds after a kill of all."""
+
+import asyncio
+import errno
+import json
+import os
+import pathlib
+import shutil
+import time
+
+import pytest
+
+from pimentowalk.mesh import cache_files
+from tools.tests import waiting
+
+# The rule: no request reaches a server later than this after it was
+# acknowledged that it drains or has left.
+DRAIN_S = 2.0
+# A later acknowledgement does not count.
+MAX_ACKNOWLEDGEMENT_S = 1.0
+DISKLESS_HOST = '127.0.0.4'
+
+
+def _folders(cluster):
+    return [
+        pathlib.Path(gateway.settings.data_folder)
+        for gateway in cluster.gateways
+    ]
+
+
+async def leave(cluster, gateway, method):
+    """Announce that the first server leaves; return the status."""
+    server = cluster.servers[0]
+    server.state = 'draining'
+    path = f'/v1/instances/{server.server_id}'
+    body = json.dumps(server.announcement()) if method == 'PUT' else None
+    status, _ = await cluster.platform.control(gateway, method, path, body)
+    return status
+
+
+async def restart_all(cluster, copies):
+    """Restart the gateways with the data that they had when copied."""
+    hosts = [gateway.settings.host for gateway in cluster.gateways]
+    await asyncio.gather(*(g.close() for g in cluster.gateways))
+    for folder, copy in copies.items():
+        shutil.rmtree(folder)
+        copy.rename(folder)
+    cluster.gateways = [
+        await cluster.start_gateway(host, first_start=False) for host in hosts
+    ]
+
+
+@pytest.mark.parametrize('method', ['DELETE', 'PUT'])
+@pytest.mark.parametrize('has_disk', [True, False])
+async def test_acknowledged_departure_holds_after_a_kill_of_all(
+    cluster, method, has_disk
+):
+    """DRAIN: it was saved 0.5 s later, and forgotten by a kill before."""
+    server_id = cluster.servers[0].server_id
+    folders = _folders(cluster)
+    for folder in folders:
+        path = folder / cache_files.ViewFile.name
+        await waiting.until(
+            lambda p=path: p.exists() and server_id in p.read_text()
+        )
+    gateway = cluster.gateways[0]
+    if not has_disk:
+        gateway = await cluster.start_gateway(
+            DISKLESS_HOST, first_start=False, disk=False
+        )
+        await waiting.until(lambda: gateway.node.backends.get(server_id))
+    start_s = time.monotonic()
+    assert await leave(cluster, gateway, method) == 200
+    acknowledged_s = time.monotonic() - start_s
+    copies = {f: f.with_name(f'killed-{f.name}') for f in folders}
+    for folder, copy in copies.items():
+        shutil.copytree(folder, copy)
+    print(f'acknowledged after {acknowledged_s:.3f} s')
+    assert acknowledged_s < MAX_ACKNOWLEDGEMENT_S
+    if not has_disk:
+        await gateway.close()
+    await restart_all(cluster, copies)
+    # The rule counts from when the nodes are in touch again.
+    await waiting.until(
+        lambda: all(g.freshness.is_valid for g in cluster.gateways)
+    )
+    await asyncio.sleep(DRAIN_S)
+    for gateway in cluster.gateways:
+        usable = gateway.node.backends.usable('model')
+        assert [backend.server_id for backend in usable] == ['m-2']
+
+
+@pytest.mark.parametrize('code', [errno.ENOSPC, errno.EIO])
+async def test_departure_is_not_acknowledged_while_the_disk_fails(
+    cluster, monkeypatch, caplog, code
+):
+    """DRAIN: it was acknowledged although no disk could hold it."""
+    sync = os.fsync
+
+    def fail(fd):
+        if '/departures.' in os.readlink(f'/proc/self/fd/{fd}'):
+            raise OSError(code, 'the disk fails')
+        sync(fd)
+
+    monkeypatch.setattr(os, 'fsync', fail)
+    gateway = cluster.gateways[0]
+    for _ in range(2):
+        assert await leave(cluster, gateway, 'DELETE') == 503
+    assert 'departures not saved' in caplog.text
+    monkeypatch.setattr(os, 'fsync', sync)
+    assert await leave(cluster, gateway, 'DELETE') == 200
+
+
+async def test_departure_that_no_disk_holds_is_not_acknowledged(cluster):
+    """DRAIN: a node without a disk acknowledged what it alone knew."""
+    gateway = await cluster.start_gateway(
+        DISKLESS_HOST, first_start=False, disk=False
+    )
+    server_id = cluster.servers[0].server_id
+    await waiting.until(lambda: gateway.node.backends.get(server_id))
+    for other in cluster.gateways:
+        other.node.departure_log = None
+    assert await leave(cluster, gateway, 'DELETE') == 503
+    await gateway.close()
