Tell other nodes that a backend server is restored

Cause: the mark of a restored server stayed in the table of the node that had read it. Others took the announcement for one of the server, asked it for a report once it was silent, and renewed it with each answer.

Change: announcements carry is_restored, and an age that tells since when. Each node drops such a server at the same time unless it announces itself; an answer to a question changes neither. The field is not saved, so that servers.json keeps its form, and older releases do not read it.

test_restored_server_is_restored_at_other_nodes_too failed before.

--- a/pimentowalk/membership/backends.py
+++ b/pimentowalk/membership/backends.py
@@ -87,6 +87,8 @@
         self._last_heard_s = float('-inf')
         self.expiry_s = EXPIRY_PERIODS * period_s
         self.complete_after_s = COMPLETE_PERIODS * period_s
+        # A restored server that is not heard soon expires.
+        self.restored_age_s = self.expiry_s - self.complete_after_s
         self._complete_from_s = now_s() + self.complete_after_s
 
     @property
@@ -105,6 +107,8 @@
 
     def apply(self, backend, age_s=0.0):
         """Apply an announcement of some age; return whether it is new."""
+        if backend.is_restored:
+            return self.restore(backend, age_s)
         if backend.is_leaving:
             self.mark_leaving(backend)
         backend = self.with_mark(backend)
@@ -141,11 +145,21 @@
         return True
 
     def restore(self, backend, age_s):
-        """Apply an announcement that was saved before a restart."""
-        self.apply(backend, age_s)
+        """Apply what a node saved before a restart; return whether it is new.
+
+        Its age is `restored_age_s` when that node restarts, and tells other
+        nodes when that was.
+        """
+        backend = attrs.evolve(backend, is_restored=False)
+        record = self._records.get(backend.server_id)
+        if record is not None and backend.order <= record.backend.order:
+            return False
+        is_new = self.apply(backend, age_s)
         record = self._records.get(backend.server_id)
-        if record is not None and record.backend.order == backend.order:
-            record.restored_s = self.now_s()
+        if is_new and record is not None:
+            restored_s = self.now_s() - max(0.0, age_s - self.restored_age_s)
+            record.restored_s = restored_s
+        return is_new
 
     def mark_leaving(self, backend):
         """Record that an incarnation leaves; return whether this is new.
@@ -443,14 +457,22 @@
 
     def announcements(self):
         """Return all announcements with their current ages."""
-        now_s = self.now_s()
         return [
             attrs.evolve(
-                record.backend, heard_ms=int((now_s - record.heard_s) * 1000)
+                record.backend,
+                heard_ms=int(self._age_s(record) * 1000),
+                is_restored=record.restored_s is not None,
             )
             for record in self._records.values()
         ]
 
+    def _age_s(self, record):
+        """Return the age of an announcement for other nodes."""
+        if record.restored_s is None:
+            return self.now_s() - record.heard_s
+        # An answer that this node asked for is no announcement.
+        return self.now_s() - record.restored_s + self.restored_age_s
+
     def departures(self):
         """Return the last announcements of servers that left, with ages."""
         now_s = self.now_s()
--- a/pimentowalk/mesh/cache_files.py
+++ b/pimentowalk/mesh/cache_files.py
@@ -15,6 +15,7 @@
 
 import attrs
 import cattrs
+from cattrs import gen
 from cattrs.preconf import json as json_converter
 
 from pimentowalk.control import files
@@ -32,6 +33,13 @@
 # Fields are saved by name, so a file of another release is either read
 # correctly or not used.
 CONVERTER = json_converter.make_converter(forbid_extra_keys=True)
+# All that is read from a file is restored.
+CONVERTER.register_unstructure_hook(
+    backends.Backend,
+    gen.make_dict_unstructure_fn(
+        backends.Backend, CONVERTER, is_restored=gen.override(omit=True)
+    ),
+)
 
 
 class CacheFile(abc.ABC):
@@ -175,7 +183,7 @@
     if backend.state == backends.GONE:
         table.apply(backend, backend.heard_ms / 1000)
     else:
-        table.restore(backend, table.expiry_s - table.complete_after_s)
+        table.restore(backend, table.restored_age_s)
 
 
 def replace_file(path, data):
--- a/pimentowalk/mesh/tests/test_departures.py
+++ b/pimentowalk/mesh/tests/test_departures.py
@@ -11,6 +11,7 @@
 from pimentowalk.mesh.tests import test_homes
 from pimentowalk.mesh.tests import test_leaving
 from pimentowalk.topology import backends
+from pimentowalk.wire import codec
 from pimentowalk.wire import node_messages
 from tools.tests import waiting
 
@@ -123,6 +124,51 @@
     assert restarted.usable() == []
 
 
+async def test_restored_server_is_restored_at_other_nodes_too(tmp_path):
+    """DRAIN: they took it for one that had announced itself, and kept it.
+
+    It had left, and answered the nodes that asked whether it is there.
+    """
+    node = test_cache_files.FakeNode(tmp_path)
+    node.table.apply(SERVER)
+    await save(node)
+    restarted = test_cache_files.FakeNode(tmp_path)
+    restarted.file.load()
+    table = restarted.table
+    others = []
+    due_s = membership.RESTORED_PERIODS * test_cache_files.PERIOD_S
+    heard = attrs.evolve(SERVER, server_id='i-2', port=81)
+    while restarted.now_s < due_s + 0.1:
+        # New subscribers learn it from each other as well.
+        other = membership.BackendTable(
+            lambda: restarted.now_s, test_cache_files.PERIOD_S
+        )
+        frame = codec.encode(node_messages.BackendNews(table.announcements()))
+        for backend in codec.decode(frame[codec.HEADER.size :]).body.backends:
+            other.apply(backend, backend.heard_ms / 1000)
+        others.append(other)
+        table = other
+        restarted.now_s += 0.2
+        for known in others:
+            heard = attrs.evolve(heard, sequence=heard.sequence + 1)
+            known.apply(heard)
+            known.expire(known.confirm)
+    assert all(known.get('i-1') is None for known in others)
+
+
+async def test_restored_server_that_announces_itself_is_kept(tmp_path):
+    """A server that goes on to announce itself must not be dropped."""
+    table = test_cache_files.FakeNode(tmp_path)
+    restored = attrs.evolve(SERVER, is_restored=True)
+    table.table.apply(restored, table.table.restored_age_s)
+    for tenth in range(1, 50):
+        table.now_s = tenth / 10
+        table.table.apply(attrs.evolve(SERVER, sequence=5 + tenth))
+        assert not table.table.apply(restored, 0.0)
+        table.table.expire(table.table.confirm)
+    assert table.usable() == ['i-1']
+
+
 async def test_restored_server_that_only_answers_is_dropped(tmp_path):
     """DRAIN: the node was killed before it had saved the departure.
 
--- a/pimentowalk/topology/backends.py
+++ b/pimentowalk/topology/backends.py
@@ -19,7 +19,8 @@
     incarnation. `end_layer` is exclusive, and equals `first_layer` if the
     server holds no layers. `heard_ms` is the age that the announcement had
     when a node forwarded it. `is_leaving` tells that an answer of the server
-    said that it leaves, which no announcement takes back.
+    said that it leaves, which no announcement takes back. `is_restored` tells
+    that the sender knows the announcement from a disk only.
     """
 
     server_id: str
@@ -39,6 +40,7 @@
     warm_up_ms: int = 0
     heard_ms: int = 0
     is_leaving: bool = False
+    is_restored: bool = False
 
     @property
     def address(self):
--- a/pimentowalk/wire/frames.capnp
+++ b/pimentowalk/wire/frames.capnp
@@ -415,6 +415,7 @@
   warmUpMs @14 :UInt64;
   heardMs @15 :UInt64;
   isLeaving @16 :Bool;
+  isRestored @17 :Bool;
 }
 
 struct BackendNews {
