--- a/pimentowalk/mesh/cache_files.py
+++ b/pimentowalk/mesh/cache_files.py
@@ -15,8 +15,10 @@
 
 import attrs
 import cattrs
+from cattrs import gen
 from cattrs.preconf import json as json_converter
 
+from pimentowalk.control import files
 from pimentowalk.core import identifiers
 from pimentowalk.core import logs
 from pimentowalk.topology import backends
@@ -31,6 +33,13 @@
 # Fields are saved by name, so a file of another release is either read
 # correctly or not used.
 CONVERTER = json_converter.make_converter(forbid_extra_keys=True)
+# All that is read from a file is restored.
+CONVERTER.register_unstructure_hook(
+    backends.Backend,
+    gen.make_dict_unstructure_fn(
+        backends.Backend, CONVERTER, is_restored=gen.override(omit=True)
+    ),
+)
 
 
 class CacheFile(abc.ABC):
@@ -108,12 +117,7 @@
             self._saved_generation = generation
 
     def _write(self, data):
-        temporary = self._path.with_suffix('.tmp')
-        with open(temporary, 'wb') as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
-        temporary.replace(self._path)
+        replace_file(self._path, data)
 
 
 class ViewFile(CacheFile):
@@ -133,16 +137,8 @@
         return self._table.announcements() + self._table.departures()
 
     def _restore(self, content):
-        """Apply announcements with an age at which they soon expire.
-
-        Servers that do not announce themselves may have left meanwhile.
-        """
-        age_s = self._table.expiry_s - self._table.complete_after_s
         for backend in content:
-            if backend.state == backends.GONE:
-                self._table.apply(backend, backend.heard_ms / 1000)
-            else:
-                self._table.restore(backend, age_s)
+            restore_backend(self._table, backend)
         return len(content)
 
 
@@ -179,6 +175,29 @@
         return len(content.notes)
 
 
+def restore_backend(table, backend):
+    """Apply a saved announcement with an age at which it soon expires.
+
+    Servers that do not announce themselves may have left meanwhile.
+    """
+    if backend.state == backends.GONE:
+        table.apply(backend, backend.heard_ms / 1000)
+    else:
+        table.restore(backend, table.restored_age_s)
+
+
+def replace_file(path, data):
+    """Replace a file durably; raise OSError, also if the disk is full."""
+    temporary = path.with_suffix('.tmp')
+    with open(temporary, 'wb') as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    temporary.replace(path)
+    # Without it, a loss of power may undo the rename.
+    files.sync_path(path.parent)
+
+
 def _encode(content):
     text = CONVERTER.dumps(content).encode()
     return b'%016x\n' % identifiers.hash64(text) + text
