Create the cluster with a majority of the voters of a first start

What callers saw: a kill of one control node within the first start, and its restart with an empty folder and without `first_start`, and no configuration was ever acknowledged. Class of fault: a step of all waits for one that may be lost.

Cause: the cluster was created by the voter with the lowest id alone, once each of the voters had answered with an empty folder and the same voters.

Change: each voter of a first start founds the cluster by itself. Cluster id, identities and first record follow from the list of voters; the vote file holds them, so that a later start completes the folder. Elections do the rest, with a majority. An empty folder without `first_start` keeps its random identity, counts for no majority, and joins by the repair of members.

If a majority of the voters is killed before they have written their vote files, still no cluster is created.

--- a/pimentowalk/control/bootstrap.py
+++ b/pimentowalk/control/bootstrap.py
@@ -47,6 +47,10 @@
     no other replica can be a candidate. A replica that follows or votes in
     a cluster stores the cluster id and rejects any other, so that two first
     starts cannot mix their logs.
+
+    All voters are needed, since the settings do not tell whether an empty
+    folder is new or was lost. See `founding` for a first start that is known
+    to be one.
     """
 
     def __init__(self, consensus, voters, dial):
--- a/pimentowalk/control/log.py
+++ b/pimentowalk/control/log.py
@@ -45,7 +45,8 @@
     """Content of the vote file: identity, cluster, term and vote.
 
     Identity and vote share one file, so that neither can be lost alone.
-    `cluster_id` is empty until the replica joins a cluster.
+    `cluster_id` is empty until the replica joins a cluster. `founders` has
+    the content of the first record in the folder of a founder.
     """
 
     identity: str
@@ -53,6 +54,7 @@
     term: int = 0
     voted_for: str = ''
     synced_index: int = 0
+    founders: str = ''
 
     def encode(self):
         """Return the content of the vote file."""
@@ -160,15 +162,18 @@
         """Return the records after the base."""
         return list(self._records)
 
-    async def open(self, base_index=0, base_term=0):
+    async def open(self, base_index=0, base_term=0, *, first_vote=None):
         """Read the folder; raise DamagedData.
 
         The base is the last record that the snapshot covers, if there is one.
+        An empty folder gets `first_vote`, or else a new identity.
         """
-        await self._run_exclusively(self._open(base_index, base_term))
+        await self._run_exclusively(
+            self._open(base_index, base_term, first_vote)
+        )
 
-    async def _open(self, base_index, base_term):
-        await self._run(self._read_vote, base_index)
+    async def _open(self, base_index, base_term, first_vote):
+        await self._run(self._read_vote, base_index, first_vote)
         records = await self._run(self._store.load)
         if _is_superseded(records, base_index, base_term):
             # A crash came after a snapshot was installed and before the
@@ -193,7 +198,7 @@
                 f'{known_synced}'
             )
 
-    def _read_vote(self, base_index):
+    def _read_vote(self, base_index, first_vote):
         self.files.make_folder()
         data = self.files.read(VOTE_FILE)
         if data is not None:
@@ -204,7 +209,7 @@
             n.endswith(segments.SEGMENT_SUFFIX) for n in names
         ):
             raise segments.damage_error('the vote file is missing')
-        self._write_vote(Vote(self._new_identity()))
+        self._write_vote(first_vote or Vote(self._new_identity()))
 
     def append(self, records):
         """Queue records that follow the last one, without writing them."""
--- a/pimentowalk/control/replica.py
+++ b/pimentowalk/control/replica.py
@@ -11,6 +11,7 @@
 from pimentowalk.control import changes
 from pimentowalk.control import consensus as control_consensus
 from pimentowalk.control import election
+from pimentowalk.control import founding
 from pimentowalk.control import handover
 from pimentowalk.control import log as control_log
 from pimentowalk.control import members as control_members
@@ -36,11 +37,13 @@
 class Replica:
     """One voter or learner of the control cluster.
 
-    `voters` come from the settings and are used only to create the cluster
-    at its first start, see `bootstrap.Bootstrap`. The caller accepts
-    connections and passes the frames of other replicas to `handle`. The
-    state machine has `apply(index, command, time_s) -> result`,
-    `snapshot() -> bytes` and `restore(bytes)`.
+    `voters` come from the settings and are used only to create the cluster.
+    `first_start` says that the folder of none of them was used before; then
+    a majority of them creates it, see `founding`. Otherwise all of them are
+    needed, see `bootstrap.Bootstrap`. The caller accepts connections and
+    passes the frames of other replicas to `handle`. The state machine has
+    `apply(index, command, time_s) -> result`, `snapshot() -> bytes` and
+    `restore(bytes)`.
     """
 
     # The frame bodies that the caller passes to `handle`.
@@ -54,6 +57,7 @@
         state_machine,
         timers,
         *,
+        first_start=False,
         zone='',
         log=None,
         dial=None,
@@ -81,6 +85,10 @@
         self._applier = control_applier.Applier(
             self._consensus, state_machine, snapshot_every, kept_records
         )
+        self._first_vote = None
+        if first_start:
+            self._first_vote = founding.founding_vote(node_id, voters)
+            voters = []
         self._create_components(voters, random or random_module.Random())
         self._peers = {}
         self._tasks = []
@@ -158,7 +166,8 @@
         log = self._log
         snapshot = await log.run_file_operation(control_snapshot.load)
         if snapshot is None:
-            await log.open()
+            await log.open(first_vote=self._first_vote)
+            await founding.complete(log)
         else:
             await log.open(snapshot.last_index, snapshot.last_term)
         self._running = True
--- a/pimentowalk/control/tests/simulation.py
+++ b/pimentowalk/control/tests/simulation.py
@@ -52,6 +52,7 @@
         self.node_id = instance.instance_id
         self.files = faulty_files.FaultyFiles()
         self.lost_disk_count = 0
+        self.is_first_start = simulation.is_first_start
         self.replica = None
         self.links = []
         self.random = random.Random(self.node_id)
@@ -81,6 +82,7 @@
             simulation.voters,
             self.recorder,
             self.timers,
+            first_start=self.is_first_start,
             log=log,
             dial=self._dial,
             rules=simulation.rules,
@@ -89,6 +91,7 @@
             snapshot_every=SNAPSHOT_EVERY,
             kept_records=4,
         )
+        self.is_first_start = False
         await self.replica.start()
 
     async def _dial(self, host, port):
@@ -127,12 +130,14 @@
         self,
         count=3,
         *,
+        is_first_start=False,
         rules=None,
         make_log=control_log.DurableLog,
         make_file_thread=file_threads.InlineFileThread,
         new_identity_for=lambda disk_name, node_id: lambda: disk_name,
     ):
         self.clock = timers.ManualTimerService()
+        self.is_first_start = is_first_start
         self.rules = rules
         self.make_log = make_log
         self.make_file_thread = make_file_thread
--- a/pimentowalk/gateway/core.py
+++ b/pimentowalk/gateway/core.py
@@ -170,6 +170,7 @@
             voters,
             self.state,
             self.timers,
+            first_start=settings.first_start,
             zone=settings.zone,
         )
         self.node.replica = self.replica
--- a/pimentowalk/platform/tests/conftest.py
+++ b/pimentowalk/platform/tests/conftest.py
@@ -64,10 +64,16 @@
         await gateway.start()
         return gateway
 
-    async def start(self, servers):
-        """Start gateways and servers; wait until requests can be served."""
+    async def start(self, servers, *, restarted=()):
+        """Start gateways and servers; wait until requests can be served.
+
+        The hosts `restarted` were killed before they had written anything.
+        """
         self.servers = servers
-        self.gateways = [await self.start_gateway(host) for host in HOSTS]
+        self.gateways = [
+            await self.start_gateway(host, first_start=host not in restarted)
+            for host in HOSTS
+        ]
         self.platform = standin.Platform(self.gateways, servers)
         await self.platform.start()
         await waiting.until(lambda: any(g.node.leads for g in self.gateways))
--- a/pimentowalk/platform/tests/test_start.py
+++ b/pimentowalk/platform/tests/test_start.py
@@ -8,9 +8,12 @@
 import sys
 import types
 
+import pytest
+
 from pimentowalk.core import sockets
 from pimentowalk.platform import daemon
 from pimentowalk.platform import program
+from pimentowalk.platform.tests import conftest
 from pimentowalk.settings import gateway as gateway_settings
 from tools.tests import waiting
 
@@ -183,3 +186,19 @@
     in_flight = gateway.dispatcher.in_flight
     in_flight.begin(['m-1'], 10)
     assert (in_flight.requests('m-1'), in_flight.tokens('m-1')) == (3, 30)
+
+
+@pytest.mark.parametrize('host', conftest.HOSTS)
+async def test_one_killed_voter_does_not_end_the_first_start(tmp_path, host):
+    """No configuration was ever accepted after a kill in the first start."""
+    cluster = conftest.Cluster(tmp_path)
+    try:
+        await cluster.start([], restarted=(host,))
+        await waiting.until(
+            lambda: all(
+                sum(m.voter for m in g.replica.members()) == 3
+                for g in cluster.gateways
+            )
+        )
+    finally:
+        await cluster.stop()
--- a/specs/replicated_log.py
+++ b/specs/replicated_log.py
@@ -30,6 +30,11 @@
     return control_members.Member(name, f'{name}{disk}', '', 0, '', voter)
 
 
+def voter(name, disk):
+    """Return a voter with the identity of one of its disks."""
+    return _member(name, disk, True)
+
+
 class ReplicatedLog:
     """The specification, with seeded faults for tests of the checks."""
 
@@ -41,7 +46,7 @@
     def initial(self):
         """Return three empty-handed voters, of which `a` leads term 1."""
         members = control_members.MemberSet(
-            tuple(_member(name, 0, True) for name in log_state.NAMES)
+            tuple(voter(name, 0) for name in log_state.NAMES)
         )
         log = (log_state.Record(1, 1, members),)
         nodes = [
@@ -92,7 +97,7 @@
         if state.now - node.heard < ELECTION:
             return
         others = [n for n in state.nodes if n.name != node.name]
-        for count in (1, 2):
+        for count in range(1, len(others) + 1):
             for reached in itertools.combinations(others, count):
                 # Earlier refusals have told the candidate of this term.
                 term = max(node.term, *(n.term for n in reached)) + 1
