Show that a first start bears a seed without a disk

What callers saw: no configuration was acknowledged if one of the seeds was an instance without a disk (kin of the killed voter). The first start waited for the replica of each seed.

The majority of the voters creates the cluster now, so that only the test is new.

--- a/pimentowalk/platform/tests/test_start.py
+++ b/pimentowalk/platform/tests/test_start.py
@@ -202,3 +202,20 @@
         )
     finally:
         await cluster.stop()
+
+
+async def test_a_seed_without_a_disk_does_not_end_the_first_start(tmp_path):
+    """A first start that needed all seeds would wait for it forever."""
+    cluster = conftest.Cluster(tmp_path)
+    *with_disk, diskless = conftest.HOSTS
+    cluster.gateways = [
+        *[await cluster.start_gateway(host) for host in with_disk],
+        await cluster.start_gateway(diskless, disk=False),
+    ]
+    try:
+        await waiting.until(
+            lambda: any(g.node.leads for g in cluster.gateways)
+        )
+    finally:
+        for gateway in cluster.gateways:
+            await gateway.close()
