Keep a connection whose frame cannot be encoded or decoded

Callers saw every link between the processes end when one value did not fit into its field: the exception of the encoder left `post` and ended the task that sent, and a reply that could not be encoded closed the connection of all calls. A frame whose body could not be decoded, for example of a kind that a newer release adds, closed the connection too.

Encoding and decoding now have errors of their own. `post` logs and drops the frame, `send` and `call` raise EncodeError before anything is sent, a reply that cannot be encoded fails its call alone, and a frame with a valid header that cannot be decoded is logged and skipped, and fails the call that it belongs to. Wrong headers and unexpected frames still close the connection. ValueError, such as that of a text that is not valid Unicode, is an EncodeError as well.

--- a/pimentowalk/agent/frames.py
+++ b/pimentowalk/agent/frames.py
@@ -160,7 +160,7 @@
 
 def _post(connection, envelope, body):
     call_id = envelope.call_id | 1 if envelope.call_id else 0
-    connection.post(body, call_id=call_id)
+    connection.post_encoded(connection.encode(body, call_id=call_id))
 
 
 async def _reply(connection, envelope, body):
--- a/pimentowalk/core/errors.py
+++ b/pimentowalk/core/errors.py
@@ -97,6 +97,19 @@
     code = 'frame_error'
 
 
+class EncodeError(FrameError):
+    """Report a message that no frame can carry; nothing was sent."""
+
+
+class DecodeError(FrameError):
+    """Report a frame whose body cannot be decoded.
+
+    `call_id` is that of the frame, 0 if it is unknown or there is no call.
+    """
+
+    call_id = 0
+
+
 class PeerLost(PimentowalkError):
     """Report that the connection to a peer ended."""
 
--- a/pimentowalk/wire/codec.py
+++ b/pimentowalk/wire/codec.py
@@ -121,7 +121,7 @@
 def encode(body, *, config_version=0, call_id=0):
     """Return a frame with its header.
 
-    Raises FrameError if the body cannot be encoded or is too large.
+    Raises EncodeError if the body cannot be encoded or is too large.
     """
     try:
         frame = _SCHEMA.Frame.new_message()
@@ -129,12 +129,18 @@
         frame.callId = call_id
         _ENCODERS[type(body)](frame.init(body.FRAME_NAME), body)
         payload = frame.to_bytes()
-    except (capnp.KjException, TypeError, OverflowError) as error:
-        raise errors.FrameError(
+    except (
+        capnp.KjException,
+        AttributeError,
+        OverflowError,
+        TypeError,
+        ValueError,
+    ) as error:
+        raise errors.EncodeError(
             f'cannot encode {body.FRAME_NAME}: {error}', step='encode'
         ) from None
     if len(payload) > MAX_FRAME_BYTES:
-        raise errors.FrameError(
+        raise errors.EncodeError(
             f'{body.FRAME_NAME} of {len(payload)} bytes exceeds '
             f'{MAX_FRAME_BYTES}',
             code='too_large',
@@ -164,17 +170,19 @@
 
 
 def decode(payload, peer=''):
-    """Decode the part of a frame after its header; raise FrameError."""
+    """Decode the part of a frame after its header; raise DecodeError."""
+    call_id = 0
     try:
         with _SCHEMA.Frame.from_bytes(
             payload, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
         ) as frame:
+            call_id = frame.callId
             name = frame.which()
             decoder = _DECODERS[messages.FRAMES.get(str(name))]
             return Envelope(
                 decoder(getattr(frame, str(name))),
                 frame.configVersion,
-                frame.callId,
+                call_id,
             )
     except (
         capnp.KjException,
@@ -183,6 +191,8 @@
         AttributeError,
         errors.PimentowalkError,
     ) as error:
-        raise errors.FrameError(
+        decode_error = errors.DecodeError(
             f'malformed frame: {error}', step='decode', peer=peer
-        ) from None
+        )
+        decode_error.call_id = call_id
+        raise decode_error from None
--- a/pimentowalk/wire/connection.py
+++ b/pimentowalk/wire/connection.py
@@ -76,7 +76,7 @@
 
     async def handshake(self):
         """Exchange `Hello` frames; raise FrameError or PeerLost."""
-        self.post(self._local_hello)
+        self.post_encoded(self.encode(self._local_hello))
         try:
             async with asyncio.timeout(HELLO_TIMEOUT_S):
                 envelope = await self._read()
@@ -95,19 +95,37 @@
         self.hello = envelope.body
 
     def post(self, body, *, call_id=0):
-        """Queue a frame without waiting; drop it if disconnected."""
+        """Queue a frame without waiting; drop it if disconnected.
+
+        A frame that cannot be encoded is logged and dropped.
+        """
         if not self.closed:
             self.post_encoded(self.encoded(body, call_id=call_id))
 
     def encoded(self, body, *, call_id=0):
-        """Return the encoded frame; other connections may send it too."""
+        """Return the encoded frame, or an empty one that is not sent.
+
+        The latter is logged. Other connections may send the frame too.
+        """
+        try:
+            return self.encode(body, call_id=call_id)
+        except errors.EncodeError as error:
+            LOG.error(
+                'frame not sent: %s',
+                error,
+                extra=logs.fields(step=error.step, peer=self.peer),
+            )
+            return b''
+
+    def encode(self, body, *, call_id=0):
+        """Return the encoded frame; raise EncodeError."""
         return codec.encode(
             body, config_version=self._version(), call_id=call_id
         )
 
     def post_encoded(self, frame):
         """Queue an encoded frame without waiting; drop it if disconnected."""
-        if self.closed or self._writer.is_closing():
+        if not frame or self.closed or self._writer.is_closing():
             return
         self.sent_bytes += len(frame)
         # All frames queued in one iteration of the event loop are written
@@ -122,12 +140,15 @@
             self._writer.write(b''.join(frames))
 
     async def send(self, body, *, call_id=0):
-        """Send a frame; raise PeerLost if the connection has ended."""
+        """Send a frame; raise PeerLost if the connection has ended.
+
+        Raises EncodeError if the body cannot be encoded.
+        """
         if self.closed or self._writer.is_closing():
             raise errors.PeerLost(
                 'the connection ended', step='send', peer=self.peer
             )
-        self.post(body, call_id=call_id)
+        self.post_encoded(self.encode(body, call_id=call_id))
         self._flush()
         try:
             await self._writer.drain()
@@ -139,8 +160,8 @@
     async def call(self, body, timeout_s):
         """Send a request and return the body of the response.
 
-        Raises PeerLost, TimeoutError, or PimentowalkError with the code of
-        the `Failure` that the peer returned.
+        Raises PeerLost, TimeoutError, EncodeError, or PimentowalkError with
+        the code of the `Failure` that the peer returned.
         """
         call_id = next(self._call_ids) * 2
         future = asyncio.get_running_loop().create_future()
@@ -163,7 +184,12 @@
         """Dispatch received frames until the connection ends; never raise."""
         try:
             while True:
-                envelope = await self._read()
+                try:
+                    envelope = await self._read()
+                except errors.DecodeError as error:
+                    # The header was valid, so the next frame can be read.
+                    await self._skip(error)
+                    continue
                 if isinstance(envelope.body, messages.Probe):
                     self._answer_probe(envelope.body)
                 elif envelope.call_id & 1:
@@ -185,9 +211,10 @@
     async def _dispatch(self, envelope):
         try:
             await self.on_frame(self, envelope)
-        except errors.FrameError:
-            raise
-        except errors.PeerLost:
+        except errors.EncodeError as error:
+            LOG.error('%s', error, extra=logs.fields(peer=self.peer))
+            await self._refuse(envelope.call_id, error)
+        except (errors.FrameError, errors.PeerLost):
             raise
         except errors.PimentowalkError as error:
             if not envelope.call_id:
@@ -203,6 +230,25 @@
                     envelope, messages.Failure('internal', repr(error))
                 )
 
+    async def _skip(self, error):
+        """Fail the call that a frame belongs to that cannot be decoded."""
+        LOG.error(
+            'frame skipped: %s',
+            error,
+            extra=logs.fields(step=error.step, peer=self.peer),
+        )
+        if error.call_id & 1:
+            self._complete_call(
+                codec.Envelope(failure(error), call_id=error.call_id)
+            )
+        else:
+            await self._refuse(error.call_id, error)
+
+    async def _refuse(self, call_id, error):
+        """Answer with an error, if there is a call."""
+        if call_id:
+            await self.send(failure(error), call_id=call_id | 1)
+
     def _answer_probe(self, probe):
         if not probe.answer:
             self.post(messages.Probe(answer=True))
--- a/pimentowalk/wire/tests/test_wire.py
+++ b/pimentowalk/wire/tests/test_wire.py
@@ -84,6 +84,7 @@
 
     def __init__(self):
         self.closed = []
+        self.reply = None
         self.server = connection.PeerServer(
             '127.0.0.1', 0, messages.Hello('server', 'agent', 2), self.accept
         )
@@ -97,7 +98,7 @@
             raise errors.NotRun('refused', step='watch')
         if isinstance(envelope.body, messages.TimeoutNow):
             raise errors.FrameError('unexpected', step='receive')
-        await peer.reply(envelope, envelope.body)
+        await peer.reply(envelope, self.reply or envelope.body)
 
 
 @pytest.fixture
@@ -204,3 +205,57 @@
     await server.stop()
     assert ended
     assert isinstance(call.exception(), TimeoutError)
+
+
+UNENCODABLE_BODIES = [
+    attrs.evolve(HELLO, incarnation=2**64),
+    attrs.evolve(HELLO, incarnation=-1),
+    attrs.evolve(HELLO, node_id='\ud800'),
+    attrs.evolve(HELLO, node_id=None),
+    messages.Failure('internal', 'x' * codec.MAX_FRAME_BYTES),
+]
+
+
+@pytest.mark.parametrize(
+    'body', UNENCODABLE_BODIES, ids=lambda body: repr(body)[:60]
+)
+async def test_body_that_cannot_be_encoded_keeps_the_connection(
+    echo, body, caplog
+):
+    """One value that no frame can carry ended the task that sent it."""
+    peer, running = await dial_echo(echo)
+    peer.post(body)
+    assert 'frame not sent' in caplog.text
+    with pytest.raises(errors.EncodeError):
+        await peer.call(body, 5)
+    assert await peer.call(messages.Empty(), 5) == messages.Empty()
+    peer.close()
+    await running
+
+
+async def test_reply_that_cannot_be_encoded_fails_its_call_alone(echo):
+    """A reply too large for a frame closed the connection of all calls."""
+    peer, running = await dial_echo(echo)
+    echo.reply = UNENCODABLE_BODIES[0]
+    with pytest.raises(errors.PimentowalkError) as caught:
+        await peer.call(messages.Empty(), 5)
+    assert caught.value.code == 'frame_error'
+    echo.reply = None
+    assert await peer.call(messages.Empty(), 5) == messages.Empty()
+    peer.close()
+    await running
+
+
+@pytest.mark.parametrize('call_id', [0, 1000, 1001])
+async def test_frame_that_cannot_be_decoded_is_skipped(
+    echo, call_id, caplog, monkeypatch
+):
+    """A frame kind of a newer release closed the connection."""
+    peer, running = await dial_echo(echo)
+    frame = codec.encode(messages.Probe(), call_id=call_id)
+    monkeypatch.delitem(messages.FRAMES._entries, 'probe')
+    peer.post_encoded(frame)
+    assert await peer.call(messages.Empty(), 5) == messages.Empty()
+    assert 'frame skipped' in caplog.text
+    peer.close()
+    await running
