Carry, keep and read back versions of up to 128 bits

An operator who numbered versions by date and time to the microsecond, 20 digits, got no acknowledgement, and from then on no configuration was read and no request served, also after a restart of all processes. The change was committed, and each frame carried the version in force in a header field of 64 bits, so that no link could be opened any more.

Statuses, news and pushes of documents carry it in two words of 64 bits, the second one in a field that earlier releases ignore. The header of frames between gateways doesn't carry it any more; no release has read it there. A version above 2^128 - 1 gets 400, and `PutDocument` checks it before it is proposed.

Earlier logs are read.

--- a/pimentowalk/control/documents.py
+++ b/pimentowalk/control/documents.py
@@ -1,12 +1,17 @@
 """The configuration document; the highest version is in force."""
 
 import base64
+import logging
 
 import attrs
 
 from pimentowalk.control import commands
 from pimentowalk.control import parts
 from pimentowalk.control import requests
+from pimentowalk.core import logs
+from pimentowalk.topology import documents as topology_documents
+
+LOG = logging.getLogger(__name__)
 
 
 @attrs.frozen
@@ -33,7 +38,9 @@
     `content` is the compressed text as the operator sent it.
     """
 
-    version: int
+    version: int = attrs.field(
+        validator=attrs.validators.le(topology_documents.MAX_VERSION)
+    )
     content: bytes
 
 
@@ -63,7 +70,18 @@
         return {'version': self.version, 'content': text}
 
     def restore(self, data):
-        """Restore version and content."""
+        """Restore version and content.
+
+        A version that only earlier releases accepted is dropped, since it
+        would keep each later document from being accepted.
+        """
+        if data['version'] > topology_documents.MAX_VERSION:
+            LOG.error(
+                'the stored document is dropped: version %d is not supported',
+                data['version'],
+                extra=logs.fields(step='restore'),
+            )
+            return
         self.version = data['version']
         self.content = base64.b64decode(data['content'])
 
--- a/pimentowalk/control/state.py
+++ b/pimentowalk/control/state.py
@@ -1,6 +1,7 @@
 """The replicated state machine of the control plane."""
 
 import json
+import logging
 
 from pimentowalk.control import audit  # noqa: F401 registers a part
 from pimentowalk.control import change_results  # noqa: F401 registers a part
@@ -13,6 +14,9 @@
 from pimentowalk.control import publishing  # noqa: F401 registers a part
 from pimentowalk.control import quarantine  # noqa: F401 registers a part
 from pimentowalk.core import errors
+from pimentowalk.core import logs
+
+LOG = logging.getLogger(__name__)
 
 SNAPSHOT_FORMAT = 2
 
@@ -49,7 +53,17 @@
         # The clocks of successive leaders differ; time must not go backwards.
         self.time_s = max(self.time_s, time_s)
         try:
-            result = self._dispatch(commands.from_log(command), command)
+            body = commands.from_log(command)
+        except errors.PimentowalkError as error:
+            LOG.error(
+                'record %d is skipped: %s',
+                index,
+                error,
+                extra=logs.fields(step='apply'),
+            )
+            return commands.Refusal(error.code, error.message)
+        try:
+            result = self._dispatch(body, command)
         except errors.PimentowalkError as error:
             return commands.Refusal(error.code, error.message)
         for callback in self._callbacks:
--- a/pimentowalk/control/tests/test_documents.py
+++ b/pimentowalk/control/tests/test_documents.py
@@ -2,10 +2,14 @@
 
 from hypothesis import given
 from hypothesis import strategies
+import pytest
 
 from pimentowalk.control import commands
 from pimentowalk.control import documents
+from pimentowalk.control import packing
 from pimentowalk.control import state as control_state
+from pimentowalk.core import errors
+from pimentowalk.topology import documents as topology_documents
 
 
 def _put(state, index, version, content):
@@ -59,3 +63,39 @@
     restored = control_state.ControlState()
     restored.restore(b'\n'.join(lines))
     assert restored.part('document').version == 0
+
+
+UNSUPPORTED_VERSION = topology_documents.MAX_VERSION + 1
+
+
+def test_record_with_an_unsupported_version_is_skipped(caplog):
+    """Earlier releases committed versions that no frame can carry."""
+    state = control_state.ControlState()
+    _put(state, 1, 7, b'a')
+    body = {'version': UNSUPPORTED_VERSION, 'content': ''}
+    record = packing.pack({'name': 'PutDocument', 'body': body})
+    result = state.apply(2, record, 2.0)
+    assert (type(result), result.code) == (commands.Refusal, 'bad_request')
+    assert 'record 2 is skipped' in caplog.text
+    assert state.part('document').version == 7
+    assert _put(state, 3, 8, b'b') == documents.DocumentVersion(8, True)
+
+
+def test_snapshot_with_an_unsupported_version_holds_no_document(caplog):
+    """It would keep each later document from being accepted."""
+    state = control_state.ControlState()
+    _put(state, 1, 7, b'a')
+    state.part('document').version = UNSUPPORTED_VERSION
+    restored = control_state.ControlState()
+    restored.restore(state.snapshot())
+    assert restored.part('document').version == 0
+    assert 'version' in caplog.text
+    assert _put(restored, 2, 8, b'b') == documents.DocumentVersion(8, True)
+
+
+def test_command_with_an_unsupported_version_is_refused():
+    """A request of another node must be refused before it is committed."""
+    body = {'version': UNSUPPORTED_VERSION, 'content': ''}
+    with pytest.raises(errors.PimentowalkError) as caught:
+        commands.decode(packing.pack(body), documents.PutDocument)
+    assert caught.value.code == 'bad_request'
--- a/pimentowalk/mesh/hub.py
+++ b/pimentowalk/mesh/hub.py
@@ -61,13 +61,9 @@
         self._batched_backends = {}
         self._batched_loads = {}
         self._load_sums = load_sums.LoadSums()
-        self._peers = wire.PeerServer(
-            host,
-            port,
-            hello,
-            self._accept,
-            version=lambda: node.document_version,
-        )
+        # Nodes read document versions from statuses and pushes, not from the
+        # header of each frame, which is too narrow for them.
+        self._peers = wire.PeerServer(host, port, hello, self._accept)
 
     async def start(self):
         """Listen for connections."""
@@ -143,7 +139,7 @@
             self._records[peer] = record
         record.status = status
         record.heard_s = now_s
-        record.sent_version = max(record.sent_version, status.version)
+        record.sent_version = max(record.sent_version, status.document_version)
         if status.subscribed:
             self._push_document(peer, record)
             if not record.sent_backends:
@@ -179,7 +175,7 @@
         version, content = self.node.stored_document
         if version > record.sent_version:
             record.sent_version = version
-            peer.post(node_messages.DocumentPush(version, content))
+            peer.post(node_messages.DocumentPush.of(version, content))
 
     def relay(self, body, origin=None):
         """Relay a frame to all subscribers except the sender."""
--- a/pimentowalk/mesh/links.py
+++ b/pimentowalk/mesh/links.py
@@ -105,10 +105,7 @@
     async def _connect(self):
         node = self._node
         peer = await wire.dial(
-            self.address.host,
-            self.address.port,
-            node.hello,
-            version=lambda: node.document_version,
+            self.address.host, self.address.port, node.hello
         )
         peer.on_frame = self._on_frame
         self._peer = peer
--- a/pimentowalk/mesh/node.py
+++ b/pimentowalk/mesh/node.py
@@ -142,25 +142,33 @@
         leader_id = self.replica.leader_id if self.replica else ''
         if self.replica is None:
             leader_id = next(iter(self.leader_hints()), '')
+        version, version_high = node_messages.version_words(
+            self.document_version
+        )
         return node_messages.ControlNews(
             self.members(),
             leader_id,
-            self.document_version,
+            version,
             len(self.hub.records()) + 1,
+            version_high,
         )
 
     def status_for(self, link):
         """Return the status to report on a link."""
         sources = self.push_sources()
+        version, version_high = node_messages.version_words(
+            self.document_version
+        )
         return node_messages.NodeStatus(
             self.host,
             self.hub.port,
             self.replica.identity if self.replica else '',
             link.address.node_id in sources,
-            self.document_version,
+            version,
             self.draining,
             link.address.node_id in sources[1:],
             True,
+            version_high=version_high,
         )
 
     def push_sources(self):
@@ -346,7 +354,7 @@
 @HANDLERS.register('documentPush')
 def on_document_push(node, body):
     """Apply a pushed document."""
-    node.apply_document(body.version, body.content)
+    node.apply_document(body.document_version, body.content)
 
 
 @HANDLERS.register('backendNews')
--- a/pimentowalk/platform/documents.py
+++ b/pimentowalk/platform/documents.py
@@ -46,7 +46,13 @@
     except (ValueError, RecursionError) as error:
         raise _invalid(f'not JSON: {error}') from None
     _require(isinstance(data, dict), 'the configuration is not an object')
-    version = _integer(data, 'version', 'the configuration', minimum=1)
+    version = _integer(
+        data,
+        'version',
+        'the configuration',
+        minimum=1,
+        maximum=documents.MAX_VERSION,
+    )
     services = [
         _parse_service(item) for item in _object_list(data, 'services')
     ]
@@ -122,9 +128,10 @@
     return value
 
 
-def _integer(item, key, context, *, default=None, minimum=0):
+def _integer(item, key, context, *, default=None, minimum=0, maximum=math.inf):
     value = _number(item, key, context, default=default, minimum=minimum)
     _require(value == int(value), f'{context}: {key} is not whole')
+    _require(value <= maximum, f'{context}: {key} is above {maximum}')
     return int(value)
 
 
--- a/pimentowalk/platform/tests/test_configuration.py
+++ b/pimentowalk/platform/tests/test_configuration.py
@@ -1,10 +1,16 @@
 """Test which configuration the gateways of a cluster have in force."""
 
+import asyncio
+import json
+
 import pytest
 
 from pimentowalk.platform.tests import samples
+from pimentowalk.topology import documents
 from tools.tests import waiting
 
+LARGEST = documents.MAX_VERSION
+
 
 async def test_higher_version_is_in_force_on_all_nodes(cluster):
     """A removed route must not be served by any node."""
@@ -77,3 +83,50 @@
         joining, 'GET', '/look/2f', request_id='r1'
     )
     assert status == 200
+
+
+async def _versions_read(cluster):
+    """Return the versions that a read of the configuration returns."""
+    versions = []
+    for gateway in cluster.gateways:
+        status, text = await cluster.platform.control(
+            gateway, 'GET', '/v1/configuration'
+        )
+        assert status == 200
+        versions.append(json.loads(text)['version'])
+    return versions
+
+
+async def _wait_in_force(cluster, version):
+    await waiting.until(
+        lambda: all(
+            g.node.document_version == version and g.freshness.is_valid
+            for g in cluster.gateways
+        )
+    )
+
+
+async def test_versions_above_64_bits_are_kept(cluster):
+    """No link could be opened once a version had 20 digits."""
+    versions = (2**63, 2**64 - 1, 2**64, 20261206135000250000, 10**30)
+    for version in (*versions, LARGEST):
+        assert await cluster.platform.configure(version=version) == 200
+        await _wait_in_force(cluster, version)
+    assert await _versions_read(cluster) == [LARGEST] * 3
+    await asyncio.gather(*(g.close() for g in cluster.gateways))
+    for number, gateway in enumerate(cluster.gateways):
+        cluster.gateways[number] = await cluster.start_gateway(
+            gateway.settings.host, first_start=False
+        )
+    await _wait_in_force(cluster, LARGEST)
+    assert await _versions_read(cluster) == [LARGEST] * 3
+
+
+@pytest.mark.parametrize(
+    'version', [0, -1, 3.5, LARGEST + 1, 1e300, '4', True, None]
+)
+async def test_version_out_of_range_is_refused(cluster, version):
+    """A version that the nodes cannot exchange must not be committed."""
+    assert await cluster.platform.configure(version=version) == 400
+    assert await cluster.platform.configure(version=9) == 200
+    await _wait_in_force(cluster, 9)
--- a/pimentowalk/topology/documents.py
+++ b/pimentowalk/topology/documents.py
@@ -11,6 +11,8 @@
 SAFE = 'safe'
 NON_IDEMPOTENT = 'non_idempotent'
 STREAMING = 'streaming'
+# Nodes exchange versions in two fields of 64 bits.
+MAX_VERSION = 2**128 - 1
 KINDS = (SAFE, NON_IDEMPOTENT, STREAMING)
 
 
--- a/pimentowalk/wire/frames.capnp
+++ b/pimentowalk/wire/frames.capnp
@@ -377,6 +377,7 @@
   changesOnly @6 :Bool;
   acceptsSummaries @7 :Bool;
   leaving @8 :Bool;
+  versionHigh @9 :UInt64;
 }
 
 struct ControlAddress {
@@ -390,11 +391,13 @@
   leaderId @1 :Text;
   version @2 :UInt64;
   liveNodes @3 :UInt64;
+  versionHigh @4 :UInt64;
 }
 
 struct DocumentPush {
   version @0 :UInt64;
   content @1 :Data;
+  versionHigh @2 :UInt64;
 }
 
 struct Backend {
--- a/pimentowalk/wire/node_messages.py
+++ b/pimentowalk/wire/node_messages.py
@@ -9,6 +9,27 @@
 from pimentowalk.topology import backends
 from pimentowalk.wire import messages
 
+WORD_BITS = 64
+
+
+def version_words(version):
+    """Return the low and the high word of a document version.
+
+    >>> version_words(2**64 + 5)
+    (5, 1)
+    """
+    high, low = divmod(version, 1 << WORD_BITS)
+    return low, high
+
+
+class HasVersion:
+    """A frame with the version of a document in two words."""
+
+    @property
+    def document_version(self):
+        """Return the version of the document."""
+        return self.version_high << WORD_BITS | self.version
+
 
 @attrs.frozen
 class ControlAddress:
@@ -21,7 +42,7 @@
 
 @messages.message('nodeStatus')
 @attrs.frozen
-class NodeStatus:
+class NodeStatus(HasVersion):
     """The status of a node; the control instance answers with `ControlNews`.
 
     `identity` is that of the data directory of the node, empty if it has no
@@ -42,26 +63,35 @@
     changes_only: bool = False
     accepts_summaries: bool = False
     leaving: bool = False
+    version_high: int = 0
 
 
 @messages.message('controlNews')
 @attrs.frozen
-class ControlNews:
+class ControlNews(HasVersion):
     """The answer to `NodeStatus`: control members, leader and version."""
 
     members: list[ControlAddress]
     leader_id: str
     version: int
     live_nodes: int
+    version_high: int = 0
 
 
 @messages.message('documentPush')
 @attrs.frozen
-class DocumentPush:
+class DocumentPush(HasVersion):
     """A committed configuration document in its stored form."""
 
     version: int
     content: bytes
+    version_high: int = 0
+
+    @classmethod
+    def of(cls, version, content):
+        """Return the push of a stored document."""
+        low, high = version_words(version)
+        return cls(low, content, high)
 
 
 @messages.message('backendNews')
