Check each number and text of configurations against declared ranges

A configuration with a number of 400 digits, an object as the kind of a route or a list as the usual sizes ended in an exception and a 500. Numbers such as 10^30 layers or bytes were committed; planners count layers one by one, and parsers take limits as machine words. Names that are not valid Unicode were committed too, and frames with the use of such a service could not be encoded.

`platform/numbers.py` declares the range of each number of configurations and heartbeats once and is the one place that checks them. Texts must be valid Unicode without control characters.

--- a/pimentowalk/platform/announcements.py
+++ b/pimentowalk/platform/announcements.py
@@ -3,14 +3,10 @@
 import json
 
 from pimentowalk.core import errors
+from pimentowalk.platform import numbers
 from pimentowalk.topology import backends
 
 STATES = {'ready': backends.READY, 'draining': backends.DRAINING}
-# Larger values come from a faulty writer. Other nodes could not decode them,
-# or would count layers without end.
-MAX_NUMBER = 2**63 - 1
-MAX_SLOTS = 1_000_000
-MAX_LAYERS = 10_000
 MAX_TEXT_CHARACTERS = 256
 
 
@@ -20,13 +16,11 @@
     )
 
 
-def _integer(data, key, default=None, maximum=MAX_NUMBER):
+def _integer(data, key, default=None):
     value = data.get(key, default)
     if isinstance(value, bool) or not isinstance(value, int):
         raise _invalid(f'{key} is no whole number')
-    if not 0 <= value <= maximum:
-        raise _invalid(f'{key} is not between 0 and {maximum}')
-    return value
+    return numbers.check(value, key, numbers.ANNOUNCEMENT)
 
 
 def _string(data, key, default=None):
@@ -88,7 +82,7 @@
         port=port,
         zone=_non_empty_string(data, 'zone'),
         state=state,
-        slots=max(1, _integer(data, 'slots', 1, MAX_SLOTS)),
+        slots=max(1, _integer(data, 'slots', 1)),
         # "kind" is the accelerator type here, but the request type in routes.
         accelerator=_string(data, 'kind', ''),
         model=_string(models[0], 'name', ''),
@@ -107,8 +101,8 @@
         return 0, 0, 0
     if not isinstance(layers, dict):
         raise _invalid('layers is no object')
-    first = _integer(layers, 'from', maximum=MAX_LAYERS)
-    end = _integer(layers, 'to', maximum=MAX_LAYERS)
+    first = _integer(layers, 'from')
+    end = _integer(layers, 'to')
     if end < first:
         raise _invalid('layers end before they begin')
     return first, end, _integer(layers, 'version', 0)
--- a/pimentowalk/platform/documents.py
+++ b/pimentowalk/platform/documents.py
@@ -1,13 +1,17 @@
 """Decode the configuration of the platform into a `topology` document."""
 
 import json
-import math
+import re
 import zlib
 
 from pimentowalk.core import errors
+from pimentowalk.platform import numbers
 from pimentowalk.topology import documents
 
 MAX_CONTENT_BYTES = 16 << 20
+MAX_TEXT_CHARACTERS = 4096
+# Lone surrogates and, in headers, control characters cannot be sent.
+UNSUPPORTED_CHARACTER = re.compile('[\x00-\x1f\x7f\ud800-\udfff]')
 KINDS = {
     'safe': documents.SAFE,
     'non_idempotent': documents.NON_IDEMPOTENT,
@@ -46,13 +50,7 @@
     except (ValueError, RecursionError) as error:
         raise _invalid(f'not JSON: {error}') from None
     _require(isinstance(data, dict), 'the configuration is not an object')
-    version = _integer(
-        data,
-        'version',
-        'the configuration',
-        minimum=1,
-        maximum=documents.MAX_VERSION,
-    )
+    version = _number(data, 'version', 'the configuration')
     services = [
         _parse_service(item) for item in _object_list(data, 'services')
     ]
@@ -106,45 +104,57 @@
 
 def _string(item, key, context):
     value = item.get(key)
-    _require(isinstance(value, str) and value, f'{context}: {key} is no text')
+    _require(_is_text(value), f'{context}: {key} is no text')
     return value
 
 
-def _boolean(item, key, context):
-    value = item.get(key, False)
-    _require(
-        isinstance(value, bool), f'{context}: {key} is neither true nor false'
+def _is_text(value):
+    """Return whether frames and headers can carry a text."""
+    return (
+        isinstance(value, str)
+        and 0 < len(value) <= MAX_TEXT_CHARACTERS
+        and not UNSUPPORTED_CHARACTER.search(value)
     )
+
+
+def _optional_object(item, key, context):
+    value = item.get(key)
+    if value is None:
+        return {}
+    _require(isinstance(value, dict), f'{context}: {key} is no object')
     return value
 
 
-def _number(item, key, context, *, default=None, minimum=0.0):
-    value = item.get(key, default)
-    is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+def _boolean(item, key, context):
+    value = item.get(key, False)
     _require(
-        is_number and math.isfinite(value) and value >= minimum,
-        f'{context}: {key} is no number of at least {minimum}',
+        isinstance(value, bool), f'{context}: {key} is neither true nor false'
     )
     return value
 
 
-def _integer(item, key, context, *, default=None, minimum=0, maximum=math.inf):
-    value = _number(item, key, context, default=default, minimum=minimum)
-    _require(value == int(value), f'{context}: {key} is not whole')
-    _require(value <= maximum, f'{context}: {key} is above {maximum}')
-    return int(value)
+def _number(item, key, context, *, default=None):
+    try:
+        return numbers.check(
+            item.get(key, default), key, numbers.CONFIGURATION
+        )
+    except errors.PimentowalkError as error:
+        raise _invalid(f'{context}: {error.message}') from None
 
 
 def _parse_service(item):
     name = _string(item, 'name', 'a service')
     context = f'service {name}'
-    engine = item.get('engine')
-    if engine is not None:
-        _require(isinstance(engine, dict), f'{context}: engine is no object')
+    engine = _optional_object(item, 'engine', context)
+    health_path = item.get('health-path') or ''
+    _require(
+        not health_path or _is_text(health_path),
+        f'{context}: health-path is no text',
+    )
     return documents.DirectService(
         name=name,
-        health_path=item.get('health-path') or '',
-        max_connections=_integer(item, 'max-connections', context, default=0),
+        health_path=health_path,
+        max_connections=_number(item, 'max-connections', context, default=0),
         engine=_parse_engine(engine, context) if engine else None,
     )
 
@@ -153,30 +163,30 @@
     models = _object_list(item, 'models')
     _require(models, f'{context}: no model')
     model = models[0]
-    typical = item.get('usual') or {}
+    typical = _optional_object(item, 'usual', context)
     kinds = [
         _parse_accelerator(k, context) for k in _object_list(item, 'kinds', ())
     ]
     return documents.Engine(
         model=_string(model, 'name', context),
-        total_layers=_integer(item, 'layers', context, default=0),
+        total_layers=_number(item, 'layers', context, default=0),
         layer_mb=_number(item, 'layer-mb', context, default=0),
         kv_token_bytes=_number(item, 'kv-token-bytes', context, default=0),
         load_s=_number(model, 'load-s', context, default=0),
-        loads_at_once=_integer(item, 'loads_at_once', context, default=1),
+        loads_at_once=_number(item, 'loads_at_once', context, default=1),
         step_ms=_number(item, 'step_ms', context, default=1),
         read_tokens_per_s=_number(item, 'read_per_s', context, default=1e5),
         activation_bytes=_number(item, 'activation-bytes', context, default=0),
         zone_link_mbps=_number(item, 'pipe-mbps', context, default=0),
-        usual_prompt_tokens=_integer(typical, 'prompt', context, default=0),
-        usual_answer_tokens=_integer(typical, 'answer', context, default=0),
+        usual_prompt_tokens=_number(typical, 'prompt', context, default=0),
+        usual_answer_tokens=_number(typical, 'answer', context, default=0),
         accelerators={kind.name: kind for kind in kinds},
-        steps_per_pass=_integer(item, 'stride', context, default=1, minimum=1),
+        steps_per_pass=_number(item, 'stride', context, default=1),
         step_per_sequence_ms=_number(item, 'per_seq_ms', context, default=0),
         step_per_1000_tokens_ms=_number(
             item, 'context_per_k', context, default=0
         ),
-        chunk_tokens=_integer(item, 'chunk', context, default=0),
+        chunk_tokens=_number(item, 'chunk', context, default=0),
         read_per_pairs_ms=_number(item, 'pairs_per_m', context, default=0),
     )
 
@@ -194,8 +204,8 @@
 def _parse_route(item, services):
     name = _string(item, 'name', 'a route')
     context = f'route {name}'
-    kind = KINDS.get(item.get('kind'))
-    _require(kind, f'{context}: unknown kind {item.get("kind")!r}')
+    kind = KINDS.get(_string(item, 'kind', context))
+    _require(kind, f'{context}: unknown kind {item["kind"]!r}')
     prefix = _string(item, 'path-prefix', context)
     _require(
         prefix.startswith('/') and prefix.endswith('/'),
@@ -212,8 +222,8 @@
         timeout_s=timeout_ms / 1000,
         objective_s=_number(item, 'latency-target-ms', context, default=0)
         / 1000,
-        priority=_integer(item, 'priority', context, default=0),
-        attempts=max(1, _integer(item, 'attempts', context, default=1)),
+        priority=_number(item, 'priority', context, default=0),
+        attempts=max(1, _number(item, 'attempts', context, default=1)),
         is_public=_boolean(item, 'public', context),
         is_resumable=_boolean(item, 'resumable', context),
         longest_pause_s=_number(item, 'gap-target-ms', context, default=0)
@@ -244,24 +254,21 @@
     keys = item.get('api-keys', [])
     _require(isinstance(keys, list), f'{context}: api-keys is not a list')
     for key in keys:
-        _require(isinstance(key, str) and key, f'{context}: a key is no text')
+        _require(_is_text(key), f'{context}: a key is no text')
     priority = item.get('priority')
     if priority is not None:
-        priority = _integer(item, 'priority', context)
+        priority = _number(item, 'priority', context)
     return documents.KeyedAccount(name, tuple(keys), priority)
 
 
 def _parse_limits(data):
-    item = data.get('limits') or {}
-    _require(isinstance(item, dict), 'limits is no object')
+    item = _optional_object(data, 'limits', 'the configuration')
     defaults = documents.Limits()
     return documents.Limits(
-        _integer(
+        _number(
             item, 'max-header-bytes', 'limits', default=defaults.header_bytes
         ),
-        _integer(
-            item, 'max-body-bytes', 'limits', default=defaults.body_bytes
-        ),
+        _number(item, 'max-body-bytes', 'limits', default=defaults.body_bytes),
         _number(item, 'header-timeout-ms', 'limits', default=3000) / 1000,
         _number(item, 'idle-timeout-ms', 'limits', default=15000) / 1000,
     )
