Accept no key where the list of client accounts is empty

Once the last account was removed from a configuration, requests ran with the keys that had been taken away and with keys that never were. An empty list of `tenants` was read as an absent one, which means that no request needs a key.

A document now holds whether it contains client accounts, however many; with an empty list, each key is unknown and gets 401, and public routes are served as before.

--- a/pimentowalk/platform/documents.py
+++ b/pimentowalk/platform/documents.py
@@ -72,7 +72,12 @@
         (key for a in accounts for key in a.keys), 'key', show_value=False
     )
     return documents.Document(
-        version, services, routes, accounts, _parse_limits(data)
+        version,
+        services,
+        routes,
+        # Absent and empty differ: an empty list leaves no valid key.
+        accounts if 'tenants' in data else None,
+        _parse_limits(data),
     )
 
 
--- a/pimentowalk/platform/front.py
+++ b/pimentowalk/platform/front.py
@@ -292,7 +292,7 @@
         return errors.PimentowalkError(reason, code=code, step='admit')
 
     def _authenticate(self, request, document, route):
-        if not document.has_accounts:
+        if not document.checks_keys:
             return None
         account = document.account_of(request.headers.get(names.KEY, ''))
         if route.is_public:
--- a/pimentowalk/topology/documents.py
+++ b/pimentowalk/topology/documents.py
@@ -117,17 +117,21 @@
 
 
 class Document:
-    """One version of the configuration, indexed for lookups."""
+    """One version of the configuration, indexed for lookups.
+
+    Without `accounts` (None), requests need no keys; with an empty list, each
+    key is unknown.
+    """
 
     def __init__(self, version, services, routes, accounts, limits):
         self.version = version
         self.services = {service.name: service for service in services}
         self.routes = list(routes)
-        self.accounts = list(accounts)
+        self.accounts = list(accounts or ())
         self.limits = limits
-        self.has_accounts = bool(self.accounts)
+        self.checks_keys = accounts is not None
         self._by_key = {
-            key: account for account in accounts for key in account.keys
+            key: account for account in self.accounts for key in account.keys
         }
         self._by_place = {(r.host, r.path_prefix): r for r in routes}
 
