Answer 413 from each node for a configuration too large for a frame

A configuration of 2.7 MB with keys that don't compress got 413 from the leader, but 503 from any other node, so that an operator would send it for good. The node could not encode its request to the leader, and took that for an instance that does not answer. The error now ends the request.

The test with 40,000 keys failed before the change and passes now; the one with 22,000 keys, which the leader refuses, passed before and after.

--- a/pimentowalk/mesh/leader.py
+++ b/pimentowalk/mesh/leader.py
@@ -25,7 +25,8 @@
     async def request(self, body, timeout_s):
         """Return the result; raise NoQuorum if no leader answers in time.
 
-        Any other PimentowalkError is an error that the leader returned.
+        Any other PimentowalkError is an error that the leader returned, or
+        an EncodeError for a request that is too large for a frame.
         """
         request = messages.ControlRequest(body.NAME, commands.encode(body), '')
         end_s = self._timers.now_s() + timeout_s
@@ -39,6 +40,9 @@
                 continue
             try:
                 reply = await self._call(target, request, left_s)
+            except errors.EncodeError:
+                # No other instance can be sent the request either.
+                raise
             except (errors.PimentowalkError, TimeoutError) as error:
                 last_error = f'{target}: {error or "no answer"}'
                 tried.add(target)
--- a/pimentowalk/platform/tests/test_configuration.py
+++ b/pimentowalk/platform/tests/test_configuration.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 
 import pytest
 
@@ -130,3 +131,19 @@
     assert await cluster.platform.configure(version=version) == 400
     assert await cluster.platform.configure(version=9) == 200
     await _wait_in_force(cluster, 9)
+
+
+@pytest.mark.parametrize('key_count', [22_000, 40_000])
+async def test_configuration_too_large_for_a_frame_is_refused(
+    cluster, key_count
+):
+    """Nodes other than the leader answered 503, so it was sent for good."""
+    rng = random.Random(key_count)
+    keys = [f'{rng.getrandbits(256):064x}' for _ in range(key_count)]
+    tenants = [{'name': 't1', 'api-keys': ['k1', *keys]}]
+    for gateway in cluster.gateways:
+        status = await cluster.platform.configure(
+            gateway, version=9, tenants=tenants
+        )
+        assert status == 413
+    assert await cluster.platform.configure(version=10) == 200
