Skip a log record that is too short for its timestamp

A committed command record of fewer than 8 bytes raised an exception outside of the handler for failed commands. That ended the task that applies the log, and with it the process, at each start again.

Such a record is now logged and skipped, and its proposer gets an error.

Before the change the new test ended the test process with status 70, the one for a failed task of the log; it passes now, with the other tests of replicas.

--- a/pimentowalk/control/applier.py
+++ b/pimentowalk/control/applier.py
@@ -24,7 +24,11 @@
 
 
 def decode_command(content):
-    """Return the command and the time of a command record."""
+    """Return the command and the time of a record; raise PimentowalkError."""
+    if len(content) < TIMESTAMP.size:
+        raise errors.PimentowalkError(
+            'the record has no timestamp', code='bad_request', step='apply'
+        )
     return content[TIMESTAMP.size :], TIMESTAMP.unpack_from(content)[0]
 
 
@@ -111,7 +115,16 @@
             self._step_down_if_removed(record)
 
     def _apply_command(self, record):
-        command, time_s = decode_command(record.content)
+        try:
+            command, time_s = decode_command(record.content)
+        except errors.PimentowalkError as error:
+            LOG.error(
+                'record %d is skipped: %s',
+                record.index,
+                error,
+                extra=logs.fields(step='apply'),
+            )
+            return None, error
         self.last_time_s = max(self.last_time_s, time_s)
         try:
             return self._state_machine.apply(
--- a/pimentowalk/control/tests/test_replica.py
+++ b/pimentowalk/control/tests/test_replica.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from pimentowalk.control import consensus as control_consensus
 from pimentowalk.control import members
 from pimentowalk.control.tests import cluster as test_cluster
 from pimentowalk.core import errors
@@ -49,6 +50,23 @@
         await three_nodes.propose(b'refuse')
 
 
+async def test_record_without_a_timestamp_is_skipped(three_nodes):
+    """One truncated command ended the task that applies the log."""
+    await three_nodes.propose(b'a')
+    leader = await three_nodes.leader()
+    with pytest.raises(errors.PimentowalkError) as caught:
+        await leader.replica._append_and_wait(
+            control_consensus.COMMAND, b'x', 1
+        )
+    assert caught.value.code == 'bad_request'
+    await three_nodes.propose(b'b')
+    await three_nodes.wait_all_applied(['a', 'b'])
+    await three_nodes.stop()
+    await three_nodes.start()
+    await three_nodes.propose(b'c')
+    await three_nodes.wait_all_applied(['a', 'b', 'c'])
+
+
 async def test_follower_refuses_and_names_the_leader(three_nodes):
     """A client that contacts a follower must learn who the leader is."""
     await three_nodes.propose(b'a')
