Leave a crashed server also while another one is tried

What operators saw: servers kept memory and slots for a stream whose path had crashed, until the next server had sent an event.

Cause: whether the present server has crashed was asked only before the next try was opened.

Change: it is asked again while the opening is awaited. The opening then becomes the present try at once.

test_crashed_server_is_left_while_another_one_is_tried failed before.

--- a/pimentowalk/dispatch/takeover.py
+++ b/pimentowalk/dispatch/takeover.py
@@ -41,6 +41,7 @@
         # Its event may have come while a report was awaited.
         error = opened.error if opened.has_ended else stall
         if error is None:
+            # Without an event, the present server has crashed.
             self._dispatcher.metrics.count('takeovers')
             peer = self._target.backend.address
             self._interrupt(calls.Stalled(reason, peer=peer, culprit=address))
@@ -50,10 +51,14 @@
 
     async def _await_end(self, opened):
         """Wait until an opening has ended; return why it has stalled."""
-        stall = None
-        while stall is None and not await opened.wait(REPORT_INTERVAL_S):
+        has_crashed = self._dispatcher.node.backends.has_crashed
+        while not await opened.wait(REPORT_INTERVAL_S):
             stall = await self._find_stall(opened)
-        return stall
+            if stall is not None:
+                return stall
+            if any(has_crashed(server) for server in self.servers):
+                return None
+        return None
 
     async def _find_stall(self, opened):
         """Return why an opening is given up for yet another server, or None.
--- a/pimentowalk/platform/tests/test_openings.py
+++ b/pimentowalk/platform/tests/test_openings.py
@@ -11,6 +11,7 @@
 from pimentowalk.platform import names
 from pimentowalk.platform.tests import changing
 from pimentowalk.platform.tests import test_silent_streams
+from tools.tests import waiting
 
 ANSWER = test_silent_streams.ANSWER
 
@@ -295,3 +296,27 @@
     scene.steps.actions['pause'] = break_off
     assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
     assert scene.runs('r1') <= 2
+
+
+async def test_crashed_server_is_left_while_another_one_is_tried(scene):
+    """The servers of its path kept memory for a stream that had ended."""
+    first = None
+
+    async def crash():
+        nonlocal first
+        (first,) = [s for s in _model_servers(scene) if s.runs['r1']]
+        first.stalled = [{'id': 'r1', 'address': first.address}]
+        scene.steps.actions['run'] = suspect
+        await asyncio.sleep(5.0)
+
+    async def suspect():
+        scene.dispatcher.suspect(
+            scene.node.backends.get(first.server_id), 'refused', is_down=True
+        )
+        requests = scene.dispatcher.in_flight.requests
+        await waiting.until(lambda: not requests(first.server_id))
+
+    scene.steps.actions['pause'] = crash
+    since_s = scene.timers.now_s()
+    assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
+    assert scene.timers.now_s() - since_s < 4.0
