Repeat no booking because its route has `resumable`

A booking whose answer was lost ran at another server as well, and its caller got 200, if the `non_idempotent` route had `resumable` set. `HostRoute.is_repeatable` was true for any route with that field, which has a meaning for streams alone. Whole answers and streams each combined it with the attempts of the route in their own way.

`repeats.may_run_again` now decides, by the kind of the route, its `resumable` and what is known of the answer: unsent, refused, sent, begun or events. Requests of safe routes and of streaming routes that may be resumed run again, all others only if the server did not run them. After a part of a whole answer nothing runs again. After events a stream goes on only where its route has `resumable`, also on safe routes. The method does not count, since the rule names the kind of the route alone.

The tests of dispatch and of silent calls, silent streams, takeovers, openings, changes of documents, plain streams and gateways pass.

--- a/bench/priorities.py
+++ b/bench/priorities.py
@@ -255,7 +255,10 @@
         expected_answer_tokens=4 * kind.events,
         activity=activity.Activity(),
         route=types.SimpleNamespace(
-            is_repeatable=True, attempts=2, objective_s=kind.objective_s
+            kind=documents.STREAMING,
+            is_resumable=True,
+            attempts=2,
+            objective_s=kind.objective_s,
         ),
         held_s=held_s,
     )
--- a/pimentowalk/dispatch/call_run.py
+++ b/pimentowalk/dispatch/call_run.py
@@ -6,6 +6,7 @@
 from pimentowalk.core import errors
 from pimentowalk.dispatch import calls
 from pimentowalk.dispatch import held_bytes
+from pimentowalk.dispatch import repeats
 from pimentowalk.dispatch import transport
 
 # A route does not bound tries that were provably not executed, but each of
@@ -228,9 +229,21 @@
 
     def _may_retry(self, error):
         if isinstance(error, calls.Refused):
-            return True
-        route = self._call.route
-        return route.is_repeatable and self._executions < route.attempts
+            return repeats.may_run_again(self._call, error.answer)
+        return self._may_run_again(self._executions)
+
+    def _may_run_again(self, executions):
+        """Return whether the route allows a run after so many executions."""
+        is_allowed = repeats.may_run_again(self._call, self._answer())
+        return is_allowed and executions < self._call.route.attempts
+
+    def _answer(self):
+        """Return what the client has of the answer."""
+        return (
+            repeats.Answer.BEGUN
+            if self._responder.started
+            else repeats.Answer.SENT
+        )
 
     def _remaining_ms(self):
         """Return the time until the deadline of the client, at least 1."""
--- a/pimentowalk/dispatch/calls.py
+++ b/pimentowalk/dispatch/calls.py
@@ -4,6 +4,7 @@
 
 from pimentowalk.core import activity as core_activity
 from pimentowalk.core import errors
+from pimentowalk.dispatch import repeats
 
 # Protocol headers and status texts stay in the protocol adapter; dispatch
 # knows only the types of this module.
@@ -118,12 +119,14 @@
     """Report that the backend server proved that it did not run the call."""
 
     code = 'not_run'
+    answer = repeats.Answer.REFUSED
 
 
 class Unreachable(Refused):
     """Report that no connection was established, so nothing was sent."""
 
     code = 'not_run'
+    answer = repeats.Answer.UNSENT
 
 
 class NoAnswer(Unreachable):
--- a/pimentowalk/dispatch/plain.py
+++ b/pimentowalk/dispatch/plain.py
@@ -92,12 +92,8 @@
 
     def _has_spare_attempt(self):
         """Return whether an attempt is left beside the tries under way."""
-        route = self._call.route
         under_way = 1 + (self._opening is not None)
-        return (
-            route.is_repeatable
-            and self._executions + under_way < route.attempts
-        )
+        return self._may_run_again(self._executions + under_way)
 
     def _has_expired(self):
         # An answer that is ready is delivered, also late.
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -8,6 +8,7 @@
 from pimentowalk.dispatch import calls
 from pimentowalk.dispatch import events
 from pimentowalk.dispatch import pacing
+from pimentowalk.dispatch import repeats
 from pimentowalk.dispatch import takeover
 from pimentowalk.routing import pace_state
 
@@ -58,6 +59,8 @@
         self._probe = None
         # Whether the current try has received a whole event.
         self._has_event = False
+        # Whether the client is sent a whole answer in place of events.
+        self._has_whole = False
         self._first_event_s = None
         self._last_event_s = 0.0
         self._longest_pause_s = 0.0
@@ -341,17 +344,22 @@
         address = self._target.backend.address
         self._has_output = True
         self._executions += 1
-        route = self._call.route
-        can_retry = route.is_repeatable and self._executions < route.attempts
         if self._responder.started or (
-            response.status >= takeover.FIRST_SERVER_ERROR_STATUS and can_retry
+            response.status >= takeover.FIRST_SERVER_ERROR_STATUS
+            and self._may_run_again(self._executions)
         ):
             raise calls.Broken(f'status {response.status}', peer=address)
         self._drop_opening()
         with self._hold(response) as holding:
             body = await self._read_body(response, holding)
+            self._has_whole = True
             await self._send_body(response, body, holding)
 
+    def _answer(self):
+        if self._responder.started and not self._has_whole:
+            return repeats.Answer.EVENTS
+        return super()._answer()
+
     def _handle_failure(self, error):
         if self._has_event:
             self._lost_try = calls.LostTry(
@@ -417,7 +425,7 @@
         if is_broken or culprit == target.backend.address:
             self._executions += 1
             self._may_have_executed = True
-        if not self._call.route.is_repeatable:
+        if not repeats.may_run_again(self._call, repeats.Answer.SENT):
             self._may_have_executed = True
 
     def _pause_s(self):
--- a/pimentowalk/dispatch/takeover.py
+++ b/pimentowalk/dispatch/takeover.py
@@ -90,10 +90,9 @@
         The present try goes on, and may be executed even if it has sent
         nothing so far. So may an opening.
         """
-        route = self._call.route
         executions = self._executions + (not self._has_output)
         executions += opened is not None
-        return route.is_repeatable and executions < route.attempts
+        return self._may_run_again(executions)
 
     async def _await_response(self, opening):
         """Return the response of a target once it has an event."""
--- a/pimentowalk/dispatch/tests/fakes.py
+++ b/pimentowalk/dispatch/tests/fakes.py
@@ -13,6 +13,7 @@
 from pimentowalk.membership import backends as membership
 from pimentowalk.routing import pace_state
 from pimentowalk.topology import backends
+from pimentowalk.topology import documents
 
 
 def server(number, **others):
@@ -78,7 +79,10 @@
         expected_answer_tokens=0,
         activity=core_activity.Activity(),
         route=types.SimpleNamespace(
-            is_repeatable=is_repeatable, attempts=2, objective_s=0.5
+            kind=documents.STREAMING,
+            is_resumable=is_repeatable,
+            attempts=2,
+            objective_s=0.5,
         ),
     )
 
--- a/pimentowalk/dispatch/tests/test_pause_watch.py
+++ b/pimentowalk/dispatch/tests/test_pause_watch.py
@@ -28,7 +28,11 @@
     accelerators={'k': documents.Accelerator('k', 1000.0)},
 )
 ROUTE = types.SimpleNamespace(
-    is_repeatable=False, attempts=1, longest_pause_s=0.25, backends=()
+    kind=documents.STREAMING,
+    is_resumable=False,
+    attempts=1,
+    longest_pause_s=0.25,
+    backends=(),
 )
 PAUSE_S = 0.08
 
--- a/pimentowalk/dispatch/watched_run.py
+++ b/pimentowalk/dispatch/watched_run.py
@@ -5,6 +5,7 @@
 
 from pimentowalk.core import logs
 from pimentowalk.dispatch import calls
+from pimentowalk.dispatch import repeats
 from pimentowalk.dispatch import takeover
 from pimentowalk.routing import hops as routing_hops
 
@@ -275,13 +276,14 @@
 
         A head that has sent nothing may have begun to execute.
         """
-        route = self._call.route
         executions = self._executions + (is_head and not self._has_output)
-        return route.is_repeatable and executions < route.attempts
+        return self._may_run_again(executions)
 
     def _can_fail(self):
         """Return whether the client can repeat the call if it fails now."""
-        return self._call.route.is_repeatable and not self._responder.started
+        return not self._responder.started and repeats.may_run_again(
+            self._call, repeats.Answer.SENT
+        )
 
     def _may_interrupt(self, *, is_head):
         """Return whether the current try should be given up.
--- a/pimentowalk/platform/tests/test_silent_calls.py
+++ b/pimentowalk/platform/tests/test_silent_calls.py
@@ -212,6 +212,32 @@
     assert tries.scene.client.sends == 1
 
 
+def _set_resumable(data, kind):
+    _set_routes(data, kind)
+    for route in data['routes']:
+        route.update({'kind': 'non_idempotent', 'resumable': True})
+
+
+@pytest.mark.parametrize(
+    ('path', 'pause', 'status'),
+    [
+        ('/book/2f', Pause(SILENCE_S), 200),
+        ('/book/2f', Pause(0.05, breaks=True), 502),
+        ('/book/2f', Pause(0.05, status=500), 500),
+        # The service of this route has an engine.
+        ('/draft/2f', Pause(SILENCE_S), 200),
+        ('/draft/2f', Pause(0.05, breaks=True), 502),
+    ],
+    ids=str,
+)
+async def test_resumable_booking_runs_once(tries, path, pause, status):
+    """TWICE: a booking ran again because its route had `resumable`."""
+    tries.scene.configure(_set_resumable)
+    answer = await tries.request(pause, path=path)
+    assert (answer.status, tries.scene.runs('r1')) == (status, 1)
+    assert tries.scene.client.sends == 1
+
+
 @pytest.mark.parametrize(
     ('first', 'second', 'status'),
     [
--- a/pimentowalk/topology/documents.py
+++ b/pimentowalk/topology/documents.py
@@ -91,11 +91,6 @@
     is_resumable: bool = False
     longest_pause_s: float = 0.0
 
-    @property
-    def is_repeatable(self):
-        """Return whether a request may be executed more than once."""
-        return self.kind == SAFE or self.is_resumable
-
 
 @attrs.frozen
 class KeyedAccount:
