Call a try beside the present one a standby try

The terms opening and adopted were private ones. The module that holds it is named like those of the other runs, and the tests have short ids. No behaviour changes.

--- a/pimentowalk/dispatch/admitted_run.py
+++ b/pimentowalk/dispatch/admitted_run.py
@@ -50,8 +50,8 @@
 
     async def _select_target(self):
         """Choose a path, after the streams that already wait for capacity."""
-        if self._opening is not None:
-            self._target = self._opening.target
+        if self._standby is not None:
+            self._target = self._standby.target
             return
         if self._admission is None:
             self._begin_admission()
--- a/pimentowalk/dispatch/plain.py
+++ b/pimentowalk/dispatch/plain.py
@@ -4,7 +4,7 @@
 
 from pimentowalk.core import errors
 from pimentowalk.dispatch import calls
-from pimentowalk.dispatch import opening
+from pimentowalk.dispatch import standby_run
 from pimentowalk.dispatch import transport
 from pimentowalk.routing import pace_state
 
@@ -76,7 +76,7 @@
         self._release()
 
 
-class PlainRun(opening.OpeningRun):
+class PlainRun(standby_run.StandbyRun):
     """One call of a service without an engine, with its tries."""
 
     def __init__(self, dispatcher, call, service, responder):
@@ -92,30 +92,30 @@
 
     def _has_spare_attempt(self):
         """Return whether an attempt is left beside the tries under way."""
-        under_way = 1 + (self._opening is not None)
+        under_way = 1 + (self._standby is not None)
         return self._may_run_again(self._executions + under_way)
 
     def _has_expired(self):
         # An answer that is ready is delivered, also late.
-        is_ready = self._opening is not None and self._opening.has_ended
+        is_ready = self._standby is not None and self._standby.has_ended
         return super()._has_expired() and not is_ready
 
     def _left_s(self):
         return self._call.expires_at_s - self._dispatcher.timers.now_s()
 
     async def _try_target(self):
-        present = self._opening or self._begin(self._target)
-        self._opening = None
+        present = self._standby or self._begin(self._target)
+        self._standby = None
         try:
             response = await self._first_response(present)
             is_error = response.status >= FIRST_SERVER_ERROR_STATUS
-            if is_error and (self._opening or self._has_spare_attempt()):
+            if is_error and (self._standby or self._has_spare_attempt()):
                 raise _status_error(response, present.target)
             # A body that has been cut is not held any more.
             self._dispatcher.held_bytes.resize(
                 response.holding, len(response.body)
             )
-            self._drop_opening()
+            self._drop_standby()
             self._dispatcher.pace.end(present.probe, pace_state.ANSWERED)
             self._dispatcher.outcomes.record(
                 present.target.backend.server_id, failed=is_error
@@ -128,7 +128,7 @@
         """Return the response of the present try; raise TryFailed.
 
         Fails also once another server has answered first, whose try is then
-        the opening.
+        the standby try.
         """
         left_s = self._left_s()
         silence_s = max(left_s * SILENCE_SHARE, MIN_SILENCE_S)
@@ -155,14 +155,14 @@
                     self._call, present.target, backend.address, 'no response'
                 )
                 return
-            opened = self._open(target)
-            await present.wait(max(self._left_s(), 0), opened)
-            if present.has_ended or not opened.has_ended:
+            standby = self._open(target)
+            await present.wait(max(self._left_s(), 0), standby)
+            if present.has_ended or not standby.has_ended:
                 return
-            if opened.error is not None:
-                self._give_up_opening(opened.error)
+            if standby.error is not None:
+                self._give_up_standby(standby.error)
                 continue
-            response = await opened.response()
+            response = await standby.response()
             if response.status >= FIRST_SERVER_ERROR_STATUS:
                 # It is passed on if the present try brings no answer.
                 return
@@ -173,9 +173,9 @@
                 culprit=backend.address,
             )
 
-    async def _await_response(self, opened):
+    async def _await_response(self, standby):
         """Return the whole response of a target; raise TryFailed."""
-        target = opened.target
+        target = standby.target
         response = await self._dispatcher.transport.send(
             self._call, target, self._remaining_ms(), 0
         )
--- a/pimentowalk/dispatch/opening.py
+++ b/pimentowalk/dispatch/standby_run.py
@@ -9,7 +9,7 @@
 from pimentowalk.routing import pace_state
 
 
-class Opening:
+class StandbyTry:
     """A try whose response is awaited by a task.
 
     `probe` is that of the server's pace, `has_output` tells whether the server
@@ -30,7 +30,7 @@
     async def wait(self, timeout_s, *others):
         """Wait until this try or another one ends; return if this one has."""
         await asyncio.wait(
-            {opening._task for opening in (self, *others)},
+            {standby._task for standby in (self, *others)},
             timeout=timeout_s,
             return_when=asyncio.FIRST_COMPLETED,
         )
@@ -70,7 +70,7 @@
         task.exception()
 
 
-class OpeningRun(call_run.CallRun):
+class StandbyRun(call_run.CallRun):
     """A call that may have two tries under way.
 
     A free server and a granted retry promise neither room nor an answer, so
@@ -80,7 +80,7 @@
     def __init__(self, dispatcher, call, service, responder):
         super().__init__(dispatcher, call, service, responder)
         # The try beside the present one.
-        self._opening = None
+        self._standby = None
         # What a try reserves at each server of its target.
         self._tokens = call.prompt_tokens + call.expected_answer_tokens
 
@@ -89,43 +89,43 @@
         try:
             await super().run()
         finally:
-            self._close_opening()
+            self._close_standby()
 
     def _may_have_run(self):
-        return self._opening is not None or super()._may_have_run()
+        return self._standby is not None or super()._may_have_run()
 
     def _may_try(self):
-        return self._opening is not None or super()._may_try()
+        return self._standby is not None or super()._may_try()
 
     def _count_try(self):
-        # An opening was counted when it was sent.
-        if self._opening is None:
+        # A standby try was counted when it was sent.
+        if self._standby is None:
             super()._count_try()
         self._call.activity.may_have_run = True
 
     def _reject_unsent(self):
-        # An opening has been sent already.
-        if self._opening is None:
+        # A standby try has been sent already.
+        if self._standby is None:
             super()._reject_unsent()
 
     def _may_retry(self, error):
-        return self._opening is not None or super()._may_retry(error)
+        return self._standby is not None or super()._may_retry(error)
 
     async def _acquire_retry(self):
-        if self._opening is not None:
+        if self._standby is not None:
             return True
         return await super()._acquire_retry()
 
     async def _select_target(self):
-        if self._opening is not None:
-            self._target = self._opening.target
+        if self._standby is not None:
+            self._target = self._standby.target
         else:
             await super()._select_target()
 
     def _choose_successor(self):
         """Return a target that may be sent the call now, or None."""
         dispatcher = self._dispatcher
-        is_in_time = dispatcher.timers.now_s() < self._opening_end_s()
+        is_in_time = dispatcher.timers.now_s() < self._standby_end_s()
         if not (self._may_try() and is_in_time):
             return None
         if dispatcher.is_barred(self._call):
@@ -133,61 +133,61 @@
         target = self._choose()
         return target if target is not None and self._take_retry() else None
 
-    def _opening_end_s(self):
+    def _standby_end_s(self):
         """Return until when another server may be tried."""
         return self._call.expires_at_s
 
     def _open(self, target):
         """Send the call to a target, beside its present try."""
-        self._dispatcher.metrics.count('openings')
+        self._dispatcher.metrics.count('standby_tries')
         super()._count_try()
-        self._opening = self._begin(target)
-        return self._opening
+        self._standby = self._begin(target)
+        return self._standby
 
     def _begin(self, target):
-        """Send the call to a target; return its `Opening`."""
+        """Send the call to a target; return its `StandbyTry`."""
         dispatcher = self._dispatcher
         dispatcher.in_flight.begin(target.server_ids, self._tokens)
         probe = pacing.begin(
             dispatcher.pace, self._service, self._call, target
         )
-        opening = Opening(target, probe)
-        opening.begin(self._await_response(opening))
-        return opening
+        standby = StandbyTry(target, probe)
+        standby.begin(self._await_response(standby))
+        return standby
 
-    def _end(self, opening):
+    def _end(self, standby):
         """End a try, and release what it holds."""
-        opening.close()
+        standby.close()
         dispatcher = self._dispatcher
-        dispatcher.in_flight.end(opening.target.server_ids, self._tokens)
-        dispatcher.pace.end(opening.probe, pace_state.ABANDONED)
+        dispatcher.in_flight.end(standby.target.server_ids, self._tokens)
+        dispatcher.pace.end(standby.probe, pace_state.ABANDONED)
 
-    def _drop_opening(self):
+    def _drop_standby(self):
         """Keep the present server, which has gone on first."""
-        if self._opening is not None:
-            self._dispatcher.metrics.count('dropped_openings')
-            self._executions += self._opening.may_have_executed
-            self._close_opening()
-
-    def _close_opening(self):
-        """End the opening, if there is one."""
-        opening, self._opening = self._opening, None
-        if opening is not None:
-            self._end(opening)
-
-    def _give_up_opening(self, error):
-        """Record that the opening has failed; the present try goes on."""
-        opening = self._opening
-        self._close_opening()
+        if self._standby is not None:
+            self._dispatcher.metrics.count('dropped_standby_tries')
+            self._executions += self._standby.may_have_executed
+            self._close_standby()
+
+    def _close_standby(self):
+        """End the standby try, if there is one."""
+        standby, self._standby = self._standby, None
+        if standby is not None:
+            self._end(standby)
+
+    def _give_up_standby(self, error):
+        """Record that the standby try has failed; the present try goes on."""
+        standby = self._standby
+        self._close_standby()
         if not isinstance(error, calls.TryFailed):
             raise error
-        self._executions += opening.has_output
+        self._executions += standby.has_output
         self._record_failure(
-            error, opening.target, has_output=opening.has_output
+            error, standby.target, has_output=standby.has_output
         )
 
     @abc.abstractmethod
-    async def _await_response(self, opening):
+    async def _await_response(self, standby):
         """Send the call to a target; return a response that may take over.
 
         Raises `calls.TryFailed`.
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -172,13 +172,13 @@
             return self._last_event_s + RESUME_WAIT_S
         return super()._wait_end_s()
 
-    def _opening_end_s(self):
+    def _standby_end_s(self):
         if self._responder.started:
             return self._wait_end_s()
-        return super()._opening_end_s()
+        return super()._standby_end_s()
 
     def _backoff_s(self):
-        if self._opening is not None:
+        if self._standby is not None:
             return 0.0
         if self._responder.started:
             return RESUME_BACKOFF_S * self._refusals
@@ -202,14 +202,14 @@
 
     async def _run_try(self):
         dispatcher = self._dispatcher
-        self._adopted, self._opening = self._opening, None
+        self._promoted, self._standby = self._standby, None
         self.progress_s = dispatcher.timers.now_s()
         self._interruption = None
         self._recovery_task = None
         self._has_output = False
         self._has_event = False
-        if self._adopted is not None:
-            self._probe = self._adopted.probe
+        if self._promoted is not None:
+            self._probe = self._promoted.probe
         else:
             dispatcher.in_flight.begin(self._target.server_ids, self._tokens)
             self._probe = pacing.begin(
@@ -239,8 +239,8 @@
             raise self._interruption from None
         finally:
             self._try_task.cancel()
-            if self._adopted is not None:
-                self._adopted.close()
+            if self._promoted is not None:
+                self._promoted.close()
             for task in (self._report_task, self._recovery_task):
                 if task is not None:
                     task.cancel()
@@ -318,7 +318,7 @@
             self._partial_since_s = None
         if whole:
             if events.has_event(whole):
-                self._drop_opening()
+                self._drop_standby()
             if not self._has_event:
                 self._dispatcher.pace.end(self._probe, pace_state.ANSWERED)
             self._charge.events += events.count_events(whole)
@@ -349,7 +349,7 @@
             and self._may_run_again(self._executions)
         ):
             raise calls.Broken(f'status {response.status}', peer=address)
-        self._drop_opening()
+        self._drop_standby()
         with self._hold(response) as holding:
             body = await self._read_body(response, holding)
             self._has_whole = True
--- a/pimentowalk/dispatch/takeover.py
+++ b/pimentowalk/dispatch/takeover.py
@@ -4,23 +4,23 @@
 
 from pimentowalk.dispatch import calls
 from pimentowalk.dispatch import events
-from pimentowalk.dispatch import opening
+from pimentowalk.dispatch import standby_run
 from pimentowalk.dispatch import transport
 
 FIRST_NON_SUCCESS_STATUS = 300
 FIRST_SERVER_ERROR_STATUS = 500
-# The head of an opening without an event is asked this often which server has
-# stalled. Its first event takes longer than others, since the prompt is read.
+# The head of a standby try without an event is asked this often which server
+# has stalled. Its first event takes longer, since the prompt is read before.
 REPORT_INTERVAL_S = 0.25
 
 
-class TakeoverRun(opening.OpeningRun):
+class TakeoverRun(standby_run.StandbyRun):
     """A call that keeps its present try until another one has an event."""
 
     def __init__(self, dispatcher, call, service, responder):
         super().__init__(dispatcher, call, service, responder)
-        # The opening that became the present try.
-        self._adopted = None
+        # The standby try that became the present try.
+        self._promoted = None
 
     async def _take_over(self, address, reason):
         """Leave a silent server once another one has sent an event.
@@ -30,87 +30,87 @@
         target = self._choose_successor() if self._may_run_beside() else None
         if target is None:
             return False
-        opened = self._open(target)
+        standby = self._open(target)
         try:
-            stall = await self._await_end(opened)
+            stall = await self._await_end(standby)
         except Exception:
-            self._close_opening()
+            self._close_standby()
             raise
-        if self._opening is not opened:
+        if self._standby is not standby:
             return True
         # Its event may have come while a report was awaited.
-        error = opened.error if opened.has_ended else stall
+        error = standby.error if standby.has_ended else stall
         if error is None:
             # Without an event, the present server has crashed.
             self._dispatcher.metrics.count('takeovers')
             peer = self._target.backend.address
             self._interrupt(calls.Stalled(reason, peer=peer, culprit=address))
             return True
-        self._give_up_opening(error)
+        self._give_up_standby(error)
         return False
 
-    async def _await_end(self, opened):
-        """Wait until an opening has ended; return why it has stalled."""
+    async def _await_end(self, standby):
+        """Wait until a standby try has ended; return why it has stalled."""
         has_crashed = self._dispatcher.node.backends.has_crashed
-        while not await opened.wait(REPORT_INTERVAL_S):
-            stall = await self._find_stall(opened)
+        while not await standby.wait(REPORT_INTERVAL_S):
+            stall = await self._find_stall(standby)
             if stall is not None:
                 return stall
             if any(has_crashed(server) for server in self.servers):
                 return None
         return None
 
-    async def _find_stall(self, opened):
-        """Return why an opening is given up for yet another server, or None.
+    async def _find_stall(self, standby):
+        """Return why a standby try is given up for another one, or None.
 
         A head that has sent nothing may have begun to execute, so that it is
         kept if it was the last attempt.
         """
         dispatcher = self._dispatcher
-        head = opened.target.backend
-        failed = self._failed_server(opened.target)
+        head = standby.target.backend
+        failed = self._failed_server(standby.target)
         address = failed.address if failed is not None else ''
         if not address:
             with contextlib.suppress(calls.TryFailed):
                 report = await dispatcher.checks.report(head)
                 address = report.stalled.get(self._call.request_id, '')
-        culprits = [s for s in opened.target.servers if s.address == address]
+        culprits = [s for s in standby.target.servers if s.address == address]
         if not culprits:
             return None
-        if culprits[0] is head and not self._may_run_beside(opened):
+        if culprits[0] is head and not self._may_run_beside(standby):
             return None
         dispatcher.checks.check_blamed(culprits[0])
         return calls.Stalled(
             'the path has stalled', peer=head.address, culprit=address
         )
 
-    def _may_run_beside(self, opened=None):
+    def _may_run_beside(self, standby=None):
         """Return whether the route allows one more attempt.
 
         The present try goes on, and may be executed even if it has sent
-        nothing so far. So may an opening.
+        nothing so far. So may a standby try.
         """
         executions = self._executions + (not self._has_output)
-        executions += opened is not None
+        executions += standby is not None
         return self._may_run_again(executions)
 
-    async def _await_response(self, opening):
+    async def _await_response(self, standby):
         """Return the response of a target once it has an event."""
         response = await self._dispatcher.transport.send(
             self._call,
-            opening.target,
+            standby.target,
             self._remaining_ms(),
             self._last_event_id(),
         )
         try:
-            return await self._read_event(response, opening)
+            return await self._read_event(response, standby)
         except BaseException:
             response.close()
             raise
 
-    async def _read_event(self, response, opening):
+    async def _read_event(self, response, standby):
         limits = self._dispatcher.limits
-        peer = opening.target.backend.address
+        peer = standby.target.backend.address
         is_success = response.status < FIRST_NON_SUCCESS_STATUS
         if not (is_success and self._has_events(response)):
             return await self._read_whole(response, peer)
@@ -120,7 +120,7 @@
         data = b''
         with self._hold(response, peer) as holding:
             while chunk := await response.read():
-                opening.has_output = True
+                standby.has_output = True
                 data += chunk
                 self._dispatcher.held_bytes.resize(holding, len(data))
                 try:
@@ -150,8 +150,8 @@
 
     async def _send(self):
         """Return the response of the present try; raise TryFailed."""
-        if self._adopted is not None:
-            return await self._adopted.response()
+        if self._promoted is not None:
+            return await self._promoted.response()
         return await self._dispatcher.transport.send(
             self._call,
             self._target,
--- a/pimentowalk/platform/tests/test_silent_calls.py
+++ b/pimentowalk/platform/tests/test_silent_calls.py
@@ -28,6 +28,10 @@
     breaks: bool = False
     refuses: bool = False
 
+    def __str__(self):
+        end = 'breaks' if self.breaks else self.status
+        return f'{self.silence_s} s {"refuses" if self.refuses else end}'
+
 
 def _set_routes(data, kind):
     """Allow two attempts, also for bookings, which may run only once."""
@@ -154,7 +158,7 @@
     """LOST: its answer was lost, since another server had been tried."""
     answer = await tries.request(Pause(SILENCE_S), Pause(ENDLESS_S))
     assert answer == ANSWER
-    assert tries.scene.metrics.counters['dropped_openings'] == 1
+    assert tries.scene.metrics.counters['dropped_standby_tries'] == 1
     await tries.assert_nothing_held(closed=[1])
 
 
@@ -167,7 +171,7 @@
         (Pause(SILENCE_S), Pause(0.05, breaks=True)),
         (Pause(SILENCE_S), Pause(0.05, status=500)),
     ],
-    ids=str,
+    ids=lambda pauses: ', '.join(map(str, pauses)),
 )
 async def test_failure_of_one_server_leaves_the_other_try_alone(tries, pauses):
     """LOST: a call failed with one of two tries, or had only one left."""
--- a/pimentowalk/platform/tests/test_openings.py
+++ b/pimentowalk/platform/tests/test_standby_tries.py
@@ -64,7 +64,7 @@
     return await scene.request('POST', '/draft/2f', 'r1')
 
 
-async def test_call_barred_after_its_opening_was_sent_is_not_cut(scene):
+async def test_call_barred_after_its_standby_try_was_sent_is_not_cut(scene):
     """LOST: a stream was cut although its second server had an event.
 
     Its first server was left for that event, and the call was rejected as if
@@ -81,7 +81,7 @@
     assert await _request_while_silent(scene, bar) == ANSWER
 
 
-async def test_stalled_opening_that_has_begun_is_not_reported_as_not_run(
+async def test_stalled_standby_try_that_has_begun_is_not_reported_as_not_run(
     scene,
 ):
     """A caller was told "not run" of a stream that a server had begun."""
@@ -127,7 +127,9 @@
     assert answer.status == 502
 
 
-async def test_opening_with_an_event_is_not_closed_for_an_older_report(scene):
+async def test_standby_try_with_an_event_is_not_closed_for_an_older_report(
+    scene,
+):
     """LOST: a stream waited for its silent server although another served it.
 
     A report that had been asked for before the event still named the server.
@@ -137,7 +139,7 @@
 
     async def report_late(backend):
         answer = await report(backend)
-        if not scene.metrics.counters['openings']:
+        if not scene.metrics.counters['standby_tries']:
             return answer
         await asyncio.sleep(0.2)
         return types.SimpleNamespace(stalled={'r1': backend.address})
@@ -152,7 +154,9 @@
     assert scene.timers.now_s() - since_s < 2.0
 
 
-async def test_opening_at_a_failed_server_without_engine_is_given_up(scene):
+async def test_standby_try_at_a_failed_server_without_engine_is_given_up(
+    scene,
+):
     """LOST: a stream waited for two failed servers beside a free one."""
     scene.servers.append(changing.SteppedServer('jobs-3', 'jobs', scene.steps))
     await scene.servers[-1].start()
@@ -183,23 +187,23 @@
     assert scene.timers.now_s() - since_s < 2.0
 
 
-async def test_opening_of_a_new_stream_waits_for_its_turn(scene):
+async def test_standby_try_of_a_new_stream_waits_for_its_turn(scene):
     """A second try went before streams that already waited for capacity."""
     queue = scene.dispatcher.admission.of_service('model')
     queue.must_wait = lambda priority: scene.runs('r1') > 0
     answer = await _request_while_silent(scene, _send_rest, step='run')
     assert answer == ANSWER
-    assert scene.metrics.counters['openings'] == 0
+    assert scene.metrics.counters['standby_tries'] == 0
 
 
-async def test_failed_report_of_an_opening_leaks_no_try(scene):
+async def test_failed_report_of_a_standby_try_leaks_no_try(scene):
     """A server looked busy for ever after an exception in the recovery."""
     scene.configure(lambda data, _: data['routes'][0].update(attempts=4))
     report = scene.dispatcher.checks.report
     failures = iter([RuntimeError('the report is malformed')])
 
     async def fail_once(backend):
-        if scene.metrics.counters['openings']:
+        if scene.metrics.counters['standby_tries']:
             for failure in failures:
                 raise failure
         return await report(backend)
@@ -216,19 +220,19 @@
     )
 
 
-async def test_refused_opening_takes_no_attempt(scene):
+async def test_refused_standby_try_takes_no_attempt(scene):
     """LOST: a stream was cut for an attempt that its server had refused."""
     report = scene.dispatcher.checks.report
     send = _send_rest
 
     async def report_late(backend):
         answer = await report(backend)
-        if scene.metrics.counters['openings']:
+        if scene.metrics.counters['standby_tries']:
             await asyncio.sleep(0.3)
         return answer
 
     async def refuse_once(request, headers):
-        if scene.metrics.counters['dropped_openings']:
+        if scene.metrics.counters['dropped_standby_tries']:
             return await send(request, headers)
         await asyncio.sleep(0.35)
         return web.Response(
--- a/pimentowalk/platform/tests/test_takeovers.py
+++ b/pimentowalk/platform/tests/test_takeovers.py
@@ -54,7 +54,7 @@
     assert answer == ANSWER
     assert took_s < 2.0
     assert scene.runs('r1') == 2
-    assert scene.metrics.counters['dropped_openings'] == 1
+    assert scene.metrics.counters['dropped_standby_tries'] == 1
     _assert_nothing_held(scene)
 
 
@@ -107,7 +107,7 @@
     """BUDGET: a server that was tried and left may have run the stream."""
 
     async def break_off():
-        assert scene.metrics.counters['dropped_openings'] == 1
+        assert scene.metrics.counters['dropped_standby_tries'] == 1
         scene.steps.breaks = True
 
     scene.steps.actions['after 2'] = break_off
