Let clients that send requests ahead make room for new ones

What callers saw: clients that pipeline many requests and read nothing kept all connections until each request had timed out, and new clients were refused.

Cause: a connection with a whole request is not closed for a new one since, and a client that sends requests ahead always has one.

Change: where no connection can be closed, one with requests ahead ends after its request in progress. The next one gets 503, since it was not run.

The unit test is new.

--- a/pimentowalk/platform/client_connection.py
+++ b/pimentowalk/platform/client_connection.py
@@ -120,6 +120,11 @@
         count = len(self._costs_bytes)
         return count > 1 or (count == 1 and self._body.is_eof())
 
+    @property
+    def has_requests_ahead(self):
+        """Return whether requests wait behind another one."""
+        return len(self._costs_bytes) > 1
+
     @property
     def has_unsent_bytes(self):
         """Return whether a part of a response has not left the process."""
--- a/pimentowalk/platform/intake.py
+++ b/pimentowalk/platform/intake.py
@@ -78,6 +78,7 @@
             self.refuse('connections', 'max_connections')
             oldest = self._find_oldest_waiting()
             if oldest is None:
+                self._refuse_request_ahead()
                 return False
             self.forget(oldest)
             oldest.cut('max_connections')
@@ -95,6 +96,19 @@
                 return connection
         return None
 
+    def _refuse_request_ahead(self):
+        """Let a connection end after the request in progress.
+
+        Clients that send requests ahead would otherwise keep theirs for all of
+        them. The next one is told that it was not run.
+        """
+        for connection in self._open:
+            if connection.has_requests_ahead and connection.refusal is None:
+                connection.refusal = errors.NotRun(
+                    'there are too many connections', step='read'
+                )
+                return
+
     def forget(self, connection):
         """Stop counting a connection."""
         self._open.discard(connection)
--- a/pimentowalk/platform/tests/test_connection_limit.py
+++ b/pimentowalk/platform/tests/test_connection_limit.py
@@ -6,6 +6,7 @@
 import attrs
 import pytest
 
+from pimentowalk.core import errors
 from pimentowalk.core import timers as core_timers
 from pimentowalk.platform import intake as client_intake
 from pimentowalk.platform.tests import test_intake
@@ -77,8 +78,10 @@
     """The state of a connection that an `Intake` asks for."""
 
     has_whole_request: bool = False
+    has_requests_ahead: bool = False
     has_unsent_bytes: bool = False
     is_cut: bool = False
+    refusal: object = None
 
     def cut(self, reason):
         """Record that the connection was cut."""
@@ -109,6 +112,23 @@
     assert not unsent.is_cut
 
 
+def test_client_that_sends_requests_ahead_makes_room():
+    """A few clients that pipeline shut new ones out until all had ended."""
+    timers = core_timers.ManualTimerService()
+    limit = client_intake.Intake(
+        gateway_settings.ClientSettings(max_connections=2), timers, None
+    )
+    ahead, alone, new = [FakeConnection() for _ in range(3)]
+    for connection in (alone, ahead):
+        assert limit.admit(connection)
+        connection.has_whole_request = True
+    ahead.has_requests_ahead = True
+    assert not limit.admit(new)
+    assert isinstance(ahead.refusal, errors.NotRun)
+    assert alone.refusal is None
+    assert not (ahead.is_cut or alone.is_cut)
+
+
 async def test_answered_connection_outside_the_routes_makes_room(cluster):
     """A few clients that sent `OPTIONS *` shut all new ones out."""
     gateway = cluster.gateways[0]
