--- a/pimentowalk/dispatch/transport.py
+++ b/pimentowalk/dispatch/transport.py
@@ -1,6 +1,7 @@
 """Interfaces that protocol adapters implement for dispatch."""
 
 import abc
+import types
 
 import attrs
 
@@ -92,6 +93,7 @@
 
     status = 0
     load = None
+    headers = types.MappingProxyType({})
     is_event_stream = False
 
     @abc.abstractmethod
