Keep a silent attempt until another chain has sent a token

What callers saw: a stream or a completion through the entry failed although its head was only silent for a second, if the retry budget was used up or the other heads refused.

Cause: an attempt without progress was fenced at its head before another one was known to be admitted. The same class as in dispatch/: a step that cannot be undone is taken before its condition holds.

Change: the next attempt runs beside the silent one, on a chain without a server of it, and takes over with its first token. If the silent attempt goes on first, the standby attempt is dropped; if it fails, the standby one becomes the present one without another retry. Where all chains share a server with the silent one, whose attempt would be fenced there, it is left only after 3.5 s. A silent attempt without another chain or a retry is kept until the deadline; heads that are lost are still found by the keepalive.

--- a/pimentowalk/entry/failures.py
+++ b/pimentowalk/entry/failures.py
@@ -54,6 +54,10 @@
         self.engine_crashed = engine_crashed
 
 
+class AttemptSilent(AttemptFailed):
+    """Report that an attempt, which may still go on, has made no progress."""
+
+
 class RequestFailed(errors.PimentowalkError):
     """Report to the caller why a request got no complete response.
 
@@ -99,6 +103,11 @@
         self.peer = error.peer
         self.never_admitted = error.never_admitted
 
+    def mark_dropped(self, now_s):
+        """Record that another attempt has gone on first."""
+        self.ended_s = now_s
+        self.state = 'dropped'
+
 
 def request_failure(error, records):
     """Return the error of a request whose last attempt failed."""
--- a/pimentowalk/entry/model_call.py
+++ b/pimentowalk/entry/model_call.py
@@ -1,5 +1,6 @@
 """A model request: attempts on chains until the response is complete."""
 
+import asyncio
 import logging
 
 import attrs
@@ -68,12 +69,18 @@
 
 
 class ModelCall:
-    """Run a model request with retries; `next_tokens` yields its tokens."""
+    """Run a model request with retries; `next_tokens` yields its tokens.
+
+    A silent attempt is kept until a standby attempt has sent a token, because
+    another chain may refuse or fail, and the silent one may go on.
+    """
 
     def __init__(self, context, spec):
         now_s = context.timers.now_s()
         self._context = context
         self._attempt = None
+        # The attempt beside a silent one.
+        self._standby = None
         self._attempts = []
         self._avoided_ids = set()
         self._planned_retries = 0
@@ -104,9 +111,10 @@
         """
         while not self.assembly.complete:
             try:
-                if self._attempt is None:
-                    await self._start_attempt()
-                tokens = await self._attempt.receive()
+                tokens = await self._receive()
+            except failures.AttemptSilent as error:
+                await self._attempt_silent(error)
+                continue
             except failures.AttemptFailed as error:
                 await self._attempt_failed(error)
                 continue
@@ -116,8 +124,47 @@
                 return tokens
         return []
 
-    async def _start_attempt(self):
-        chain = await self._choose_chain()
+    async def _receive(self):
+        if self._attempt is None:
+            self._begin(self._new_attempt(await self._choose_chain()))
+            await self._attempt.open()
+        if self._standby is not None:
+            await self._await_first_event()
+        tokens = await self._attempt.receive()
+        if tokens and self._standby is not None:
+            self._drop_standby('the silent attempt has gone on')
+        return tokens
+
+    async def _await_first_event(self):
+        """Wait for an event of the present attempt or a token of the standby.
+
+        The standby attempt becomes the present one with its first token.
+        """
+        while self._standby is not None:
+            present, standby = self._attempt, self._standby
+            await asyncio.wait(
+                {present.next_event(), standby.next_event()},
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if present.next_event().done():
+                return
+            if standby.has_token:
+                self._take_over()
+                return
+            try:
+                await standby.receive()
+            except failures.AttemptFailed as error:
+                self._standby = None
+                self._end_failed(standby, error)
+                self._penalize_servers(standby, error)
+
+    def _begin(self, attempt):
+        """Accept tokens of this attempt from now on."""
+        self._attempt = attempt
+        self.assembly.total_layers = attempt.chain[-1].total_layers
+        self.assembly.begin(attempt.record.attempt)
+
+    def _new_attempt(self, chain):
         self.recomputed_tokens = self.assembly.next_index
         record = failures.AttemptRecord(
             attempt=len(self.records) + 1,
@@ -131,18 +178,44 @@
             self._context.retry_budgets.of(
                 self.spec.route
             ).count_first_attempt()
-        self._attempt = model_run.ModelAttempt(
-            self._context, self, chain, record
+        attempt = model_run.ModelAttempt(self._context, self, chain, record)
+        self._attempts.append(attempt)
+        return attempt
+
+    def _take_over(self):
+        """Leave the present attempt for the standby attempt."""
+        left, standby = self._attempt, self._standby
+        self._standby = None
+        self._context.metrics.count('takeovers')
+        self._end_failed(
+            left,
+            failures.AttemptFailed(
+                'another chain has taken over',
+                code='peer_lost',
+                step='stall',
+                peer=left.chain[0].server_id,
+            ),
         )
-        self._attempts.append(self._attempt)
-        self.assembly.total_layers = chain[-1].total_layers
-        self.assembly.begin(record.attempt)
-        await self._attempt.open()
+        self._begin(standby)
+
+    def _drop_standby(self, reason):
+        standby, self._standby = self._standby, None
+        if standby is not None:
+            standby.record.mark_dropped(self._context.timers.now_s())
+            standby.close(reason)
 
     async def _choose_chain(self):
-        spec = self.spec
         if self.remaining_s() <= 0:
             raise await self._final_failure('the deadline passed', 'deadline')
+        chain = self._find_chain(self._avoided_ids)
+        if chain is None:
+            message = 'no chain of servers covers all layers'
+            raise await self._final_failure(message, 'no_chain')
+        return chain
+
+    def _find_chain(self, avoided_ids):
+        """Return a chain, without these servers if possible, or None."""
+        spec = self.spec
         query = index.ChainQuery(
             service=spec.service.name,
             model=spec.service.model,
@@ -154,14 +227,11 @@
             prefix_keys=prefix.prefix_keys(
                 spec.service.name, spec.adapter, spec.prompt
             ),
-            avoid=frozenset(self._avoided_ids),
+            avoid=frozenset(avoided_ids),
+        )
+        return self._context.chain_policy(spec.service.chain_policy).choose(
+            query
         )
-        policy = self._context.chain_policy(spec.service.chain_policy)
-        chain = policy.choose(query)
-        if chain is None:
-            message = 'no chain of servers covers all layers'
-            raise await self._final_failure(message, 'no_chain')
-        return chain
 
     async def _final_failure(self, message, code):
         await self._prove_not_run()
@@ -173,7 +243,7 @@
         self._attempt = None
         attempt.ended = True
         attempt.close('complete')
-        record = self.records[-1]
+        record = attempt.record
         record.state = 'finished'
         record.ended_s = self._context.timers.now_s()
         self._context.suspects.discard(self.spec.fingerprint)
@@ -189,29 +259,66 @@
             record.server_ids,
         )
 
+    async def _attempt_silent(self, error):
+        """Open a standby attempt on another chain, if the call may have one.
+
+        A chain that shares a server with the silent one would fence it there.
+        """
+        if self._standby is not None:
+            return
+        silent = self._attempt
+        present_ids = {server.server_id for server in silent.chain}
+        chain = self._find_chain(self._avoided_ids | present_ids)
+        if chain is None:
+            return
+        is_shared = any(server.server_id in present_ids for server in chain)
+        silence_s = self._context.timers.now_s() - silent.progress_s
+        if is_shared:
+            if silence_s >= model_run.SHARED_CHAIN_SILENCE_S:
+                await self._attempt_failed(error)
+            return
+        if self._is_retryable(error) and self._take_retry(error):
+            self._penalize_servers(silent, error)
+            self._log_failure(silent, error, 'attempt is silent: %s')
+            self._context.metrics.count('retries')
+            self._standby = self._new_attempt(chain)
+
     async def _attempt_failed(self, error):
         attempt = self._attempt
         self._attempt = None
         self.assembly.fence()
-        attempt.close(error.code)
-        self.records[-1].mark_failed(error, self._context.timers.now_s())
+        self._end_failed(attempt, error)
         self._penalize_servers(attempt, error)
+        is_retryable = self._is_retryable(error)
+        if is_retryable and self._standby is not None:
+            standby, self._standby = self._standby, None
+            self._begin(standby)
+            return
+        if not (is_retryable and self._take_retry(error)):
+            self._drop_standby(error.code)
+            await self._prove_not_run()
+            await self._await_crash_confirmation()
+            raise failures.request_failure(error, self.records)
+        self._context.metrics.count('retries')
+
+    def _end_failed(self, attempt, error):
+        """Fence an attempt, and record why it has failed."""
+        attempt.close(error.code)
+        attempt.record.mark_failed(error, self._context.timers.now_s())
+        self._log_failure(attempt, error, 'attempt failed: %s')
+
+    def _log_failure(self, attempt, error, message):
         LOG.info(
-            'attempt failed: %s',
+            message,
             error,
             extra=logs.fields(
                 request_id=self.spec.request_id,
                 step=error.step,
                 peer=error.peer,
-                attempt=self.records[-1].attempt,
+                attempt=attempt.record.attempt,
                 never_admitted=error.never_admitted,
             ),
         )
-        if not self._may_retry(error):
-            await self._prove_not_run()
-            await self._await_crash_confirmation()
-            raise failures.request_failure(error, self.records)
-        self._context.metrics.count('retries')
 
     def _penalize_servers(self, attempt, error):
         """Avoid the server that failed and penalize the link to it.
@@ -234,17 +341,20 @@
                     )
             source_id = server.server_id
 
-    def _may_retry(self, error):
+    def _is_retryable(self, error):
+        """Return whether the request may go on after an attempt has failed."""
         if (
             error.code in failures.NON_RETRYABLE_CODES
             or self.remaining_s() <= 0
         ):
             return False
-        if len(self.records) >= MAX_ATTEMPTS:
-            return False
         if self._crashes >= MAX_CRASHES:
             return False
-        if self.spec.fingerprint in self._context.session.quarantined:
+        return self.spec.fingerprint not in self._context.session.quarantined
+
+    def _take_retry(self, error):
+        """Return whether another attempt is granted after this failure."""
+        if len(self.records) >= MAX_ATTEMPTS:
             return False
         if error.never_admitted and error.code in PLANNED_CODES:
             self._planned_retries += 1
@@ -311,6 +421,7 @@
 
     def close(self, reason):
         """Abandon the request, e.g. because its caller disconnected."""
+        self._drop_standby(reason)
         if self._attempt is None:
             return
         self._attempt.close(reason)
--- a/pimentowalk/entry/model_run.py
+++ b/pimentowalk/entry/model_run.py
@@ -27,6 +27,9 @@
 # time. It finds a frozen stage with its own probes within about 2.5 s, and its
 # report names the stage.
 GRACE_FRACTION = 0.75
+# A chain that shares a server with the present one takes over only after this
+# silence, since its attempt fences the present one there.
+SHARED_CHAIN_SILENCE_S = MAX_STALL_TIMEOUT_S * (1 + GRACE_FRACTION)
 # Prefill may take this multiple of the time estimated from the speeds of the
 # servers.
 PREFILL_TIME_FACTOR = 4.0
@@ -59,12 +62,17 @@
 
 
 class ModelAttempt:
-    """Open an attempt, receive its tokens, and fence it at the end."""
+    """Open an attempt, receive its tokens, and fence it at the end.
+
+    `progress_s` is when it was opened or released its last token.
+    """
 
     def __init__(self, context, call, chain, record):
         self._context = context
         self._call = call
-        self._record = record
+        self._next_event = None
+        self._is_open = False
+        self.record = record
         self._inbox = asyncio.Queue()
         self._connection = None
         self._watchdog = None
@@ -73,12 +81,14 @@
         self._opened_s = context.timers.now_s()
         self._prefill_limit_s = 0.0
         self._grace_used = False
+        self.progress_s = self._opened_s
         self.chain = chain
         self.admitted = False
         self.ended = False
 
     async def open(self):
         """Send the attempt to the head of its chain; raise AttemptFailed."""
+        self._is_open = True
         head = self.chain[0]
         context = self._context
         try:
@@ -97,7 +107,7 @@
         self._prefill_limit_s = (
             PREFILL_TIME_FACTOR * cost / slowest_tokens_per_s
         )
-        self._opened_s = context.timers.now_s()
+        self._opened_s = self.progress_s = context.timers.now_s()
         self._watchdog = watchdog.Watchdog(
             context.timers, self._inbox, self._call.stall_timeout_s
         )
@@ -116,7 +126,7 @@
         spec = call.spec
         return messages.OpenAttempt(
             request_id=spec.request_id,
-            attempt=self._record.attempt,
+            attempt=self.record.attempt,
             account=spec.account.name,
             service=spec.service.name,
             model=self.chain[0].model,
@@ -139,13 +149,37 @@
     def _set_progress_limit(self, limit_s):
         self._watchdog.set_limit(min(limit_s, self._call.remaining_s()))
 
+    def next_event(self):
+        """Return a task for the next event; it opens a new attempt first."""
+        if self._next_event is None:
+            self._next_event = asyncio.ensure_future(self._await_event())
+            self._next_event.add_done_callback(_consume_exception)
+        return self._next_event
+
+    async def _await_event(self):
+        if not self._is_open:
+            await self.open()
+        return await self._inbox.get()
+
+    @property
+    def has_token(self):
+        """Return whether the next event has arrived and is a token."""
+        task = self._next_event
+        return (
+            task is not None
+            and task.done()
+            and task.exception() is None
+            and isinstance(task.result(), messages.Token)
+        )
+
     async def receive(self):
         """Process one event; return the tokens it released, if any.
 
-        Raises AttemptFailed when the attempt has ended without a complete
-        response.
+        Raises AttemptSilent without progress within the limit, and another
+        AttemptFailed when the attempt has ended without a complete response.
         """
-        event = await self._inbox.get()
+        next_event, self._next_event = self._next_event, None
+        event = await (next_event or self._inbox.get())
         if isinstance(event, messages.Token):
             return self._on_token(event)
         if isinstance(event, pool.ConnectionLost):
@@ -163,7 +197,7 @@
 
     def _on_token(self, token):
         assembly = self._call.assembly
-        if token.attempt == self._record.attempt:
+        if token.attempt == self.record.attempt:
             self.admitted = True
         try:
             in_order = assembly.offer(token)
@@ -171,7 +205,8 @@
             raise self._to_attempt_failed(error) from None
         if in_order:
             self._grace_used = False
-            self._record.tokens += len(in_order)
+            self.progress_s = self._context.timers.now_s()
+            self.record.tokens += len(in_order)
             self._set_progress_limit(self._call.stall_timeout_s)
         return in_order
 
@@ -188,7 +223,7 @@
             self._restart_watchdog(limit_s)
             return
         silent_s = self._context.timers.now_s() - self._connection.last_frame_s
-        if self._record.state == messages.AttemptState.QUEUED:
+        if self.record.state == messages.AttemptState.QUEUED:
             if silent_s < QUEUED_SILENCE_TIMEOUT_S:
                 self._restart_watchdog(limit_s)
                 return
@@ -199,7 +234,8 @@
             self._grace_used = True
             self._restart_watchdog(limit_s * GRACE_FRACTION)
             return
-        raise failures.AttemptFailed(
+        self._restart_watchdog(limit_s)
+        raise failures.AttemptSilent(
             f'no progress for {timeout.waited_s:.2f} s',
             code='peer_lost',
             step='stall' if head_is_alive else 'silence',
@@ -207,24 +243,25 @@
         )
 
     def _restart_watchdog(self, limit_s):
+        self._watchdog.stop()
         self._watchdog = watchdog.Watchdog(
             self._context.timers, self._inbox, self._call.stall_timeout_s
         )
         self._set_progress_limit(limit_s)
 
     def _on_status(self, status):
-        if status.attempt != self._record.attempt:
+        if status.attempt != self.record.attempt:
             return
         self._record_round_trip()
         if status.state in messages.ENDED:
-            self._record.state = status.state
+            self.record.state = status.state
             self.ended = True
             raise _ended_failure(
                 status, self.chain[0].server_id, self.admitted
             )
         if self.admitted:
             return
-        self._record.state = status.state
+        self.record.state = status.state
         if status.state == messages.AttemptState.QUEUED:
             self._set_progress_limit(QUEUED_SILENCE_TIMEOUT_S)
         elif status.state == messages.AttemptState.ADMITTED:
@@ -235,7 +272,7 @@
 
     def _record_round_trip(self):
         """Use the first status to measure the round trip to the head."""
-        if self._record.state or not self._sent:
+        if self.record.state or not self._sent:
             return
         routing = self._context.routing
         routing.links.record_round_trip(
@@ -264,7 +301,7 @@
         spec = self._call.spec
         query = messages.AttemptQuery(
             spec.request_id,
-            self._record.attempt,
+            self.record.attempt,
             self.chain[0].incarnation,
         )
         try:
@@ -278,13 +315,15 @@
             return False
         return (
             isinstance(status, messages.AttemptStatus)
-            and status.attempt == self._record.attempt
+            and status.attempt == self.record.attempt
             and status.request_id == spec.request_id
             and status.state in messages.NEVER_ADMITTED
         )
 
     def close(self, reason):
         """Fence the attempt at its head and release its resources."""
+        if self._next_event is not None:
+            self._next_event.cancel()
         if self._watchdog is not None:
             self._watchdog.stop()
         if self._charge is not None:
@@ -295,10 +334,16 @@
         self._connection.detach(request_id, self._inbox)
         if self._sent and not self.ended:
             self._connection.peer.post(
-                messages.CloseAttempt(request_id, self._record.attempt, reason)
+                messages.CloseAttempt(request_id, self.record.attempt, reason)
             )
 
 
+def _consume_exception(task):
+    """Retrieve the exception of a task that nobody awaits any more."""
+    if not task.cancelled():
+        task.exception()
+
+
 def _ended_failure(status, head_id, admitted):
     finished = status.state == messages.AttemptState.FINISHED
     never_admitted = status.state in messages.NEVER_ADMITTED and not admitted
--- a/pimentowalk/entry/tests/test_failures.py
+++ b/pimentowalk/entry/tests/test_failures.py
@@ -67,8 +67,12 @@
             late_sent.set()
 
         async def answer_after_late_tokens(agent, peer, frame):
+            frames = fake_agent.successful_frames(frame)
+            for body in frames[:3]:
+                await peer.send(body)
             await late_sent.wait()
-            await fake_agent.answer(agent, peer, frame)
+            for body in frames[3:]:
+                await peer.send(body)
 
         _, called_agents = await start_pair(
             entry, send_late_tokens, answer_after_late_tokens
