Let no server resume a stream after an event without an id

What callers saw: each event of a stream twice, if its servers send no ids and the first one fell silent or broke off.

Cause: a stream was resumed at the last id that the client had, which is 0 where no event has one, and the filter of duplicates passes events without an id. Takeovers beside a silent server made this more frequent.

Change: the filter knows whether the last event had an id. After one that had none, `repeats` is asked with the state of a begun whole answer, after which nothing runs again.

test_stream_without_ids_is_not_taken_over failed before, with both events doubled. The tests of dispatch, silent streams, takeovers and standby tries pass.

--- a/pimentowalk/dispatch/events.py
+++ b/pimentowalk/dispatch/events.py
@@ -17,6 +17,8 @@
     A server may stop in the middle of an event, and a server that resumes
     the stream may repeat events. Only whole events with a higher id than the
     last one are returned; events without an id are always returned.
+    `has_unnumbered` tells whether one without an id was the last, so that no
+    server can go on after it.
 
     >>> events = EventFilter(0)
     >>> events.feed(b'id: 1\\ndata: a\\n\\nid: 2\\n')
@@ -29,6 +31,7 @@
         self, last_id, max_event_bytes=262_144, max_comment_bytes=65_536
     ):
         self.last_id = last_id
+        self.has_unnumbered = False
         self._max_event_bytes = max_event_bytes
         self._max_comment_bytes = max_comment_bytes
         self._comment_bytes = 0
@@ -69,6 +72,10 @@
         self._partial = data[end:]
         self._count_comments(whole)
         ids = [int(found) for found in ID_LINE.findall(whole)]
+        if len(ids) < count_events(whole):
+            self.has_unnumbered = self._ends_unnumbered(whole)
+        else:
+            self.has_unnumbered = False
         if not ids:
             return whole
         if ids[0] > self.last_id:
@@ -84,9 +91,16 @@
         if self._comment_bytes > self._max_comment_bytes:
             raise ValueError('too many bytes without an event')
 
+    def _ends_unnumbered(self, whole):
+        """Return whether the last event that is no comment has no id."""
+        for event in reversed(_split(whole)):
+            if has_event(event):
+                return ID_LINE.search(event) is None
+        return self.has_unnumbered
+
     def _without_duplicates(self, whole):
         kept = []
-        for event in re.split(rb'(?<=\n\n)|(?<=\r\n\r\n)', whole):
+        for event in _split(whole):
             found = ID_LINE.search(event)
             if found is None:
                 kept.append(event)
@@ -114,6 +128,10 @@
     return whole.count(b'\n\n') + whole.count(b'\r\n\r\n')
 
 
+def _split(whole):
+    return re.split(rb'(?<=\n\n)|(?<=\r\n\r\n)', whole)
+
+
 def _end_of_events(data):
     ends = (data.rfind(b'\n\n') + 2, data.rfind(b'\r\n\r\n') + 4)
     return max(ends[0] if ends[0] > 1 else 0, ends[1] if ends[1] > 3 else 0)
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -356,7 +356,8 @@
             await self._send_body(response, body, holding)
 
     def _answer(self):
-        if self._responder.started and not self._has_whole:
+        is_resumable = not (self._has_whole or self._events.has_unnumbered)
+        if self._responder.started and is_resumable:
             return repeats.Answer.EVENTS
         return super()._answer()
 
--- a/pimentowalk/dispatch/tests/test_events.py
+++ b/pimentowalk/dispatch/tests/test_events.py
@@ -53,6 +53,25 @@
     assert event_filter.feed(WHOLE) == _event(4) + _event(5)
 
 
+@pytest.mark.parametrize(
+    ('fed', 'is_unnumbered'),
+    [
+        ([b'data: x\n\n'], True),
+        ([_event(1) + b'data: x\n\n'], True),
+        ([b'data: x\n\n', _event(1)], False),
+        ([b'data: x\n\n' + _event(1) + b': alive\n\n'], False),
+        ([b'data: x\n\n', b': alive\n\n'], True),
+        ([_event(1), b': alive\n\n'], False),
+    ],
+)
+def test_stream_that_ends_without_an_id_is_known(fed, is_unnumbered):
+    """Another server cannot tell which events the client has."""
+    event_filter = events.EventFilter(0)
+    for data in fed:
+        event_filter.feed(data)
+    assert event_filter.has_unnumbered is is_unnumbered
+
+
 def test_endless_event_is_an_error():
     """An event without an end must not fill the memory."""
     event_filter = events.EventFilter(0, max_event_bytes=100)
--- a/pimentowalk/platform/tests/test_silent_streams.py
+++ b/pimentowalk/platform/tests/test_silent_streams.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 
+from aiohttp import web
 import pytest
 
 from pimentowalk.platform import announcements
@@ -211,3 +212,27 @@
     assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
     assert scene.runs('r1') == 2
     assert granted == [True]
+
+
+async def test_stream_without_ids_is_not_taken_over(scene):
+    """ORDER: the client got each event of its silent server twice.
+
+    Another server cannot tell where to go on, and began anew.
+    """
+
+    async def stream(request, headers):
+        response = web.StreamResponse(
+            headers=headers | {'Content-Type': 'text/event-stream'}
+        )
+        await response.prepare(request)
+        await response.write(b'data: a\n\n')
+        await scene.steps.reach('pause')
+        await response.write(b'data: b\n\n')
+        return response
+
+    for server in scene.servers:
+        server._stream = stream
+    _fall_silent(scene, reports=200)
+    answer = await scene.request('POST', '/draft/2f', 'r1')
+    assert answer.body == b'data: a\n\ndata: b\n\n'
+    assert scene.runs('r1') == 1
