Report a peer that resets a new connection as lost

Cause: a connection that is reset before its first use has no peer address, and reading that raised TypeError, which no caller of `dial` expects.

Change: such a connection has a placeholder as its address, and the handshake reports PeerLost as for any other broken one.

The new test failed before.

--- a/pimentowalk/wire/connection.py
+++ b/pimentowalk/wire/connection.py
@@ -57,7 +57,8 @@
         writer.transport.set_write_buffer_limits(
             high=WRITE_BUFFER_HIGH_WATER_BYTES
         )
-        host, port = writer.get_extra_info('peername')[:2]
+        # A peer that resets the connection at once has no address any more.
+        host, port = (writer.get_extra_info('peername') or ('unknown', 0))[:2]
         self.address = f'{host}:{port}'
 
     @property
--- a/pimentowalk/wire/tests/test_wire.py
+++ b/pimentowalk/wire/tests/test_wire.py
@@ -182,6 +182,25 @@
     await running
 
 
+async def test_peer_that_resets_at_once_is_reported_as_lost(monkeypatch):
+    """Its connection has no address, and a TypeError ended the link."""
+    server = await asyncio.start_server(
+        lambda _, writer: writer.close(), '127.0.0.1', 0
+    )
+    open_connection = asyncio.open_connection
+
+    async def open_without_address(host, port):
+        reader, writer = await open_connection(host, port)
+        monkeypatch.setattr(writer, 'get_extra_info', lambda _: None)
+        return reader, writer
+
+    monkeypatch.setattr(asyncio, 'open_connection', open_without_address)
+    port = server.sockets[0].getsockname()[1]
+    with pytest.raises(errors.PeerLost):
+        await connection.dial('127.0.0.1', port, HELLO)
+    server.close()
+
+
 async def test_call_to_a_peer_that_does_not_read_times_out():
     """A full write buffer held the caller beyond its timeout."""
     may_read = asyncio.Event()
