Run the tasks of a process again whenever they end

What operators saw: a node went on with a part of its functions, for example without a link to control, after an error that nobody expected.

Cause: links, planner, repair, caches and the renewal of the lease were bare tasks. An exception of another kind than those of the project ended them without a line in the log.

The links of nodes, entries and agents, the peers of a replica, the connection of an agent to its engine and the periodic tasks of a gateway use it. The own tasks of a replica end the process as before, since its log may be damaged.

test_link_is_dialled_again_after_any_error failed before.

--- a/pimentowalk/agent/engine_client.py
+++ b/pimentowalk/agent/engine_client.py
@@ -9,6 +9,7 @@
 import attrs
 
 from pimentowalk.core import logs
+from pimentowalk.core import tasks
 from pimentowalk.core import timers as timer_services
 
 LOG = logging.getLogger(__name__)
@@ -80,7 +81,7 @@
         self.session = aiohttp.ClientSession()
         if not connect:
             return
-        self._task = asyncio.ensure_future(self._run())
+        self._task = tasks.start(self._run, self._timers, 'engine')
 
     async def stop(self):
         """Close the WebSocket, which cancels all sequences."""
--- a/pimentowalk/control/client.py
+++ b/pimentowalk/control/client.py
@@ -9,6 +9,7 @@
 from pimentowalk.core import errors
 from pimentowalk.core import identifiers
 from pimentowalk.core import logs
+from pimentowalk.core import tasks
 from pimentowalk.core import timers as timers_module
 from pimentowalk.membership import view
 from pimentowalk.topology import contracts
@@ -64,12 +65,12 @@
 
     async def close(self):
         """Close all connections."""
-        tasks = []
+        readers = []
         for peer, task in self._connections.values():
             peer.close()
-            tasks.append(task)
+            readers.append(task)
         self._connections = {}
-        await timers_module.cancel_all(tasks)
+        await timers_module.cancel_all(readers)
 
 
 class NodeSession:
@@ -122,9 +123,14 @@
     async def start(self):
         """Connect to all control instances in the background."""
         self._tasks = [
-            asyncio.ensure_future(link.run()) for link in self._links.values()
+            tasks.start(
+                link.run, self.timers, 'control link', peer=instance_id
+            )
+            for instance_id, link in self._links.items()
         ]
-        self._tasks.append(asyncio.ensure_future(self._pull_when_behind()))
+        self._tasks.append(
+            tasks.start(self._pull_when_behind, self.timers, 'pull')
+        )
 
     async def ready(self, timeout_s):
         """Wait for a configuration and, if services are watched, a view.
--- a/pimentowalk/control/links.py
+++ b/pimentowalk/control/links.py
@@ -63,6 +63,9 @@
             except TimeoutError:
                 self._log_disconnect('a heartbeat was not answered in time')
                 self.peer.abort()
+            except Exception:
+                await self._disconnect()
+                raise
             await self._disconnect()
             await self.session.timers.sleep(delay_s * self._jitter_factor)
             delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
--- a/pimentowalk/control/replica.py
+++ b/pimentowalk/control/replica.py
@@ -21,6 +21,7 @@
 from pimentowalk.control import snapshot as control_snapshot
 from pimentowalk.core import errors
 from pimentowalk.core import identifiers
+from pimentowalk.core import tasks
 from pimentowalk.core import timers as core_timers
 from pimentowalk.wire import connection
 from pimentowalk.wire import messages
@@ -235,7 +236,10 @@
             lambda: self._applier.snapshot,
         )
         self._consensus.progress[key] = peer.progress
-        self._peers[key] = (peer, asyncio.ensure_future(peer.run()))
+        task = tasks.start(
+            peer.run, self._consensus.timers, 'peer', peer=member.node_id
+        )
+        self._peers[key] = (peer, task)
 
     async def _sync_loop(self):
         # Records proposed during a sync are all written by the next one.
--- a/pimentowalk/gateway/core.py
+++ b/pimentowalk/gateway/core.py
@@ -1,6 +1,5 @@
 """Assemble the parts of a gateway that need no protocol adapter."""
 
-import asyncio
 import functools
 import logging
 
@@ -16,6 +15,7 @@
 from pimentowalk.core import identifiers
 from pimentowalk.core import logs
 from pimentowalk.core import metrics as core_metrics
+from pimentowalk.core import tasks
 from pimentowalk.core import timers as core_timers
 from pimentowalk.dispatch import dispatcher as dispatch
 from pimentowalk.dispatch import pacing
@@ -251,18 +251,19 @@
             await self.replica.start()
             for file in self._cache_files:
                 file.load()
-                self._tasks.append(asyncio.ensure_future(file.run()))
+                self._start_task(file.run, 'save', file=file.name)
             # They end servers of the file that was saved before.
             self.node.departure_log.load()
-            self._tasks += [
-                asyncio.ensure_future(self.node.departure_log.run()),
-                asyncio.ensure_future(self._repair.run()),
-                asyncio.ensure_future(self._executor.run()),
-            ]
+            self._start_task(self.node.departure_log.run, 'leave')
+            self._start_task(self._repair.run, 'repair')
+            self._start_task(self._executor.run, 'placement')
         await self.node.start()
-        self._tasks.append(asyncio.ensure_future(self.freshness.run()))
+        self._start_task(self.freshness.run, 'freshness')
         self.dispatcher.start()
 
+    def _start_task(self, run, step, **fields):
+        self._tasks.append(tasks.start(run, self.timers, step, **fields))
+
     def unready_reason(self):
         """Return why the node is not ready, empty if it is."""
         if self.drain.draining:
--- a/pimentowalk/mesh/node.py
+++ b/pimentowalk/mesh/node.py
@@ -7,6 +7,7 @@
 from pimentowalk.core import identifiers
 from pimentowalk.core import logs
 from pimentowalk.core import registry
+from pimentowalk.core import tasks
 from pimentowalk.core import timers as core_timers
 from pimentowalk.membership import backends as membership
 from pimentowalk.mesh import hub as mesh_hub
@@ -210,7 +211,9 @@
         for node_id in wanted.keys() - self._links.keys():
             link = mesh_links.ControlLink(wanted[node_id], self, self._timers)
             self._links[node_id] = link
-            self._tasks[node_id] = asyncio.ensure_future(link.run())
+            self._tasks[node_id] = tasks.start(
+                link.run, self._timers, 'mesh', peer=node_id
+            )
         counts = [x.news.live_nodes for x in self._links.values() if x.news]
         self.live_nodes = max([len(self.hub.records()) + 1, *counts])
 
--- a/pimentowalk/mesh/tests/test_leaving.py
+++ b/pimentowalk/mesh/tests/test_leaving.py
@@ -132,3 +132,20 @@
         async with asyncio.timeout(WAIT_S):
             await node.stop()
     assert caplog.text.count('did not acknowledge that the node leaves') == 1
+
+
+async def test_link_is_dialled_again_after_any_error(monkeypatch):
+    """A node whose links have all ended answers 503 for good."""
+    dial, failures = wire.dial, [TypeError('x'), ValueError('x')]
+
+    async def fail_at_first(*arguments, **others):
+        if failures:
+            raise failures.pop()
+        return await dial(*arguments, **others)
+
+    monkeypatch.setattr(wire, 'dial', fail_at_first)
+    async with running_control() as (control, address):
+        node = make_node('n1', seeds=[address])
+        await node.start()
+        await wait_until(lambda: ('n1', 1) in listed(control))
+        await node.stop()
