Give the only control instance its own view

What callers saw: where a deployment has a single machine, each request waited 1.5 s before it was served.

Cause: a node has a view of the backend servers once another control instance has pushed one. The only instance never gets a push.

Change: an instance without links to others has a view once each server has had time to announce itself.

The case without others of test_only_control_instance_has_a_view failed before. The tests of mesh and test_gateway pass.

--- a/pimentowalk/mesh/node.py
+++ b/pimentowalk/mesh/node.py
@@ -214,6 +214,9 @@
             self._tasks[node_id] = tasks.start(
                 link.run, self._timers, 'mesh', peer=node_id
             )
+        if self.replica is not None and not self._links:
+            # No other control instance pushes the backend servers.
+            self.has_view = self.has_view or self.backends.is_complete
         counts = [x.news.live_nodes for x in self._links.values() if x.news]
         self.live_nodes = max([len(self.hub.records()) + 1, *counts])
 
--- a/pimentowalk/mesh/tests/test_homes.py
+++ b/pimentowalk/mesh/tests/test_homes.py
@@ -55,6 +55,26 @@
     assert len(node_with_links('z1', zones).push_sources()) == count
 
 
+@pytest.mark.parametrize(
+    ('others', 'age_s', 'has_view'),
+    [({}, 0.0, False), ({}, 5.0, True), ({'a': 'z1'}, 5.0, False)],
+)
+def test_only_control_instance_has_a_view(others, age_s, has_view):
+    """Each request waited 1.5 s for a push that no other instance sent."""
+    node = node_with_links('z1', others)
+    node.replica = types.SimpleNamespace(members=list)
+    now_s = node.backends.now_s
+    node.backends.now_s = lambda: now_s() + age_s
+    node._seeds = lambda: [
+        node_messages.ControlAddress(node_id, '127.0.0.1', 1)
+        for node_id in others
+    ]
+    for link in node._links.values():
+        link.news = None
+    node.update_links()
+    assert node.has_view is has_view
+
+
 class FakePeer:
     """A connection of a node that records the bodies sent to it."""
 
