Dial the last members of control while none of them answers

What callers saw: 503 for good from nodes without a disk, if all instances of control were killed at once after all seeds of the nodes' settings had been replaced.

Cause: the members were known from open links alone. With the last of these, a node dropped the links to all members, and dialled only its seeds.

Change: a node keeps the members that it knew while a link was open, and dials them until a link is open again.

test_last_members_are_dialled_while_control_is_away failed before. The tests of mesh and test_start pass.

--- a/pimentowalk/mesh/node.py
+++ b/pimentowalk/mesh/node.py
@@ -52,6 +52,8 @@
         self._decode = decode
         self._timers = timers
         self._links = {}
+        # The control instances while a link to one of them was open.
+        self._last_members = []
         self._relayed = {}
         # Ids of servers whose departures this node has acknowledged.
         self._acknowledged_departures = set()
@@ -198,7 +200,12 @@
 
     def update_links(self):
         """Start and stop links to match the known control instances."""
-        wanted = {a.node_id: a for a in self.members()}
+        members = self.members()
+        if self.open_links() or self.replica is not None:
+            self._last_members = members
+        # While control is out of reach, those that were its members may come
+        # back although no seed is left that names them.
+        wanted = {a.node_id: a for a in members + self._last_members}
         # All nodes connect to the seeds, so that a starting node finds
         # control through any of them.
         for address in self._seeds():
--- a/pimentowalk/mesh/tests/test_homes.py
+++ b/pimentowalk/mesh/tests/test_homes.py
@@ -316,3 +316,16 @@
         )
         == 2
     )
+
+
+def test_last_members_are_dialled_while_control_is_away():
+    """A node whose seeds had all been replaced never found control again."""
+    node = node_with_links('z1', {'a': 'z1'})
+    node._tasks = {'a': types.SimpleNamespace(cancel=lambda: None)}
+    link = node._links['a']
+    address = node_messages.ControlAddress('a', '127.0.0.1', 1)
+    link.news = types.SimpleNamespace(members=[address], live_nodes=2)
+    node.update_links()
+    link.is_open, link.news = False, None
+    node.update_links()
+    assert node._links == {'a': link}
