Apply raised client limits to connections that are open

What callers saw: after a change of the configuration that raised the idle timeout, a client that kept its connection for as long as that allows found it closed. After one that raised the header limit, its next request got 431.

Cause: a connection took the limits in force when it was opened, and its parser and keep-alive timer kept them: bookkeeping that is late against the state that it stands for.

Change: a connection takes the limits in force whenever it waits for a request, before the next one is parsed. The keep-alive timer asks for the timeout in force before it closes the connection. The limits are computed once for each configuration.

--- a/pimentowalk/platform/client_connection.py
+++ b/pimentowalk/platform/client_connection.py
@@ -97,6 +97,33 @@
             max_msg_queue_size=count,
         )
 
+    def _update_limits(self):
+        """Take the limits in force, if a newer configuration has changed them.
+
+        Only between requests, since the parser is replaced.
+        """
+        limits = self._intake.limits()
+        is_idle = self._waiter is not None and not self._waiter.done()
+        if limits is self._limits or self._header_bytes or not is_idle:
+            return
+        self._limits = limits
+        self.max_line_size = self.max_field_size = limits.max_header_bytes
+        self.max_headers = limits.max_header_fields
+        self._limit_requests_ahead(limits.max_requests_ahead)
+
+    def _process_keepalive(self):
+        """Close an idle connection, later if the timeout has been raised."""
+        timeout_s = self._intake.limits().idle_timeout_ms / 1000
+        close_time_s = self._next_keepalive_close_time + max(
+            0.0, timeout_s - self._keepalive_timeout
+        )
+        if self._loop.time() < close_time_s:
+            self._keepalive_handle = self._loop.call_at(
+                close_time_s, self._process_keepalive
+            )
+            return
+        super()._process_keepalive()
+
     def connection_made(self, transport):
         """Accept a connection, or abort it if there are too many."""
         if not self._intake.admit(self):
@@ -158,6 +185,7 @@
 
     def data_received(self, data):
         """Parse bytes, and count those that are no content of a body."""
+        self._update_limits()
         body = self._body
         in_body = body is not None and not body.is_eof()
         content_bytes = body.total_bytes if in_body else 0
--- a/pimentowalk/platform/intake.py
+++ b/pimentowalk/platform/intake.py
@@ -25,6 +25,22 @@
     """Return that no configuration is in force."""
 
 
+def _combine(own, published):
+    """Return the settings, raised to published limits if there are any."""
+    if published is None:
+        return own
+    return attrs.evolve(
+        own,
+        max_header_bytes=max(own.max_header_bytes, published.header_bytes),
+        header_timeout_ms=max(
+            own.header_timeout_ms, published.header_timeout_s * 1000
+        ),
+        idle_timeout_ms=max(
+            own.idle_timeout_ms, published.idle_timeout_s * 1000
+        ),
+    )
+
+
 class Intake:
     """Decide which connections and header sections are accepted.
 
@@ -39,6 +55,9 @@
         self.held = held
         self.now_s = timers.now_s
         self._published = published
+        # The settings and published limits that `_limits` was made of.
+        self._sources = None
+        self._limits = settings
         self._refusals = refusals.Refusals(timers.now_s, metrics)
         self._open = set()
         # The first one has waited longest for a request. Some may have a whole
@@ -52,20 +71,11 @@
 
     def limits(self):
         """Return the settings, raised to what the configuration allows."""
-        published = self._published()
-        if published is None:
-            return self.settings
-        own = self.settings
-        return attrs.evolve(
-            own,
-            max_header_bytes=max(own.max_header_bytes, published.header_bytes),
-            header_timeout_ms=max(
-                own.header_timeout_ms, published.header_timeout_s * 1000
-            ),
-            idle_timeout_ms=max(
-                own.idle_timeout_ms, published.idle_timeout_s * 1000
-            ),
-        )
+        sources = self.settings, self._published()
+        if sources != self._sources:
+            self._sources = sources
+            self._limits = _combine(*sources)
+        return self._limits
 
     def refuse(self, kind, setting):
         """Count and log a refusal; `setting` is empty for bad syntax."""
--- a/pimentowalk/platform/tests/test_connections.py
+++ b/pimentowalk/platform/tests/test_connections.py
@@ -3,8 +3,12 @@
 import asyncio
 
 from aiohttp import web_protocol
+import attrs
+import pytest
 
 from pimentowalk.platform import daemon
+from pimentowalk.platform.tests import test_intake
+from tools.tests import waiting
 
 
 async def test_stop_closes_idle_connections(cluster, monkeypatch):
@@ -52,3 +56,35 @@
             answer = await reader.read()
         assert answer.startswith(b'HTTP/1.1 ')
         writer.close()
+
+
+@pytest.mark.parametrize(
+    ('own', 'raised', 'idle_s', 'fields'),
+    [
+        ({}, {'max-header-bytes': 65_536}, 0.0, 5),
+        ({'idle_timeout_ms': 300.0}, {'idle-timeout-ms': 60_000}, 0.8, 1),
+    ],
+    ids=['header', 'idle'],
+)
+async def test_raised_limits_hold_for_open_connections(
+    cluster, own, raised, idle_s, fields
+):
+    """LOST: a client kept a connection for as long as the configuration
+    allows, and found it closed; or its request was refused with 431.
+    """
+    gateway = cluster.gateways[0]
+    intake = gateway.intake
+    intake.settings = attrs.evolve(intake.settings, **own)
+    limits = {'idle-timeout-ms': 300, 'header-timeout-ms': 3000}
+    await cluster.platform.configure(version=12, limits=limits)
+    await waiting.until(lambda: gateway.node.document_version == 12)
+    async with test_intake.connect(gateway) as (reader, writer):
+        writer.write((test_intake.POST + '\r\n').encode())
+        assert await test_intake.read_status(reader) == 200
+        await cluster.platform.configure(version=13, limits=limits | raised)
+        await waiting.until(lambda: gateway.node.document_version == 13)
+        await asyncio.sleep(idle_s)
+        request = test_intake.POST.replace('r1', 'r2')
+        request += ('X: ' + 'b' * 8000 + '\r\n') * fields + '\r\n'
+        writer.write(request.encode())
+        assert await test_intake.read_status(reader) == 200
