--- a/pimentowalk/platform/tests/test_silent_streams.py
+++ b/pimentowalk/platform/tests/test_silent_streams.py
@@ -6,9 +6,11 @@
 from aiohttp import web
 import pytest
 
+from pimentowalk.mesh import node as mesh_node
 from pimentowalk.platform import announcements
 from pimentowalk.platform.tests import changing
 from pimentowalk.platform.tests import test_document_changes
+from pimentowalk.wire import node_messages
 
 SILENCE_S = 1.0
 ANSWER = changing.Answer(200, 'r1', test_document_changes.EVENTS)
@@ -236,3 +238,28 @@
     answer = await scene.request('POST', '/draft/2f', 'r1')
     assert answer.body == b'data: a\n\ndata: b\n\n'
     assert scene.runs('r1') == 1
+
+
+@pytest.mark.parametrize('step', ['pause', 'run'])
+async def test_server_that_another_node_cannot_reach_is_not_left(scene, step):
+    """LOST: a stream was cut since a connection to its server was refused
+    at another node, although the server went on.
+    """
+
+    async def suspect():
+        (running,) = [server for server in scene.servers if server.runs['r1']]
+        for server in scene.servers:
+            server.refuses = server is not running
+        born_ms = scene.node.backends.get(running.server_id).born_ms
+        suspicion = node_messages.Suspicion(
+            running.server_id, born_ms, 'cannot connect', True
+        )
+        mesh_node.on_suspicion(scene.node, suspicion)
+        scene.dispatcher._on_suspicion(suspicion)
+        await asyncio.sleep(SILENCE_S)
+        # It has been checked, since it may be down.
+        assert scene.dispatcher.checks.answered_s(running.server_id) > 0
+
+    scene.steps.actions[step] = suspect
+    assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
+    assert scene.runs('r1') == 1
