Let a draining server finish after it has stopped listening

What callers saw: streams were cut while their servers finished them during a planned stop, if the servers had closed their listening sockets first and no other server had room.

Cause: a refused connection proves that a process does not listen. It was taken for the end of the process.

Change: a draining server that refuses connections counts as suspect, and not as crashed, so that the next try runs beside its streams. If it has ended, its connections break by themselves.

Both cases of test_draining_server_that_accepts_no_connections_is_not_left failed before, with a cut stream and a 502.

--- a/pimentowalk/membership/backends.py
+++ b/pimentowalk/membership/backends.py
@@ -415,11 +415,14 @@
     def has_crashed(self, backend):
         """Return whether the requests of this node at an incarnation are lost.
 
-        Another node that it refuses may be cut off from it.
+        Another node that it refuses may be cut off from it. A draining server
+        may accept no connections any more, and finish its requests.
         """
         record = self._record_of(backend)
         if record is not None:
-            return record.suspect_since_s is not None and record.is_confirmed
+            is_draining = record.backend.state == backends.DRAINING
+            is_suspect = record.suspect_since_s is not None
+            return is_suspect and record.is_confirmed and not is_draining
         return self._was_replaced(backend)
 
     def _record_of(self, backend):
--- a/pimentowalk/platform/tests/test_silent_streams.py
+++ b/pimentowalk/platform/tests/test_silent_streams.py
@@ -240,6 +240,28 @@
     assert scene.runs('r1') == 1
 
 
+@pytest.mark.parametrize('step', ['pause', 'run'])
+async def test_draining_server_that_accepts_no_connections_is_not_left(
+    scene, step
+):
+    """LOST: a stream was cut since its server had stopped listening, which
+    a server that finishes its requests may do.
+    """
+
+    async def stop_listening():
+        (running,) = [server for server in scene.servers if server.runs['r1']]
+        for server in scene.servers:
+            server.refuses = server is not running
+        drain(scene, running)
+        backend = scene.node.backends.get(running.server_id)
+        scene.dispatcher.suspect(backend, 'cannot connect', is_down=True)
+        await asyncio.sleep(SILENCE_S)
+
+    scene.steps.actions[step] = stop_listening
+    assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
+    assert scene.runs('r1') == 1
+
+
 @pytest.mark.parametrize('step', ['pause', 'run'])
 async def test_server_that_another_node_cannot_reach_is_not_left(scene, step):
     """LOST: a stream was cut since a connection to its server was refused
