Start a stream with its first event

What callers saw: a stream was cut without an event or an error, if its servers sent comments and then broke off or were given up.

Cause: comments were passed on at once, and committed the gateway to a status of 200.

Change: comments that come before the first event are held, within the limit of comments, until an event or the end of the stream. They are no progress either.

Both cases of test_comments_alone_do_not_start_a_stream failed before, with a cut response. The tests of dispatch, silent streams, plain streams and standby tries pass.

--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -56,6 +56,8 @@
             dispatcher.limits.head_bytes,
         )
         self._partial_since_s = None
+        # Comments that came before the first event.
+        self._comments = b''
         self._probe = None
         # Whether the current try has received a whole event.
         self._has_event = False
@@ -265,29 +267,31 @@
                 return
             self._events.discard_partial()
             self._partial_since_s = None
+            self._comments = b''
             with self._hold(response) as holding:
                 while data := await response.read():
                     if not self._has_output:
                         self._has_output = True
                         self._executions += 1
                     await self._pass_events(response, data)
-                    dispatcher.held_bytes.resize(
-                        holding, self._events.partial_bytes
-                    )
+                    dispatcher.held_bytes.resize(holding, self._held_bytes())
                 # The end of a response that has been cut is not its own.
-                dispatcher.held_bytes.resize(
-                    holding, self._events.partial_bytes
-                )
+                dispatcher.held_bytes.resize(holding, self._held_bytes())
             if self._events.has_partial:
                 raise calls.Broken(
                     'the stream ended within an event',
                     peer=self._target.backend.address,
                 )
             await self._start_response(response)
+            if self._comments:
+                await self._responder.write(self._comments)
             await self._responder.finish()
         finally:
             response.close()
 
+    def _held_bytes(self):
+        return self._events.partial_bytes + len(self._comments)
+
     def _last_event_id(self):
         return self._events.last_id
 
@@ -316,7 +320,12 @@
             self._partial_since_s = now_s
         else:
             self._partial_since_s = None
+        if not (self._responder.started or events.has_event(whole)):
+            # Without an event, another server may still answer.
+            self._comments += whole
+            return
         if whole:
+            whole, self._comments = self._comments + whole, b''
             if events.has_event(whole):
                 self._drop_standby()
             if not self._has_event:
--- a/pimentowalk/platform/tests/test_failed_requests.py
+++ b/pimentowalk/platform/tests/test_failed_requests.py
@@ -4,6 +4,7 @@
 import logging
 
 import aiohttp
+from aiohttp import web
 import pytest
 
 from pimentowalk.dispatch import calls
@@ -61,6 +62,31 @@
     assert _lines(caplog, 'r1')['request failed: unexpected error'].is_cut
 
 
+@pytest.mark.parametrize('is_resumable', [True, False])
+async def test_comments_alone_do_not_start_a_stream(scene, is_resumable):
+    """LOST: a stream was cut whose servers broke off after a comment, so that
+    its caller had neither an event nor an error.
+    """
+
+    async def send_comment(request, headers):
+        response = web.StreamResponse(
+            headers=headers | {'Content-Type': 'text/event-stream'}
+        )
+        await response.prepare(request)
+        await response.write(b': x\n\n')
+        await asyncio.sleep(0.05)
+        request.transport.abort()
+        return response
+
+    for server in scene.servers:
+        server._stream = send_comment
+    scene.configure(
+        lambda data, _: data['routes'][0].update(resumable=is_resumable)
+    )
+    answer = await scene.request('POST', '/draft/2f', 'r1')
+    assert (answer.status, answer.request_id) == (502, 'r1')
+
+
 @pytest.mark.parametrize('path', ['/book/2f', '/draft/2f'])
 async def test_change_of_protocol_is_no_answer(scene, path):
     """LOST: a caller took status 101 for an interim one, and waited on."""
