--- a/pimentowalk/platform/tests/test_numbers.py
+++ b/pimentowalk/platform/tests/test_numbers.py
@@ -12,6 +12,7 @@
 from pimentowalk.placement import tiling
 from pimentowalk.platform import announcements
 from pimentowalk.platform import documents
+from pimentowalk.platform import names
 from pimentowalk.platform import numbers
 from pimentowalk.platform.tests import samples
 from pimentowalk.wire import codec
@@ -213,3 +214,38 @@
             for g in cluster.gateways
         )
     )
+
+
+HEADER_VALUES = [
+    *(str(n) for n in (-1, 0, 1, 2**31, 2**63, 2**64, 10**30, 10**400)),
+    *('1.5', '1e300', '1e999', 'nan', 'inf', 'true', 'null', 'x', '', ','),
+    *('\u0661', '9' * 5000, '1,2,3', '-1,-1', f'{2**64},{2**64}', 'a:' * 900),
+]
+HEADERS = [
+    names.DEADLINE_MS,
+    names.TOKEN_COUNT,
+    names.LAST_EVENT_ID,
+    names.LENGTH_HINT,
+    names.PROMPT_PARTS,
+]
+
+
+@pytest.mark.parametrize('path', ['/draft/2f', '/book/2f'])
+@pytest.mark.parametrize('name', HEADERS)
+async def test_odd_number_of_a_header_harms_no_other_request(
+    scene, caplog, name, path
+):
+    """A number of a caller must neither raise nor stay in the node."""
+    parts = [f'p1:{value},p2:{value}' for value in HEADER_VALUES]
+    values = parts if name == names.PROMPT_PARTS else HEADER_VALUES
+    for number, value in enumerate(values):
+        answer = await scene.request(
+            'POST', path, f'r{number}', headers={name: value}
+        )
+        assert answer.status == 200 or 400 <= answer.status <= 504
+        assert answer.status != 500
+        answer = await scene.request('POST', path, f's{number}')
+        assert answer.status == 200
+    # A server that is sent such a number may fail.
+    ours = [r for r in caplog.records if r.name.startswith('pimentowalk')]
+    assert not [record for record in ours if record.exc_info]
