Keep a silent attempt on a shared chain without a retry

What callers saw: a request through the entry failed after 3.5 s without a token, if all chains shared a server and the retry budget was used up, although its silent head might have gone on.

Cause: ended the silent attempt before it asked for the retry.

Change: the retry is taken first. Without one the attempt is kept, as on any other chain.

The case "no retry" of test_silent_attempt_is_not_fenced_by_one_on_a_shared_ server failed before. The tests of the entry pass.

--- a/pimentowalk/entry/model_call.py
+++ b/pimentowalk/entry/model_call.py
@@ -113,7 +113,7 @@
             try:
                 tokens = await self._receive()
             except failures.AttemptSilent as error:
-                await self._attempt_silent(error)
+                self._attempt_silent(error)
                 continue
             except failures.AttemptFailed as error:
                 await self._attempt_failed(error)
@@ -259,10 +259,11 @@
             record.server_ids,
         )
 
-    async def _attempt_silent(self, error):
+    def _attempt_silent(self, error):
         """Open a standby attempt on another chain, if the call may have one.
 
-        A chain that shares a server with the silent one would fence it there.
+        One on a chain that shares a server with the silent attempt would fence
+        it there, so that the silent attempt ends first.
         """
         if self._standby is not None:
             return
@@ -273,15 +274,19 @@
             return
         is_shared = any(server.server_id in present_ids for server in chain)
         silence_s = self._context.timers.now_s() - silent.progress_s
+        if is_shared and silence_s < model_run.SHARED_CHAIN_SILENCE_S:
+            return
+        if not (self._is_retryable(error) and self._take_retry(error)):
+            return
+        self._context.metrics.count('retries')
+        self._penalize_servers(silent, error)
         if is_shared:
-            if silence_s >= model_run.SHARED_CHAIN_SILENCE_S:
-                await self._attempt_failed(error)
+            self._attempt = None
+            self.assembly.fence()
+            self._end_failed(silent, error)
             return
-        if self._is_retryable(error) and self._take_retry(error):
-            self._penalize_servers(silent, error)
-            self._log_failure(silent, error, 'attempt is silent: %s')
-            self._context.metrics.count('retries')
-            self._standby = self._new_attempt(chain)
+        self._log_failure(silent, error, 'attempt is silent: %s')
+        self._standby = self._new_attempt(chain)
 
     async def _attempt_failed(self, error):
         attempt = self._attempt
--- a/pimentowalk/entry/tests/test_silent_heads.py
+++ b/pimentowalk/entry/tests/test_silent_heads.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 
+from pimentowalk.entry import model_run
 from pimentowalk.entry.tests import fake_agent
 from pimentowalk.entry.tests import harness
 from pimentowalk.entry.tests import test_failures
@@ -71,10 +72,19 @@
         assert len(called_agents) == 2
 
 
-async def test_silent_attempt_is_not_fenced_by_one_on_a_shared_server():
-    """LOST: an attempt beside a silent one ended it at the server of both."""
+@pytest.mark.parametrize('obstacle', ['shared server', 'no retry'])
+async def test_silent_attempt_is_not_fenced_by_one_on_a_shared_server(
+    monkeypatch, obstacle
+):
+    """LOST: an attempt beside a silent one ended it at the server of both.
+
+    Or it was ended although no retry was granted for another one.
+    """
     async with harness.running() as entry:
         _set_timeout(entry)
+        if obstacle == 'no retry':
+            harness.set_retry_budget(entry, 0)
+            monkeypatch.setattr(model_run, 'SHARED_CHAIN_SILENCE_S', 0.0)
         head = await entry.add_agent('a', 0, 4)
         head.script = _pause
         for name in ('b', 'c'):
