--- a/pimentowalk/platform/tests/test_silent_streams.py
+++ b/pimentowalk/platform/tests/test_silent_streams.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 import pytest
 
+from pimentowalk.dispatch import calls
 from pimentowalk.mesh import node as mesh_node
 from pimentowalk.platform import announcements
 from pimentowalk.platform.tests import changing
@@ -285,3 +286,30 @@
     scene.steps.actions[step] = suspect
     assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
     assert scene.runs('r1') == 1
+
+
+async def test_server_that_another_node_found_down_is_left_at_once(scene):
+    """The other servers of the path held memory for a stream that had ended,
+    until another path had sent its first event.
+    """
+    fetch_report = scene.client.fetch_report
+
+    async def suspect():
+        (running,) = [server for server in scene.servers if server.runs['r1']]
+
+        async def refuse(backend):
+            if backend.server_id == running.server_id:
+                raise calls.Unreachable('refused', peer=backend.address)
+            return await fetch_report(backend)
+
+        scene.client.fetch_report = refuse
+        born_ms = scene.node.backends.get(running.server_id).born_ms
+        scene.node.backends.suspect(
+            running.server_id, born_ms, 'x', is_down=True, is_reported=True
+        )
+        await asyncio.sleep(SILENCE_S)
+
+    scene.steps.actions['pause'] = suspect
+    assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
+    assert scene.runs('r1') == 2
+    assert scene.metrics.counters['standby_tries'] == 0
