Acknowledge a departure once two disks hold it

Cause: made a departure durable on one disk, that of the instance that was asked, or of the first one that answered a node without a disk. The others write it at the same time but were not waited for. Class of fault: an acknowledgement that fewer disks hold than may be lost, plus one.

Change: the node that is asked sends the departure to all control instances as a call and waits until `tolerated_losses` + 1 disks hold it, its own among them, or all if there are fewer instances. Nodes with and without a disk share this path.

An instance that reaches no other one acknowledges no departure any more.

--- a/pimentowalk/gateway/core.py
+++ b/pimentowalk/gateway/core.py
@@ -93,6 +93,7 @@
                 settings.announcement_period_ms / 1000,
                 self._is_named_service,
             ),
+            tolerated_losses=settings.tolerated_losses,
         )
         self.client = mesh_leader.LeaderClient(self.node, timers)
         self.freshness = mesh_freshness.Freshness(
--- a/pimentowalk/mesh/links.py
+++ b/pimentowalk/mesh/links.py
@@ -169,34 +169,32 @@
             self.post(node_messages.BackendRequest(unknown_keys))
 
 
-async def hold_departures(links, body, timeout_s):
-    """Return once a control instance has departures on its disk.
+async def hold_departures(holds, disk_count):
+    """Return once enough disks hold a departure; raise NotDurable.
 
-    All are sent the departures. Raises NotDurable if none answers.
+    Each of `holds` returns whether the disk of one instance holds it.
     """
-    calls = []
-    for link in links:
-        if link.is_open:
-            calls.append(_call_to_hold(link, body, timeout_s))
-        else:
-            link.post(body)
-    for call in asyncio.as_completed(calls):
-        if await call:
+    held_count = 0
+    for hold in asyncio.as_completed(holds):
+        held_count += await hold
+        if held_count >= disk_count:
             return
-    raise errors.NotDurable('no control instance holds it', step='leave')
+    raise errors.NotDurable(
+        f'{held_count} of {disk_count} disks hold it', step='leave'
+    )
 
 
-async def _call_to_hold(link, body, timeout_s):
-    """Return whether a control instance has departures on its disk."""
+async def holds_departure(wait, peer):
+    """Return whether waiting for the disk of an instance succeeds."""
     try:
-        await link.call(body, timeout_s)
+        await wait
     except (errors.PimentowalkError, TimeoutError) as error:
         # An instance of an older release sends no answer, one without a disk
         # refuses.
         LOG.info(
             'departure not held: %s',
             error or 'no answer',
-            extra=logs.fields(step='leave', peer=link.address.node_id),
+            extra=logs.fields(step='leave', peer=peer),
         )
         return False
     return True
--- a/pimentowalk/mesh/node.py
+++ b/pimentowalk/mesh/node.py
@@ -31,10 +31,21 @@
 
     `seeds()` returns addresses to connect to in addition to the known control
     instances. `decode(content)` returns the `Document` of stored content.
+    `tolerated_losses` is the number of instances with a disk that may be lost
+    at once.
     """
 
     def __init__(
-        self, hello, host, port, timers, *, seeds, decode, backend_table
+        self,
+        hello,
+        host,
+        port,
+        timers,
+        *,
+        seeds,
+        decode,
+        backend_table,
+        tolerated_losses=0,
     ):
         self.hello = hello
         self.node_id = hello.node_id
@@ -50,6 +61,7 @@
         self.departure_log = None
         self._seeds = seeds
         self._decode = decode
+        self._tolerated_losses = tolerated_losses
         self._timers = timers
         self._links = {}
         # The control instances while a link to one of them was open.
@@ -316,18 +328,37 @@
         self.relay_backends(body)
 
     async def announce_departure(self, backend, timeout_s):
-        """Announce a departure; return once a disk holds it.
+        """Announce a departure; return once enough disks hold it.
 
         Raises NotDurable. The departure is in force nevertheless.
         """
-        if self.departure_log is not None:
-            self.announce(backend)
-            await self.departure_log.wait_durable(backend, timeout_s)
-            return
         body = node_messages.BackendNews([backend])
         self._acknowledged_departures.add(backend.server_id)
         self.relay_backends(body)
-        await mesh_links.hold_departures(self._links.values(), body, timeout_s)
+        waits = {}
+        if self.departure_log is not None:
+            waits[self.node_id] = self.departure_log.wait_durable(
+                backend, timeout_s
+            )
+        for node_id, link in self._links.items():
+            if link.is_open:
+                waits[node_id] = link.call(body, timeout_s)
+            else:
+                link.post(body)
+        await mesh_links.hold_departures(
+            [
+                mesh_links.holds_departure(wait, node_id)
+                for node_id, wait in waits.items()
+            ],
+            self._departure_disk_count(),
+        )
+
+    def _departure_disk_count(self):
+        """Return how many disks hold a departure that is acknowledged.
+
+        One of them is left if as many are lost as the deployment tolerates.
+        """
+        return max(1, min(self._tolerated_losses + 1, len(self.members())))
 
     async def hold_departures(self, announcements, timeout_s):
         """Return once the disk of this instance holds departures."""
--- a/pimentowalk/platform/tests/test_departures.py
+++ b/pimentowalk/platform/tests/test_departures.py
@@ -20,6 +20,7 @@
 MAX_ACKNOWLEDGEMENT_S = 1.0
 MAX_TRIES = 3
 DISKLESS_HOST = '127.0.0.4'
+SLOW_DISK_DELAY_S = 0.3
 
 
 def _folders(cluster):
@@ -29,6 +30,18 @@
     ]
 
 
+async def folders_with_view(cluster):
+    """Return the folders of the gateways once all hold the first server."""
+    server_id = cluster.servers[0].server_id
+    folders = _folders(cluster)
+    for folder in folders:
+        path = folder / cache_files.ViewFile.name
+        await waiting.until(
+            lambda p=path: p.exists() and server_id in p.read_text()
+        )
+    return folders
+
+
 async def leave(cluster, gateway, method):
     """Announce that the first server leaves; return the status."""
     server = cluster.servers[0]
@@ -39,6 +52,24 @@
     return status
 
 
+def change_syncs(monkeypatch, folders, change):
+    """Call `change()` before each sync of departures in some folders."""
+    sync = os.fsync
+
+    def sync_changed(fd):
+        path = os.readlink(f'/proc/self/fd/{fd}')
+        if any(path.startswith(f'{f}/departures.') for f in folders):
+            change()
+        sync(fd)
+
+    monkeypatch.setattr(os, 'fsync', sync_changed)
+
+
+def fail_disk():
+    """Fail as a write to a full disk does."""
+    raise OSError(errno.ENOSPC, 'the disk is full')
+
+
 async def restart_all(cluster, copies):
     """Restart the gateways with the data that they had when copied."""
     hosts = [gateway.settings.host for gateway in cluster.gateways]
@@ -58,12 +89,7 @@
 ):
     """DRAIN: it was saved 0.5 s later, and forgotten by a kill before."""
     server_id = cluster.servers[0].server_id
-    folders = _folders(cluster)
-    for folder in folders:
-        path = folder / cache_files.ViewFile.name
-        await waiting.until(
-            lambda p=path: p.exists() and server_id in p.read_text()
-        )
+    folders = await folders_with_view(cluster)
     gateway = cluster.gateways[0]
     if not has_disk:
         gateway = await cluster.start_gateway(
@@ -130,3 +156,51 @@
         other.node.departure_log = None
     assert await leave(cluster, gateway, 'DELETE') == 503
     await gateway.close()
+
+
+@pytest.mark.parametrize('method', ['DELETE', 'PUT'])
+async def test_departure_holds_after_the_loss_of_a_disk_and_a_kill_of_all(
+    cluster, monkeypatch, method
+):
+    """DRAIN: only the disk of the node that acknowledged it held it."""
+    folders = await folders_with_view(cluster)
+    change_syncs(
+        monkeypatch, folders[1:], lambda: time.sleep(SLOW_DISK_DELAY_S)
+    )
+    assert await leave(cluster, cluster.gateways[0], method) == 200
+    copies = {f: f.with_name(f'killed-{f.name}') for f in folders}
+    for folder, copy in copies.items():
+        shutil.copytree(folder, copy, ignore=shutil.ignore_patterns('*.tmp'))
+    shutil.rmtree(copies[folders[0]])
+    copies[folders[0]].mkdir()
+    await restart_all(cluster, copies)
+    await waiting.until(
+        lambda: all(g.freshness.is_valid for g in cluster.gateways)
+    )
+    await asyncio.sleep(DRAIN_S)
+    for gateway in cluster.gateways:
+        usable = gateway.node.backends.usable('model')
+        assert 'm-1' not in [backend.server_id for backend in usable]
+
+
+@pytest.mark.parametrize('has_disk', [True, False])
+@pytest.mark.parametrize('sound_disks, status', [(1, 503), (2, 200)])
+async def test_departure_is_acknowledged_once_two_disks_hold_it(
+    cluster, monkeypatch, has_disk, sound_disks, status
+):
+    """DRAIN: one disk held it, and the loss of one disk is tolerated."""
+    gateway = cluster.gateways[0]
+    if not has_disk:
+        gateway = await cluster.start_gateway(
+            DISKLESS_HOST, first_start=False, disk=False
+        )
+        await waiting.until(
+            lambda: (
+                gateway.node.backends.get('m-1')
+                and len(gateway.node.open_links()) == len(cluster.gateways)
+            )
+        )
+    change_syncs(monkeypatch, _folders(cluster)[sound_disks:], fail_disk)
+    assert await leave(cluster, gateway, 'DELETE') == status
+    if not has_disk:
+        await gateway.close()
