Use no older configuration in place of one that cannot be read

Cause: a record of PutDocument out of range, which an earlier release committed, was skipped, and the state kept the version before, whose lease the leader went on confirming. For a committed configuration that cannot be decoded, the lease ended, but one without client accounts needs no lease and was served for good. Class of fault: the failure to read a newer state leaves an older one in force.

Change: handlers can be registered for skipped commands. A node that cannot decode a committed document withdraws the one before as well, ignores pushes up to that version, is not ready, and answers 503 at once.

--- a/pimentowalk/control/commands.py
+++ b/pimentowalk/control/commands.py
@@ -415,3 +415,13 @@
             'the log record holds no command', code='bad_request'
         )
     return _structure(value['body'], COMMANDS.get(value['name']))
+
+
+def name_in_log(content):
+    """Return the name of the command in a log record, empty if unknown."""
+    try:
+        value = packing.unpack(content)
+    except errors.PimentowalkError:
+        return ''
+    name = value.get('name') if isinstance(value, dict) else None
+    return name if isinstance(name, str) else ''
--- a/pimentowalk/control/documents.py
+++ b/pimentowalk/control/documents.py
@@ -8,6 +8,7 @@
 from pimentowalk.control import commands
 from pimentowalk.control import parts
 from pimentowalk.control import requests
+from pimentowalk.core import errors
 from pimentowalk.core import logs
 from pimentowalk.topology import documents as topology_documents
 
@@ -58,12 +59,29 @@
 
 @parts.part('document')
 class DocumentPart(parts.Part):
-    """Hold the document in force."""
+    """Hold the document in force.
+
+    It is withdrawn if a record that cannot be decoded may have replaced it.
+    """
 
     def __init__(self):
         self.version = 0
         self.content = b''
 
+    @property
+    def is_withdrawn(self):
+        """Return whether no document is in force until a higher version."""
+        return self.version > 0 and not self.content
+
+    def check_in_force(self):
+        """Raise NotRun if the document was withdrawn."""
+        if self.is_withdrawn:
+            raise errors.NotRun(
+                'the newest configuration is not supported; a version above '
+                f'{self.version} replaces it',
+                step='read configuration',
+            )
+
     def snapshot(self):
         """Return version and content as JSON data."""
         text = base64.b64encode(self.content).decode()
@@ -100,14 +118,29 @@
     return DocumentVersion(part.version, replaced=True)
 
 
+@parts.handles_skipped('PutDocument')
+def withdraw_document(state):
+    """Withdraw the document, whose keys the skipped one may have revoked."""
+    part = state.part('document')
+    part.content = b''
+    LOG.error(
+        'no configuration is in force until one above version %d',
+        part.version,
+        extra=logs.fields(step='apply'),
+    )
+
+
 @requests.QUERIES.register('CheckVersion')
 def check_version(handler, body):
     """Return the version in force at the leader."""
-    return DocumentVersion(handler.state.part('document').version)
+    part = handler.state.part('document')
+    part.check_in_force()
+    return DocumentVersion(part.version)
 
 
 @requests.QUERIES.register('ReadDocument')
 def read_document(handler, body):
     """Return the document in force at the leader."""
     part = handler.state.part('document')
+    part.check_in_force()
     return StoredDocument(part.version, part.content)
--- a/pimentowalk/control/parts.py
+++ b/pimentowalk/control/parts.py
@@ -6,6 +6,7 @@
 
 PARTS = registry.Registry('part of the control state')
 HANDLERS = registry.Registry('handler of a logged command')
+SKIP_HANDLERS = registry.Registry('handler of a skipped command')
 
 
 @attrs.define
@@ -53,3 +54,8 @@
 def handles(name):
     """Register `handler(state, command, context) -> result`."""
     return HANDLERS.register(name)
+
+
+def handles_skipped(name):
+    """Register `handler(state)` for records that cannot be decoded."""
+    return SKIP_HANDLERS.register(name)
--- a/pimentowalk/control/state.py
+++ b/pimentowalk/control/state.py
@@ -61,6 +61,7 @@
                 error,
                 extra=logs.fields(step='apply'),
             )
+            self._skip(command)
             return commands.Refusal(error.code, error.message)
         try:
             result = self._dispatch(body, command)
@@ -70,6 +71,14 @@
             callback()
         return result
 
+    def _skip(self, command):
+        """Apply what a record that cannot be decoded is known to replace."""
+        name = commands.name_in_log(command)
+        if name in parts.SKIP_HANDLERS.names():
+            parts.SKIP_HANDLERS.get(name)(self)
+            for callback in self._callbacks:
+                callback()
+
     def earlier_result(self, body, content):
         """Return the stored result for a change id, or None.
 
--- a/pimentowalk/gateway/core.py
+++ b/pimentowalk/gateway/core.py
@@ -231,7 +231,9 @@
 
     def _on_state_change(self):
         stored = self.state.part('document')
-        if stored.version > self.node.document_version:
+        if stored.is_withdrawn:
+            self.node.withdraw_document(stored.version)
+        elif stored.version > self.node.document_version:
             self.node.apply_document(stored.version, stored.content)
 
     def _replica_candidates(self):
--- a/pimentowalk/mesh/node.py
+++ b/pimentowalk/mesh/node.py
@@ -53,6 +53,8 @@
         self.backends = backend_table
         self.document = None
         self.stored_document = (0, b'')
+        # No document up to this version is put in force.
+        self._withdrawn_version = 0
         self.draining = False
         self.has_view = False
         self.live_nodes = 1
@@ -80,6 +82,11 @@
         """Return the version of the document in force, 0 if there is none."""
         return self.document.version if self.document else 0
 
+    @property
+    def has_withdrawn_document(self):
+        """Return whether a document above a known version is awaited."""
+        return self.document is None and self._withdrawn_version > 0
+
     @property
     def leads(self):
         """Return whether this node is the control leader."""
@@ -392,8 +399,12 @@
         return unknown_keys
 
     def apply_document(self, version, content):
-        """Put a committed document in force if its version is newer."""
-        if version <= self.document_version:
+        """Put a committed document in force if its version is newer.
+
+        One that cannot be decoded replaces the older one all the same: keys
+        and routes of that one may have been removed.
+        """
+        if version <= max(self.document_version, self._withdrawn_version):
             return
         try:
             document = self._decode(content)
@@ -404,6 +415,7 @@
                 error,
                 extra=logs.fields(step='document', version=version),
             )
+            self.withdraw_document(version)
             return
         LOG.info(
             'document in force',
@@ -419,6 +431,22 @@
         for callback in self._document_callbacks:
             callback(document)
 
+    def withdraw_document(self, version):
+        """Use no document until there is one above a version."""
+        if version <= self._withdrawn_version:
+            return
+        LOG.error(
+            'no document is in force',
+            extra=logs.fields(
+                step='document',
+                version=version,
+                replaces=self.document_version,
+            ),
+        )
+        self._withdrawn_version = version
+        self.document = None
+        self.stored_document = (0, b'')
+
 
 @HANDLERS.register('documentPush')
 def on_document_push(node, body):
--- a/pimentowalk/platform/front.py
+++ b/pimentowalk/platform/front.py
@@ -272,14 +272,15 @@
         """Wait until the node has a configuration and a view of servers.
 
         The wait ends shortly before the deadline of the caller, if that is
-        sooner.
+        sooner, and at once if the configuration was withdrawn.
         """
         until_s = received_s + START_TIMEOUT_S
         if remaining_s := _remaining_s(request.headers):
             answered_s = received_s + remaining_s - START_ANSWER_MARGIN_S
             until_s = min(until_s, answered_s)
         while not (self._freshness.was_ever_valid and self._node.has_view):
-            if self._timers.now_s() >= until_s:
+            is_over = self._timers.now_s() >= until_s
+            if is_over or self._node.has_withdrawn_document:
                 return
             await self._timers.sleep(START_POLL_INTERVAL_S)
 
--- a/pimentowalk/platform/tests/changing.py
+++ b/pimentowalk/platform/tests/changing.py
@@ -156,6 +156,7 @@
             lambda service: service in self.document.services,
         )
         self.has_view = True
+        self.has_withdrawn_document = False
         self.live_nodes = 1
         self._document_callbacks = []
 
