Leave no server at once for a connection refused at another node

What callers saw (LOST): a stream was cut, or got 502 before its first event, although its server went on. A connection to that server had been refused at another node, for example by a filter between two zones, and the servers left were full.

Cause: a refused connection at any node counted as proof of a crash at all of them, and a crashed server is left before another one has taken the stream over. Class of fault: a step that cannot be undone is taken before its condition is known.

What was missing: an event that was on its way when the server ended dropped the standby try, which counted as the last attempt, and the stream stood still. An event in the 0.1 s after a standby try was sent does not drop it now, if the host of a server of the path refuses connections.

Without the last part, test_event_on_its_way_does_not_use_up_the_last_attempt fails.

--- a/pimentowalk/dispatch/crash_reports.py
+++ b/pimentowalk/dispatch/crash_reports.py
@@ -53,7 +53,7 @@
         table = self._node.backends
         runs = self._failed_runs[key]
         runs.checks += 1
-        if table.has_crashed(server):
+        if table.is_down(server):
             self._publish(server, self._failed_runs.pop(key))
         elif table.is_healthy(server) or runs.checks >= MAX_CRASH_CHECKS:
             del self._failed_runs[key]
--- a/pimentowalk/dispatch/dispatcher.py
+++ b/pimentowalk/dispatch/dispatcher.py
@@ -124,6 +124,7 @@
             node, crashes, timers, metrics
         )
         node.subscribe(node_messages.CheckRequest, self._on_check_request)
+        node.subscribe(node_messages.Suspicion, self._on_suspicion)
         node.on_document(self._on_document)
         node.backends.on_change(
             lambda: self._watch.check_changes(self._streams())
@@ -272,6 +273,18 @@
             else:
                 self.checks.check(backend)
 
+    def _on_suspicion(self, body):
+        """Check whether a server is down that another node cannot reach."""
+        used = [
+            server
+            for run in self._streams()
+            for server in run.servers
+            if (server.server_id, server.born_ms)
+            == (body.server_id, body.born_ms)
+        ]
+        if body.is_down and used:
+            self.checks.check(used[0])
+
     def _record_report(self, backend, report):
         self.in_flight.record_slowness(backend.server_id, report.slowness)
         self.pace.record_slowness(backend, report.slowness)
--- a/pimentowalk/dispatch/standby_run.py
+++ b/pimentowalk/dispatch/standby_run.py
@@ -16,9 +16,10 @@
     has sent a part of its body.
     """
 
-    def __init__(self, target, probe):
+    def __init__(self, target, probe, began_s):
         self.target = target
         self.probe = probe
+        self.began_s = began_s
         self.has_output = False
         self._task = None
 
@@ -151,7 +152,7 @@
         probe = pacing.begin(
             dispatcher.pace, self._service, self._call, target
         )
-        standby = StandbyTry(target, probe)
+        standby = StandbyTry(target, probe, dispatcher.timers.now_s())
         standby.begin(self._await_response(standby))
         return standby
 
--- a/pimentowalk/dispatch/stream.py
+++ b/pimentowalk/dispatch/stream.py
@@ -327,7 +327,7 @@
         if whole:
             whole, self._comments = self._comments + whole, b''
             if events.has_event(whole):
-                self._drop_standby()
+                self._keep_present(now_s)
             if not self._has_event:
                 self._dispatcher.pace.end(self._probe, pace_state.ANSWERED)
             self._charge.events += events.count_events(whole)
--- a/pimentowalk/dispatch/takeover.py
+++ b/pimentowalk/dispatch/takeover.py
@@ -12,6 +12,9 @@
 # The head of a standby try without an event is asked this often which server
 # has stalled. Its first event takes longer, since the prompt is read before.
 REPORT_INTERVAL_S = 0.25
+# An event that arrives within this time after a server has refused connections
+# may have been sent before.
+EVENT_TRANSIT_S = 0.1
 
 
 class TakeoverRun(standby_run.StandbyRun):
@@ -49,6 +52,20 @@
         self._give_up_standby(error)
         return False
 
+    def _keep_present(self, now_s):
+        """Drop the standby try, since the present one has sent an event.
+
+        It is kept if the path may have failed while the event was on its way:
+        a dropped try counts as an attempt, and may be the last one.
+        """
+        standby = self._standby
+        if standby is None:
+            return
+        is_down = self._dispatcher.node.backends.is_down
+        is_recent = now_s - standby.began_s < EVENT_TRANSIT_S
+        if not (is_recent and any(map(is_down, self.servers))):
+            self._drop_standby()
+
     async def _await_end(self, standby):
         """Wait until a standby try has ended; return why it has stalled."""
         has_crashed = self._dispatcher.node.backends.has_crashed
--- a/pimentowalk/dispatch/watched_run.py
+++ b/pimentowalk/dispatch/watched_run.py
@@ -1,6 +1,7 @@
 """Detect why a stream has stalled, and recover it on another path."""
 
 import asyncio
+import contextlib
 import logging
 
 from pimentowalk.core import logs
@@ -230,6 +231,7 @@
             )
 
     async def _leave_server(self, address, reason):
+        await self._confirm_crash(address)
         head = self._target.backend
         suspects = {
             server.server_id
@@ -258,6 +260,21 @@
         self._excluded -= suspects
         await self._wait_for_events(address, reason)
 
+    async def _confirm_crash(self, address):
+        """Check a server that another node has found to be down.
+
+        Until the stream leaves it, the other servers of the path hold memory.
+        """
+        dispatcher = self._dispatcher
+        table = dispatcher.node.backends
+        for server in self._target.servers:
+            is_reported = table.is_down(server) and not table.has_crashed(
+                server
+            )
+            if server.address == address and is_reported:
+                with contextlib.suppress(calls.TryFailed):
+                    await dispatcher.checks.report(server)
+
     def _is_lost(self, address, *, is_head):
         """Return whether the present try is left before another one answers.
 
--- a/pimentowalk/membership/backends.py
+++ b/pimentowalk/membership/backends.py
@@ -39,7 +39,8 @@
 class Record:
     """The newest announcement and the health of one backend server.
 
-    `is_down` tells of a suspect that its host refuses connections.
+    `is_down` tells of a suspect that its host refuses connections,
+    `is_confirmed` that it refuses those of this node.
     `restored_s` is when the announcement was restored from a file, None once
     the server has announced itself since then.
     """
@@ -49,6 +50,7 @@
     suspect_since_s: float | None = None
     suspect_sequence: int = 0
     is_down: bool = False
+    is_confirmed: bool = False
     restored_s: float | None = None
 
     def update_heard(self, heard_s):
@@ -357,13 +359,22 @@
         )
         self._notify()
 
-    def suspect(self, server_id, born_ms, reason, *, is_down=False):
-        """Exclude a server from new work; return whether this is new."""
+    def suspect(
+        self, server_id, born_ms, reason, *, is_down=False, is_reported=False
+    ):
+        """Exclude a server from new work; return whether this is new.
+
+        With `is_reported`, the suspicion is that of another node.
+        """
         record = self._records.get(server_id)
         if record is None or record.backend.born_ms != born_ms:
             return False
         is_new = record.suspect_since_s is None
+        is_confirmed = is_down and not is_reported
         record.is_down = is_down or (record.is_down and not is_new)
+        record.is_confirmed = is_confirmed or (
+            record.is_confirmed and not is_new
+        )
         record.suspect_since_s = self.now_s()
         record.suspect_sequence = record.backend.sequence
         if is_new:
@@ -391,14 +402,33 @@
             return None
         return record.suspect_since_s
 
-    def has_crashed(self, backend):
-        """Return whether an incarnation is down or was replaced.
+    def is_down(self, backend):
+        """Return whether an incarnation refuses connections or was replaced.
 
         A suspect that is merely silent may only be cut off.
         """
-        record = self._records.get(backend.server_id)
-        if record is not None and record.backend.born_ms == backend.born_ms:
+        record = self._record_of(backend)
+        if record is not None:
             return record.suspect_since_s is not None and record.is_down
+        return self._was_replaced(backend)
+
+    def has_crashed(self, backend):
+        """Return whether the requests of this node at an incarnation are lost.
+
+        Another node that it refuses may be cut off from it.
+        """
+        record = self._record_of(backend)
+        if record is not None:
+            return record.suspect_since_s is not None and record.is_confirmed
+        return self._was_replaced(backend)
+
+    def _record_of(self, backend):
+        """Return the record of an incarnation, or None."""
+        record = self._records.get(backend.server_id)
+        is_same = record and record.backend.born_ms == backend.born_ms
+        return record if is_same else None
+
+    def _was_replaced(self, backend):
         successor = self.at_address(backend.address)
         return successor is not None and successor.born_ms > backend.born_ms
 
--- a/pimentowalk/mesh/node.py
+++ b/pimentowalk/mesh/node.py
@@ -477,7 +477,11 @@
 def on_suspicion(node, body):
     """Exclude a server that failed at another node."""
     node.backends.suspect(
-        body.server_id, body.born_ms, body.reason, is_down=body.is_down
+        body.server_id,
+        body.born_ms,
+        body.reason,
+        is_down=body.is_down,
+        is_reported=True,
     )
 
 
--- a/pimentowalk/platform/tests/test_silent_streams.py
+++ b/pimentowalk/platform/tests/test_silent_streams.py
@@ -278,13 +278,52 @@
             running.server_id, born_ms, 'cannot connect', True
         )
         mesh_node.on_suspicion(scene.node, suspicion)
+        scene.dispatcher._on_suspicion(suspicion)
         await asyncio.sleep(SILENCE_S)
+        # It has been checked, since it may be down.
+        assert scene.dispatcher.checks.answered_s(running.server_id) > 0
 
     scene.steps.actions[step] = suspect
     assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
     assert scene.runs('r1') == 1
 
 
+async def test_event_on_its_way_does_not_use_up_the_last_attempt(scene):
+    """LOST: an event that a server had sent before it ended dropped the
+    standby try, which was the last attempt, and the stream stood still.
+    """
+
+    async def end_after_an_event():
+        (running,) = [server for server in scene.servers if server.runs['r1']]
+        (other,) = [
+            server
+            for server in scene.servers
+            if server.service == 'model' and server is not running
+        ]
+        stream = other._stream
+
+        async def stream_later(request, headers):
+            await asyncio.sleep(0.05)
+            return await stream(request, headers)
+
+        async def hang():
+            await asyncio.sleep(changing.REQUEST_TIMEOUT_S)
+
+        other._stream = stream_later
+        scene.steps.actions['after 2'] = hang
+        born_ms = scene.node.backends.get(running.server_id).born_ms
+        mesh_node.on_suspicion(
+            scene.node,
+            node_messages.Suspicion(
+                running.server_id, born_ms, 'cannot connect', True
+            ),
+        )
+
+    scene.steps.actions['pause'] = end_after_an_event
+    assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
+    assert scene.runs('r1') == 2
+
+
 async def test_server_that_another_node_found_down_is_left_at_once(scene):
     """The other servers of the path held memory for a stream that had ended,
     until another path had sent its first event.
@@ -302,7 +341,7 @@
         scene.client.fetch_report = refuse
         born_ms = scene.node.backends.get(running.server_id).born_ms
         scene.node.backends.suspect(
-            running.server_id, born_ms, 'x', is_down=True
+            running.server_id, born_ms, 'x', is_down=True, is_reported=True
         )
         await asyncio.sleep(SILENCE_S)
 
