Let a draining server finish after it has stopped listening

What callers saw (LOST): streams were cut while their servers finished them during a planned stop, if the servers had closed their listening sockets first and no other server had room.

Cause: a refused connection proves that a process does not listen. It was taken for the end of the process. Class of fault: a step that cannot be undone is taken before its condition is known.

Besides, streams of which it is the head go on without a standby try while they are not silent: the connection to a head breaks by itself if the server has ended, and each standby try reads a prompt again and uses an attempt.

--- a/pimentowalk/dispatch/watched_run.py
+++ b/pimentowalk/dispatch/watched_run.py
@@ -135,7 +135,18 @@
             # An event after the suspicion tells that it may be wrong.
             timeout_s = self.pauses.limits.silent_s
         is_later = suspected_s is not None and suspected_s >= self.progress_s
-        return is_later or silent_s >= timeout_s
+        return (is_later and not self._may_finish(failed)) or (
+            silent_s >= timeout_s
+        )
+
+    def _may_finish(self, failed):
+        """Return whether a suspect may only have stopped listening.
+
+        The connection to a head breaks by itself if the server has ended.
+        """
+        table = self._dispatcher.node.backends
+        is_head = failed.server_id == self._target.backend.server_id
+        return is_head and table.is_draining(failed)
 
     def _event_timeout_s(self):
         """Return the time without an event after which the head is asked."""
--- a/pimentowalk/membership/backends.py
+++ b/pimentowalk/membership/backends.py
@@ -415,13 +415,21 @@
     def has_crashed(self, backend):
         """Return whether the requests of this node at an incarnation are lost.
 
-        Another node that it refuses may be cut off from it.
+        Another node that it refuses may be cut off from it. A draining server
+        may accept no connections any more, and finish its requests.
         """
         record = self._record_of(backend)
         if record is not None:
-            return record.suspect_since_s is not None and record.is_confirmed
+            is_suspect = record.suspect_since_s is not None
+            is_confirmed = is_suspect and record.is_confirmed
+            return is_confirmed and not self.is_draining(backend)
         return self._was_replaced(backend)
 
+    def is_draining(self, backend):
+        """Return whether an incarnation accepts no new work."""
+        record = self._record_of(backend)
+        return record is not None and record.backend.state == backends.DRAINING
+
     def _record_of(self, backend):
         """Return the record of an incarnation, or None."""
         record = self._records.get(backend.server_id)
--- a/pimentowalk/platform/tests/test_silent_streams.py
+++ b/pimentowalk/platform/tests/test_silent_streams.py
@@ -7,6 +7,7 @@
 import pytest
 
 from pimentowalk.dispatch import calls
+from pimentowalk.dispatch import silence
 from pimentowalk.mesh import node as mesh_node
 from pimentowalk.platform import announcements
 from pimentowalk.platform.tests import changing
@@ -288,6 +289,25 @@
     assert scene.runs('r1') == 1
 
 
+async def test_draining_head_that_goes_on_is_not_left(scene, monkeypatch):
+    """Each stream was read at another server as well, and used an attempt."""
+    # The stream is not silent during the test.
+    monkeypatch.setattr(silence, 'MIN_SILENT_S', SILENCE_S)
+
+    async def stop_listening():
+        # The event before has arrived by then.
+        await asyncio.sleep(0.05)
+        (running,) = [server for server in scene.servers if server.runs['r1']]
+        drain(scene, running)
+        backend = scene.node.backends.get(running.server_id)
+        scene.dispatcher.suspect(backend, 'cannot connect', is_down=True)
+        await asyncio.sleep(0.15)
+
+    scene.steps.actions['pause'] = stop_listening
+    assert await scene.request('POST', '/draft/2f', 'r1') == ANSWER
+    assert scene.metrics.counters['standby_tries'] == 0
+
+
 async def test_event_on_its_way_does_not_use_up_the_last_attempt(scene):
     """LOST: an event that a server had sent before it ended dropped the
     standby try, which was the last attempt, and the stream stood still.
