Name the wait for the disks that hold a departure

Two functions and a method were called hold_departures or much like it, although one of them only waits. The instances are passed as a mapping, so that the node does not wrap each wait itself. No behaviour changes; the tests of departures and of mesh pass.

--- a/pimentowalk/control/state.py
+++ b/pimentowalk/control/state.py
@@ -72,7 +72,7 @@
         return result
 
     def _skip(self, command):
-        """Apply what a record that cannot be decoded is known to replace."""
+        """Call the handler of a command that cannot be decoded, if any."""
         name = commands.name_in_log(command)
         if name in parts.SKIP_HANDLERS.names():
             parts.SKIP_HANDLERS.get(name)(self)
--- a/pimentowalk/mesh/links.py
+++ b/pimentowalk/mesh/links.py
@@ -169,14 +169,16 @@
             self.post(node_messages.BackendRequest(unknown_keys))
 
 
-async def hold_departures(holds, disk_count):
+async def wait_for_disks(waits, disk_count):
     """Return once enough disks hold a departure; raise NotDurable.
 
-    Each of `holds` returns whether the disk of one instance holds it.
+    `waits` maps the ids of instances to awaitables that end once the disk of
+    the instance holds it, or fail.
     """
     held_count = 0
-    for hold in asyncio.as_completed(holds):
-        held_count += await hold
+    checks = [_is_held(wait, node_id) for node_id, wait in waits.items()]
+    for check in asyncio.as_completed(checks):
+        held_count += await check
         if held_count >= disk_count:
             return
     raise errors.NotDurable(
@@ -184,7 +186,7 @@
     )
 
 
-async def holds_departure(wait, peer):
+async def _is_held(wait, node_id):
     """Return whether waiting for the disk of an instance succeeds."""
     try:
         await wait
@@ -194,7 +196,7 @@
         LOG.info(
             'departure not held: %s',
             error or 'no answer',
-            extra=logs.fields(step='leave', peer=peer),
+            extra=logs.fields(step='leave', peer=node_id),
         )
         return False
     return True
--- a/pimentowalk/mesh/node.py
+++ b/pimentowalk/mesh/node.py
@@ -352,13 +352,7 @@
                 waits[node_id] = link.call(body, timeout_s)
             else:
                 link.post(body)
-        await mesh_links.hold_departures(
-            [
-                mesh_links.holds_departure(wait, node_id)
-                for node_id, wait in waits.items()
-            ],
-            self._departure_disk_count(),
-        )
+        await mesh_links.wait_for_disks(waits, self._departure_disk_count())
 
     def _departure_disk_count(self):
         """Return how many disks hold a departure that is acknowledged.
