Share the copy of folders between tests of departures

The two tests that restart all gateways with the folders of a kill copied the same lines. What they assert is unchanged; all of test_departures passes.

--- a/pimentowalk/platform/tests/test_departures.py
+++ b/pimentowalk/platform/tests/test_departures.py
@@ -70,6 +70,15 @@
     raise OSError(errno.ENOSPC, 'the disk is full')
 
 
+def copy_folders(folders):
+    """Copy the folders as a kill leaves them; return the copies."""
+    copies = {f: f.with_name(f'killed-{f.name}') for f in folders}
+    for folder, copy in copies.items():
+        # The gateways still run and rename their temporary files.
+        shutil.copytree(folder, copy, ignore=shutil.ignore_patterns('*.tmp'))
+    return copies
+
+
 async def restart_all(cluster, copies):
     """Restart the gateways with the data that they had when copied."""
     hosts = [gateway.settings.host for gateway in cluster.gateways]
@@ -82,6 +91,15 @@
     ]
 
 
+async def wait_until_drained(cluster):
+    """Wait until requests to a server that has left count by the rule."""
+    # It counts from when the nodes are in touch again.
+    await waiting.until(
+        lambda: all(g.freshness.is_valid for g in cluster.gateways)
+    )
+    await asyncio.sleep(DRAIN_S)
+
+
 @pytest.mark.parametrize('method', ['DELETE', 'PUT'])
 @pytest.mark.parametrize('has_disk', [True, False])
 async def test_acknowledged_departure_holds_after_a_kill_of_all(
@@ -105,20 +123,13 @@
             break
     assert status == 200
     acknowledged_s = time.monotonic() - start_s
-    copies = {f: f.with_name(f'killed-{f.name}') for f in folders}
-    for folder, copy in copies.items():
-        # The gateways still run and rename their temporary files.
-        shutil.copytree(folder, copy, ignore=shutil.ignore_patterns('*.tmp'))
+    copies = copy_folders(folders)
     print(f'acknowledged after {acknowledged_s:.3f} s')
     assert acknowledged_s < MAX_ACKNOWLEDGEMENT_S
     if not has_disk:
         await gateway.close()
     await restart_all(cluster, copies)
-    # The rule counts from when the nodes are in touch again.
-    await waiting.until(
-        lambda: all(g.freshness.is_valid for g in cluster.gateways)
-    )
-    await asyncio.sleep(DRAIN_S)
+    await wait_until_drained(cluster)
     for gateway in cluster.gateways:
         usable = gateway.node.backends.usable('model')
         assert [backend.server_id for backend in usable] == ['m-2']
@@ -168,16 +179,11 @@
         monkeypatch, folders[1:], lambda: time.sleep(SLOW_DISK_DELAY_S)
     )
     assert await leave(cluster, cluster.gateways[0], method) == 200
-    copies = {f: f.with_name(f'killed-{f.name}') for f in folders}
-    for folder, copy in copies.items():
-        shutil.copytree(folder, copy, ignore=shutil.ignore_patterns('*.tmp'))
+    copies = copy_folders(folders)
     shutil.rmtree(copies[folders[0]])
     copies[folders[0]].mkdir()
     await restart_all(cluster, copies)
-    await waiting.until(
-        lambda: all(g.freshness.is_valid for g in cluster.gateways)
-    )
-    await asyncio.sleep(DRAIN_S)
+    await wait_until_drained(cluster)
     for gateway in cluster.gateways:
         usable = gateway.node.backends.usable('model')
         assert 'm-1' not in [backend.server_id for backend in usable]
