--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -23,7 +23,7 @@
 # Covers servers that leave by a header and servers that ask for pauses.
 NOTICE_SEED = 8100
 # Seeds that broke a promise with all faults.
-LATER_REGRESSION_SEEDS = (9122, 53014)
+LATER_REGRESSION_SEEDS = (9122, 53014, 55027)
 
 
 def outcome(kind='booking', **fields):
