--- a/pimentowalk/core/errors.py
+++ b/pimentowalk/core/errors.py
@@ -29,7 +29,9 @@
     'outcome_unknown': Code(502, 'the request may have run'),
     'peer_lost': Code(502, 'the connection to a peer ended'),
     'not_leader': Code(503, 'this control replica does not lead'),
-    'not_durable': Code(503, 'too few disks hold the change yet; send it again'),
+    'not_durable': Code(
+        503, 'too few disks hold the change yet; send it again'
+    ),
     'not_run': Code(503, 'the request did not run'),
     'no_chain': Code(503, 'no chain of backend servers can serve this'),
     'no_quorum': Code(503, 'the control replicas have no quorum'),
@@ -87,7 +89,7 @@
 
 
 class NotDurable(PimentowalkError):
-    """Report that no disk holds a change, which may be in force."""
+    """Report that too few disks hold a change, which may be in force."""
 
     code = 'not_durable'
 
