--- a/review/support-3/lab.py
+++ b/review/support-3/lab.py
@@ -12,9 +12,11 @@
 import os
 import pathlib
 import random
+import re
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -26,11 +28,11 @@
 ZONES = ('bergen', 'forde', 'voss')
 # The bounds of the sheet of the site hjulverk-drift.
 BOUNDS = {
-    'revocation_ms': 5000,
-    'retry_window_s': 10,
-    'retry_ratio': 0.2,
-    'retry_extra': 204,
-    'stop_ms': 8000,
+    'grace-s': 8,
+    'revoke-ms': 5000,
+    'budget-ratio': 0.2,
+    'budget-window-s': 10,
+    'budget-extra': 204,
 }
 
 
@@ -53,6 +55,43 @@
     return ports
 
 
+def _look_up(fields, name):
+    """Return the value of a placeholder, or None."""
+    value = fields
+    for part in name.split('.'):
+        if isinstance(value, list):
+            value = value[int(part)]
+        else:
+            value = value.get(part)
+        if value is None:
+            return None
+    return value
+
+
+def _render(value):
+    if isinstance(value, list):
+        return ','.join(_render(item) for item in value)
+    if isinstance(value, bool):
+        return 'true' if value else 'false'
+    return '' if value is None else str(value)
+
+
+def fill(text, fields):
+    """Fill in placeholders and sections of a settings template."""
+    section = re.compile(r'{{#([^}]+)}}(.*?){{/\1}}', re.DOTALL)
+    text = section.sub(
+        lambda found: (
+            '' if _look_up(fields, found[1]) in (None, False) else found[2]
+        ),
+        text,
+    )
+    return re.sub(
+        r'{{([^}]+)}}',
+        lambda found: _render(_look_up(fields, found[1])),
+        text,
+    )
+
+
 class Gateway:
     """One gateway: its settings, its process and its log."""
 
@@ -71,31 +110,33 @@
         return self.ip, self.lab.ports[kind]
 
     def write_settings(self, *, first_start):
-        """Write the settings file, as the template gives it."""
+        """Fill in the template of the settings file, as DEPLOY.md tells."""
         lab = self.lab
-        seeds = ','.join(
-            f'{g.ip}:{lab.ports["control"]}' for g in lab.core[:3]
+        listen = {
+            kind: f'{self.ip}:{lab.ports[kind]}'
+            for kind in ('front', 'ready', 'control')
+        }
+        seeds = [f'{g.ip}:{lab.ports["control"]}' for g in lab.core[:3]]
+        fields = {
+            'node-name': self.name,
+            'ip': self.ip,
+            'zone': self.zone,
+            'port-range': [lab.ports['peer'], lab.ports['peer'] + 15],
+            'listen': listen,
+            'seeds': seeds,
+            'bootstrap': first_start,
+            'data-dir': str(self.folder / 'data') if self.has_disk else '',
+            'heartbeat-ms': int(HEARTBEAT_S * 1000),
+            'fault-tolerance': {'machines': 1, 'zones': 0, 'regions': 0},
+            'bounds': lab.bounds,
+        }
+        text = (ROOT / 'deploy' / 'settings.ini').read_text()
+        text = fill(text, fields)
+        # All machines of the case share one network stack.
+        text = text.replace(
+            'metrics_port = 9464', f'metrics_port = {lab.ports["metrics"]}'
         )
-        lines = [
-            '[gateway]',
-            f'node_id = {self.ip}',
-            f'name = {self.name}',
-            f'zone = {self.zone}',
-            f'host = {self.ip}',
-            f'peer_port = {lab.ports["peer"]}',
-            f'metrics_port = {lab.ports["metrics"]}',
-            f'front = {self.ip}:{lab.ports["front"]}',
-            f'ready = {self.ip}:{lab.ports["ready"]}',
-            f'control = {self.ip}:{lab.ports["control"]}',
-            f'seeds = {seeds}',
-            f'first_start = {"true" if first_start else "false"}',
-            f'data_folder = {self.folder / "data" if self.has_disk else ""}',
-            f'announcement_period_ms = {int(HEARTBEAT_S * 1000)}',
-            'tolerated_losses = 1',
-            '[bounds]',
-            *(f'{name} = {value}' for name, value in lab.bounds.items()),
-        ]
-        (self.folder / 'boot.ini').write_text('\n'.join(lines) + '\n')
+        (self.folder / 'boot.ini').write_text(text)
 
     def start(self, *, first_start=False):
         """Start the process with the command of the deploy file."""
@@ -205,6 +246,14 @@
             writer.close()
 
 
+def reset(writer):
+    """Reset a connection; a close alone may look like the end of a body."""
+    writer.get_extra_info('socket').setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+    writer.transport.abort()
+
+
 class Replica:
     """A stand-in for a replica of a plain service.
 
@@ -234,7 +283,7 @@
         self._server = await asyncio.start_server(
             self._serve, self.ip, self.port, backlog=512
         )
-        self._beats = asyncio.ensure_future(self._announce())
+        self._beats = asyncio.ensure_future(self.announce())
 
     async def stop(self):
         """Crash: close all connections and the listening socket."""
@@ -243,7 +292,7 @@
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
-            writer.transport.abort()
+            reset(writer)
 
     async def announce_once(self, gateways=None):
         """Send one heartbeat; return the gateway that acknowledged it."""
@@ -278,7 +327,8 @@
                     return gateway
         return None
 
-    async def _announce(self):
+    async def announce(self):
+        """Send heartbeats until cancelled."""
         while True:
             await self.announce_once()
             await asyncio.sleep(HEARTBEAT_S * random.uniform(0.9, 1.1))
@@ -301,7 +351,7 @@
                 }
                 status, fields, text = await self._answer(found)
                 if not status:
-                    writer.transport.abort()
+                    reset(writer)
                     return
                 lines = [f'HTTP/1.1 {status} Answer', *fields]
                 lines.append(f'Content-Length: {len(text)}')
@@ -355,12 +405,12 @@
 class Lab:
     """Gateways, replicas and the record of a case."""
 
-    def __init__(self, record_path, *, core=3, others=4, **bounds):
+    def __init__(self, record_path, *, core=3, others=4, bounds=None):
         self.net = random.SystemRandom().randrange(20, 250)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='case-'))
         kinds = ('front', 'ready', 'control', 'peer', 'metrics', 'replica')
         self.ports = dict(zip(kinds, _free_ports(len(kinds)), strict=True))
-        self.bounds = BOUNDS | bounds
+        self.bounds = BOUNDS | (bounds or {})
         self.gateways = []
         self.core = []
         for number in range(core + others):
