--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,147 +1,91 @@
-"""Overload a service, kill the core, and count the repeated arrivals."""
+"""Stop a gateway while streams run, with a `grace-s` that is a fraction."""
 
 import asyncio
-import bisect
-import collections
 import contextlib
+import os
 import pathlib
-import random
+import signal
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / 'support-3'))
 import lab as support  # noqa: E402
 
-BASE_PER_S = 60.0
-BURST_X = 1.7
-WORK_S = 0.45
-SLOTS = 6
-REPLICAS = 3
-BURST_AT_S = 3.0
-KILL_AT_S = 12.0
-DOWN_S = 2.0
-END_S = 22.0
-KEY = 'n2ctnfzs989anu6wsjnb'
+STREAMS = 20
+EVENTS = 20
+PAUSE_S = 0.1
+STOP_AFTER_S = 0.7
 
 
-class Traffic:
-    """Clients, the balancer of the platform, and what replicas see."""
+class Streams:
+    """The replica's side and the client's side of the streams."""
 
     def __init__(self, lab):
         self.lab = lab
-        self.sent_s = []
-        self.arrivals = collections.defaultdict(list)
-        self.statuses = collections.Counter()
-        self.rotation = {g.name: True for g in lab.gateways}
-        self.running = collections.Counter()
+        self.whole = 0
+        self.cut = 0
 
     async def handle(self, replica, found):
-        """Run a request, or refuse it if all slots are taken."""
+        """Send a stream of events, as fast as a model writes."""
         request_id = found['headers'].get('pimentowalk-request-id', '')
-        self.arrivals[request_id].append(self.lab.now_s())
-        if self.running[replica.server_id] >= SLOTS:
-            self.lab.write(f'{request_id} refused by {replica.ip}: full')
-            return support.full(found)
         self.lab.write(f'{request_id} run by {replica.ip}')
-        self.running[replica.server_id] += 1
-        try:
-            await asyncio.sleep(WORK_S * random.uniform(0.8, 1.2))
-        finally:
-            self.running[replica.server_id] -= 1
-        return support.success(found)
-
-    async def watch(self, gateway):
-        """Take a gateway out of rotation after two misses."""
-        misses = 0
-        while True:
-            misses = 0 if await gateway.is_ready() else misses + 1
-            self.rotation[gateway.name] = misses < 2
-            await asyncio.sleep(1.0)
-
-    def _choose(self):
-        found = [g for g in self.lab.gateways if self.rotation[g.name]]
-        return random.choice(found or self.lab.gateways)
-
-    async def send(self):
-        """Send one request; a refused connection is tried elsewhere."""
-        self.sent_s.append(self.lab.now_s())
+        _, fields, _ = support.success(found)
+        fields += ['Content-Type: text/event-stream']
+        fields += ['Transfer-Encoding: chunked', 'Connection: close']
+        writer = found['writer']
+        head = '\r\n'.join(['HTTP/1.1 200 OK', *fields, '', ''])
+        writer.write(head.encode())
+        for number in range(1, EVENTS + 1):
+            event = f'id: {number}\ndata: token {number}\n\n'.encode()
+            writer.write(b'%x\r\n%b\r\n' % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(PAUSE_S)
+        writer.write(b'0\r\n\r\n')
+        await writer.drain()
+        # The stream was written here; `_serve` only closes the connection.
+        raise asyncio.IncompleteReadError(b'', None)
+
+    async def read(self, gateway):
+        """Send a request and read its stream to the end."""
         request_id = self.lab.new_id()
-        for _ in range(8):
-            gateway = self._choose()
-            with contextlib.suppress(ConnectionError, TimeoutError):
-                self.lab.write(f'{request_id} sent to {gateway.name}')
-                answer = await support.request(
-                    gateway.address('front'),
-                    'GET',
-                    '/job-lookup/2f',
-                    headers=[
-                        ('Host', support.HOST),
-                        ('Pimentowalk-Request-Id', request_id),
-                        ('Pimentowalk-Deadline-Remaining', '1500'),
-                        ('Pimentowalk-Key', KEY),
-                    ],
-                    timeout_s=1.5,
-                )
-                self.statuses[answer.status] += 1
-                self.lab.write(f'{request_id} answered {answer.status}')
-                return
-
-    async def run(self, until_s):
-        """Send requests at the rate of the time, with a burst."""
-        tasks = set()
-        while self.lab.now_s() < until_s:
-            rate = BASE_PER_S
-            if self.began_s + BURST_AT_S <= self.lab.now_s():
-                rate *= BURST_X
-            task = asyncio.ensure_future(self.send())
-            tasks.add(task)
-            task.add_done_callback(tasks.discard)
-            await asyncio.sleep(random.expovariate(rate))
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-
-def check(traffic, lab):
-    """Return the windows in which the rule is broken."""
-    window_s = lab.bounds['budget-window-s']
-    again = sorted(
-        at_s for times in traffic.arrivals.values() for at_s in times[1:]
-    )
-    sent = sorted(traffic.sent_s)
-
-    def count(values, from_s):
-        first = bisect.bisect_left(values, from_s)
-        return bisect.bisect_left(values, from_s + window_s) - first
-
-    worst = 0.0, 0, 0.0
-    for from_s in again:
-        requests = max(
-            count(sent, from_s),
-            count(sent, from_s - window_s),
-            count(sent, from_s - window_s / 2),
+        self.lab.write(f'{request_id} sent to {gateway.name}')
+        answer = support.Answer()
+        with contextlib.suppress(ConnectionError, TimeoutError):
+            answer = await support.request(
+                gateway.address('front'),
+                'POST',
+                '/repair-note/2f',
+                headers=[
+                    ('Host', support.HOST),
+                    ('Pimentowalk-Request-Id', request_id),
+                    ('Pimentowalk-Deadline-Remaining', '20000'),
+                ],
+                body=b'a punctured tyre',
+            )
+        self.lab.write(
+            f'{request_id} answered {answer.status}, '
+            + ('whole' if answer.is_whole else 'cut')
         )
-        limit = lab.bounds['budget-ratio'] * requests
-        limit += lab.bounds['budget-extra']
-        found = count(again, from_s)
-        if found / limit > worst[0]:
-            worst = found / limit, found, limit, from_s
-    return worst
+        self.whole += answer.is_whole
+        self.cut += not answer.is_whole
 
 
 async def case(record_path, trouble):
     """Run the case; return whether the rule was broken."""
-    lab = support.Lab(record_path, core=3, others=4)
-    background = []
+    grace = os.environ.get('GRACE', '7.5')
+    lab = support.Lab(record_path, bounds={'grace-s': grace})
     try:
-        traffic = Traffic(lab)
+        streams = Streams(lab)
         await lab.start()
-        for number in range(REPLICAS):
+        for number in range(3):
             replica = support.Replica(
                 lab,
                 number,
-                'verkstad',
-                traffic.handle,
+                'skrivar',
+                streams.handle,
                 zone=support.ZONES[number],
             )
+            replica.slots = 96
             lab.replicas.append(replica)
             await replica.start()
         await lab.configure(
@@ -149,57 +93,33 @@
                 1,
                 [
                     support.route(
-                        'job-lookup', '/job-lookup/', 'verkstad', 'safe'
+                        'repair-note',
+                        '/repair-note/',
+                        'skrivar',
+                        'streaming',
+                        **{'timeout-ms': 20000, 'latency-target-ms': 500},
+                        resumable=True,
                     )
                 ],
-                ['verkstad'],
-                [{'name': 'tenant-1', 'api-keys': [KEY]}],
+                ['skrivar'],
             )
         )
         await lab.wait_ready()
         await asyncio.sleep(3.0)
-        background += [
-            asyncio.ensure_future(traffic.watch(g)) for g in lab.gateways
+        gateway = lab.gateways[-1]
+        clients = [
+            asyncio.ensure_future(streams.read(gateway))
+            for _ in range(STREAMS)
         ]
-        began_s = traffic.began_s = lab.now_s()
-        lab.write('traffic begins')
-        clients = asyncio.ensure_future(traffic.run(began_s + END_S))
-        await asyncio.sleep(KILL_AT_S)
+        await asyncio.sleep(STOP_AFTER_S)
         if trouble:
-            await asyncio.gather(*(g.kill() for g in lab.core))
-            lab.write('all processes of the core are killed')
-            await asyncio.sleep(DOWN_S)
-            for gateway in lab.core:
-                gateway.start()
-            lab.write('the processes of the core are started')
-        await clients
-        for second in range(int(END_S)):
-            from_s = began_s + second
-            arrivals = [a for t in traffic.arrivals.values() for a in t]
-            lab.write(
-                f'second {second}: sent '
-                f'{sum(0 <= s - from_s < 1 for s in traffic.sent_s)}, '
-                f'arrivals {sum(0 <= a - from_s < 1 for a in arrivals)}, '
-                'repeated '
-                + str(
-                    sum(
-                        0 <= a - from_s < 1
-                        for t in traffic.arrivals.values()
-                        for a in t[1:]
-                    )
-                )
-            )
-        lab.write(f'answers: {dict(traffic.statuses)}')
-        share, found, limit, *since = check(traffic, lab)
-        lab.write(
-            f'worst window: {found} repeated arrivals, the rule allows '
-            f'{limit:.0f} ({share:.2f} of it), from {since}'
-        )
-        print(f'{found} repeated arrivals in a window, {limit:.0f} allowed')
-        return found > limit
+            lab.write(f'{gateway.name} gets SIGTERM, grace-s is {grace}')
+            gateway.send(signal.SIGTERM)
+        await asyncio.gather(*clients)
+        lab.write(f'{streams.whole} whole answers, {streams.cut} cut')
+        print(f'{streams.whole} whole answers, {streams.cut} cut')
+        return streams.cut > 0
     finally:
-        for task in background:
-            task.cancel()
         await lab.close()
 
 
