--- a/review/support-3/lab.py
+++ b/review/support-3/lab.py
@@ -484,11 +484,13 @@
 
     async def close(self):
         """End all processes and remove the temporary folder."""
-        for replica in self.replicas:
-            await replica.stop()
+        # The processes first: nothing may keep them from being ended.
+        for gateway in self.gateways:
+            gateway.send(signal.SIGKILL)
         for gateway in self.gateways:
-            gateway.send(signal.SIGCONT)
             await gateway.kill()
+        for replica in self.replicas:
+            await replica.stop()
         self._record.close()
         if os.environ.get('KEEP') != '1':
             shutil.rmtree(self.folder, ignore_errors=True)
